--- /dev/null
+++ b/commands/drain.go
@@ -0,0 +1,31 @@
+package cmds
+
+import (
+	"chicorymast/core/ident"
+	"chicorymast/core/state"
+	"chicorymast/io/admin"
+)
+
+type drainCommand struct {
+	clientOptions
+	changeOptions
+	Undo bool `long:"undo" description:"let work back"`
+	Args struct {
+		VM ident.VM `positional-arg-name:"VM"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func init() {
+	register("drain", "keep new work away from a VM", "Keeps new work away from the upstream on a VM; what runs there finishes.", &drainCommand{})
+}
+
+// Execute sets or ends the drain.
+func (c *drainCommand) Execute([]string) error {
+	id := c.id()
+	q := admin.Drain{ChangeID: id, VM: c.Args.VM, Draining: !c.Undo}
+	r, err := change[state.Result](c.clientOptions, id, "/v1/drains", q)
+	if err != nil {
+		return err
+	}
+	return c.printResult(r)
+}
--- /dev/null
+++ b/commands/load.go
@@ -0,0 +1,73 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/signal"
+	"slices"
+	"syscall"
+
+	"chicorymast/io/load"
+)
+
+type loadCommand struct {
+	Out  string `long:"out" description:"file for the result as JSON"`
+	Args struct {
+		Plan string `positional-arg-name:"PLAN" description:"load plan (INI)"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func init() {
+	register("load", "send calls (trials)", "Sends calls as a load plan says and prints what the customers got.", &loadCommand{})
+}
+
+// Execute runs the plan.
+func (c *loadCommand) Execute([]string) error {
+	data, err := os.ReadFile(c.Args.Plan)
+	if err != nil {
+		return usageError{err}
+	}
+	plan, err := load.ParsePlan(c.Args.Plan, data, os.ReadFile)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	result := load.Run(ctx, plan)
+	printLoad(os.Stdout, result)
+	if c.Out == "" {
+		return nil
+	}
+	return writeJSON(c.Out, result)
+}
+
+func writeJSON(path string, v any) error {
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	const mode = 0o644
+	return os.WriteFile(path, data, mode)
+}
+
+func printLoad(w io.Writer, r *load.Result) {
+	fmt.Fprintf(w, "%-24s %8s %8s %7s %8s %8s %8s  %s\n", "stream", "offered", "whole", "share", "p50 ms", "p90 ms", "p99 ms", "other outcomes")
+	for _, name := range slices.Sorted(maps.Keys(r.Streams)) {
+		printStats(w, name, r.Streams[name])
+	}
+	printStats(w, "total", r.Total)
+}
+
+func printStats(w io.Writer, name string, s *load.StreamStats) {
+	share := 0.0
+	if s.Offered > 0 {
+		share = 100 * float64(s.Whole) / float64(s.Offered)
+	}
+	others := maps.Clone(s.Outcomes)
+	delete(others, "whole")
+	fmt.Fprintf(w, "%-24s %8d %8d %6.2f%% %8.2f %8.2f %8.2f  %v\n", name, s.Offered, s.Whole, share, s.P50Ms, s.P90Ms, s.P99Ms, others)
+}
--- /dev/null
+++ b/commands/status.go
@@ -0,0 +1,31 @@
+package cmds
+
+import (
+	"fmt"
+	"io"
+
+	"chicorymast/io/admin"
+)
+
+type statusCommand struct{ clientOptions }
+
+func init() {
+	register("status", "print how the fleet is", "Prints the revision, on how many VMs it is in force and where it is not, and the services.", &statusCommand{})
+}
+
+// Execute prints the status.
+func (c *statusCommand) Execute([]string) error {
+	s, err := get[admin.Status](c.clientOptions, "/v1/status")
+	if err != nil {
+		return err
+	}
+	return c.print(s, func(w io.Writer) {
+		fmt.Fprintf(w, "revision %d in force on %d of %d VMs, confirmed by %s %d ms ago\n", s.Revision, s.InForce, s.Members, s.Source, s.AgeMs)
+		for _, vm := range s.Behind {
+			fmt.Fprintf(w, "  behind: %s\n", vm)
+		}
+		for _, line := range s.Services {
+			fmt.Fprintf(w, "  service %s: %d upstreams, %d slots\n", line.Service, line.Upstreams, line.Slots)
+		}
+	})
+}
--- /dev/null
+++ b/commands/trial.go
@@ -0,0 +1,50 @@
+package cmds
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"chicorymast/core/ident"
+	"chicorymast/io/trial"
+)
+
+type trialCommand struct {
+	Layout string `long:"layout" default:"small" description:"layout of the fleet: small"`
+	Mode   string `long:"mode" choice:"managed" choice:"pass_through" default:"managed" description:"mode of the daemons"`
+	Args   struct {
+		Dir string `positional-arg-name:"DIR" description:"new folder for the files"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func init() {
+	register("trial", "write the files of a trial fleet", "Writes settings, intent, load plans and the list of processes of a small fleet on loopback. contrib/fleet.sh starts them.", &trialCommand{})
+}
+
+// Execute writes the files.
+func (c *trialCommand) Execute([]string) error {
+	layout, err := trial.ByName(c.Layout)
+	if errors.Is(err, trial.ErrLayout) {
+		return usageError{fmt.Errorf("%w %q", err, c.Layout)}
+	}
+	layout.Mode = c.Mode
+	dir, err := filepath.Abs(c.Args.Dir)
+	if err != nil {
+		return usageError{err}
+	}
+	const dirMode = 0o755
+	if err := os.MkdirAll(dir, dirMode); err != nil {
+		return usageError{err}
+	}
+	token := newSecret()
+	if err := writeSecret(filepath.Join(dir, "token"), token); err != nil {
+		return err
+	}
+	fleet, err := trial.Write(dir, layout, string(ident.DigestKey(token)))
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%d daemons and %d stand-ins in %s\n", len(fleet.Daemons), len(fleet.StandIns), dir)
+	return nil
+}
--- /dev/null
+++ b/config/calls.go
@@ -0,0 +1,53 @@
+package config
+
+import "time"
+
+// Calls is the section [calls].
+type Calls struct {
+	// ReplayLimit is the largest request body in bytes that is kept for a retry.
+	ReplayLimit int `ini:"replay_limit"`
+	// AnswerLimit is the largest answer in bytes that is kept for an action.
+	AnswerLimit int `ini:"answer_limit"`
+	// ProgressTimeout is how long a peer may stay silent in the middle of a call.
+	ProgressTimeout time.Duration `ini:"progress_timeout"`
+	// ConnectTimeout is how long a new connection may take.
+	ConnectTimeout time.Duration `ini:"connect_timeout"`
+	// HeaderLimit is the largest request header in bytes.
+	HeaderLimit int `ini:"header_limit"`
+	// HeaderTimeout is how long a caller may take to send its header.
+	HeaderTimeout time.Duration `ini:"header_timeout"`
+	// Connections is how many connections the caller's listener takes.
+	Connections int `ini:"connections"`
+}
+
+func defaultCalls() Calls {
+	return Calls{
+		ReplayLimit:     64 << 10,
+		AnswerLimit:     1 << 20,
+		ProgressTimeout: 10 * time.Second,
+		ConnectTimeout:  time.Second,
+		HeaderLimit:     32 << 10,
+		HeaderTimeout:   5 * time.Second,
+		Connections:     4096,
+	}
+}
+
+func (c *Calls) check(*Config) (key, problem string) {
+	switch {
+	case c.ReplayLimit < 0:
+		return "replay_limit", "can't be below zero"
+	case c.AnswerLimit < 0:
+		return "answer_limit", "can't be below zero"
+	case c.ProgressTimeout <= 0:
+		return "progress_timeout", "must be above zero"
+	case c.ConnectTimeout <= 0:
+		return "connect_timeout", "must be above zero"
+	case c.HeaderLimit < 1024:
+		return "header_limit", "must be at least 1024 bytes"
+	case c.HeaderTimeout <= 0:
+		return "header_timeout", "must be above zero"
+	case c.Connections < 1:
+		return "connections", "must be at least 1"
+	}
+	return "", ""
+}
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,121 @@
+// Package config holds the settings of a daemon: one INI file, one struct and
+// one source file for each section, defaults beside the fields.
+//
+// # Usage
+//
+//	cfg, err := config.Load("/etc/chicorymast/daemon.ini")
+//	if err != nil { ... }   // names file, section and key; exit code 2
+//
+// contrib/daemon.ini is the commented example; it is what the tests load.
+package config
+
+import (
+	"os"
+	"strings"
+
+	"chicorymast/core/fault"
+	"chicorymast/core/schema"
+
+	"gopkg.in/ini.v1"
+)
+
+// Config is the settings of one daemon.
+type Config struct {
+	// File is where the settings came from.
+	File string
+
+	Daemon    Daemon
+	Listen    Listen
+	Control   Control
+	Calls     Calls
+	Admission Admission
+	CutOff    CutOff
+	Log       Log
+	Trace     Trace
+	Security  Security
+	Operators map[string]Operator
+}
+
+// section is one part of the settings that checks itself.
+type section interface {
+	check(c *Config) (key, problem string)
+}
+
+// Default returns the settings of an empty file. They do not pass the check,
+// since a daemon must be told who it is.
+func Default() Config {
+	return Config{
+		Daemon:    defaultDaemon(),
+		Calls:     defaultCalls(),
+		Admission: defaultAdmission(),
+		CutOff:    defaultCutOff(),
+		Log:       defaultLog(),
+		Trace:     defaultTrace(),
+		Operators: map[string]Operator{},
+	}
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (cfg Config, err error) {
+	defer fault.Note(&err, "load settings")
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, &schema.Error{File: path, Problem: "can't be read: " + err.Error()}
+	}
+	return Parse(path, data)
+}
+
+// Parse reads and checks settings from text. The name is used in errors.
+func Parse(name string, data []byte) (Config, error) {
+	file, err := schema.Parse(name, data)
+	if err != nil {
+		return Config{}, err
+	}
+	cfg := Default()
+	cfg.File = name
+	for _, sec := range file.Sections() {
+		if sec.Name() == ini.DefaultSection {
+			continue
+		}
+		if err := cfg.decode(name, sec); err != nil {
+			return Config{}, err
+		}
+	}
+	return cfg, cfg.check()
+}
+
+func (c *Config) sections() map[string]section {
+	return map[string]section{
+		"daemon":    &c.Daemon,
+		"listen":    &c.Listen,
+		"control":   &c.Control,
+		"calls":     &c.Calls,
+		"admission": &c.Admission,
+		"cut_off":   &c.CutOff,
+		"log":       &c.Log,
+		"trace":     &c.Trace,
+		"security":  &c.Security,
+	}
+}
+
+func (c *Config) decode(file string, sec *ini.Section) error {
+	if label, ok := strings.CutPrefix(sec.Name(), "operator "); ok {
+		return c.decodeOperator(file, strings.TrimSpace(label), sec)
+	}
+	dst, known := c.sections()[sec.Name()]
+	if !known {
+		return &schema.Error{File: file, Section: sec.Name(), Problem: "unknown section"}
+	}
+	return schema.Decode(file, sec, dst)
+}
+
+func (c *Config) check() error {
+	order := []string{"daemon", "listen", "control", "calls", "admission", "cut_off", "log", "trace", "security"}
+	sections := c.sections()
+	for _, name := range order {
+		if key, problem := sections[name].check(c); problem != "" {
+			return &schema.Error{File: c.File, Section: name, Key: key, Problem: problem}
+		}
+	}
+	return c.checkOperators()
+}
--- /dev/null
+++ b/config/listen.go
@@ -0,0 +1,70 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+)
+
+// Listen is the section [listen]; every address is IP:port.
+type Listen struct {
+	// Caller takes calls from outside.
+	Caller string `ini:"caller"`
+	// Peer takes calls from other daemons.
+	Peer string `ini:"peer"`
+	// Control takes messages from other daemons.
+	Control string `ini:"control"`
+	// Local takes announcements and calls from the upstream on this VM.
+	Local string `ini:"local"`
+	// Admin serves the administration API and the metrics; it may be empty.
+	Admin string `ini:"admin"`
+}
+
+type keyed struct{ key, value string }
+
+func (l *Listen) all() []keyed {
+	return []keyed{
+		{"caller", l.Caller}, {"peer", l.Peer}, {"control", l.Control}, {"local", l.Local}, {"admin", l.Admin},
+	}
+}
+
+func (l *Listen) check(c *Config) (key, problem string) {
+	taken := map[string]string{}
+	for _, a := range l.all() {
+		if a.value == "" && a.key == "admin" {
+			continue
+		}
+		if problem := checkAddress(a.value); problem != "" {
+			return a.key, problem
+		}
+		if other, dup := taken[a.value]; dup {
+			return a.key, fmt.Sprintf("%s is already the address of %s", a.value, other)
+		}
+		taken[a.value] = a.key
+		if problem := c.Security.checkPlaintext(a.value); problem != "" && a.key != "caller" {
+			return a.key, problem
+		}
+	}
+	if !loopback(l.Local) {
+		return "local", "must be a loopback address: it serves this VM's upstream only"
+	}
+	return "", ""
+}
+
+func checkAddress(text string) (problem string) {
+	if text == "" {
+		return "is missing"
+	}
+	ap, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return fmt.Sprintf("%q is not IP:port", text)
+	}
+	if ap.Port() == 0 {
+		return fmt.Sprintf("%q has no port", text)
+	}
+	return ""
+}
+
+func loopback(address string) bool {
+	ap, err := netip.ParseAddrPort(address)
+	return err == nil && ap.Addr().IsLoopback()
+}
--- /dev/null
+++ b/core/admit/admit.go
@@ -0,0 +1,280 @@
+// Package admit decides, beside one upstream, which calls run now, which wait
+// and which are refused.
+//
+// # Usage
+//
+//	gate := admit.New(admit.Config{Slots: 50, Queue: 100})
+//	for _, e := range gate.Arrive(now, req) {
+//		switch e := e.(type) {
+//		case admit.Start:  // run the call e.Ticket
+//		case admit.Refuse: // answer the call e.Ticket with e.Reason
+//		}
+//	}
+//	effects := gate.Finish(now, ticket, sample)
+//	effects  = gate.Tick(now)
+//
+// An arriving call that no effect names waits in the queue. Order: class
+// first; in a class, work that an earlier hop has admitted goes before new
+// work; then round robin among workspaces. When the queue is full, the call
+// shed is of the lowest class, of the workspace with the longest queue, and
+// has the worst rank; the rank is the same at every hop. A Gate is pure and
+// not safe for concurrent use.
+package admit
+
+import (
+	"time"
+
+	"chicorymast/core/fault"
+	"chicorymast/core/ident"
+)
+
+// Ticket names one call at one gate.
+type Ticket uint64
+
+// Rank orders calls of one class; lower ranks are shed later.
+type Rank uint8
+
+// Config sets the size of a gate.
+type Config struct {
+	// Slots is how many calls the upstream takes at once.
+	Slots int
+	// Queue is how many calls may wait.
+	Queue int
+}
+
+// Request is one call that wants to run.
+type Request struct {
+	Ticket    Ticket
+	Workspace ident.Workspace
+	Class     ident.Class
+	Rank      Rank
+	// Inner is set for a call made on behalf of a call admitted earlier.
+	Inner    bool
+	Deadline time.Time
+}
+
+// Effect is what a gate asks its driver to do. The set is sealed.
+type Effect interface{ isEffect() }
+
+// Start lets a call run.
+type Start struct{ Ticket Ticket }
+
+// Refuse ends a call that has not run.
+type Refuse struct {
+	Ticket Ticket
+	Reason fault.Reason
+}
+
+func (Start) isEffect()  {}
+func (Refuse) isEffect() {}
+
+// Sample is what was seen of a finished call.
+type Sample struct {
+	// Own is the time that the upstream itself took, child calls left out.
+	Own time.Duration
+	// Shed is set when the upstream refused the call as overloaded.
+	Shed bool
+}
+
+// Load is a gate's state for routing and metrics.
+type Load struct {
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	Limit   int `json:"limit"`
+	// Level is the lane (see Lane) from which calls are being shed; work in a
+	// higher-numbered lane has no chance. lanes means nothing is shed.
+	Level int `json:"level"`
+}
+
+// Gate holds the calls of one upstream.
+type Gate struct {
+	cfg     Config
+	limit   limiter
+	lanes   [laneCount]lane
+	running map[Ticket]struct{}
+	waiting int
+	own     time.Duration
+	shed    shedMark
+}
+
+// shedMark remembers the best lane from which a call was shed lately.
+type shedMark struct {
+	lane  int
+	until time.Time
+}
+
+const (
+	laneCount = 2 * len(ident.Classes)
+	// LevelOpen is the level of a gate that sheds nothing.
+	LevelOpen = laneCount
+	// shedMemory is how long a shed call keeps the level down.
+	shedMemory = 300 * time.Millisecond
+	// ownWeight is the weight of a new sample in the mean of own times.
+	ownWeight = 0.1
+)
+
+// Lane returns the position of a call in the order of service, from 0.
+func Lane(c ident.Class, inner bool) int {
+	n := 2 * c.Index()
+	if !inner {
+		n++
+	}
+	return n
+}
+
+// New returns a gate with nothing running.
+func New(cfg Config) *Gate {
+	return &Gate{
+		cfg:     cfg,
+		limit:   newLimiter(cfg.Slots),
+		running: map[Ticket]struct{}{},
+		shed:    shedMark{lane: LevelOpen},
+	}
+}
+
+// Arrive offers a call.
+func (g *Gate) Arrive(now time.Time, r Request) []Effect {
+	if g.cannotFinish(now, r) {
+		return []Effect{Refuse{Ticket: r.Ticket, Reason: fault.ReasonDeadline}}
+	}
+	n := Lane(r.Class, r.Inner)
+	if g.waiting == 0 && len(g.running) < g.limit.current() {
+		return []Effect{g.start(r.Ticket)}
+	}
+	var effects []Effect
+	if g.waiting >= g.cfg.Queue {
+		victim, at := g.victim(n, r)
+		g.markShed(now, at)
+		effects = append(effects, Refuse{Ticket: victim, Reason: fault.ReasonOverload})
+		if victim == r.Ticket {
+			return effects
+		}
+	}
+	g.lanes[n].push(r)
+	g.waiting++
+	return append(effects, g.fill(now)...)
+}
+
+// Cancel forgets a call that waits, because its caller left. It reports
+// whether the call was waiting.
+func (g *Gate) Cancel(t Ticket) bool {
+	for i := range g.lanes {
+		if g.lanes[i].remove(t) {
+			g.waiting--
+			return true
+		}
+	}
+	return false
+}
+
+// Finish takes back the slot of a call that ran.
+func (g *Gate) Finish(now time.Time, t Ticket, s Sample) []Effect {
+	if _, ran := g.running[t]; !ran {
+		return nil
+	}
+	g.limit.observe(now, s, len(g.running))
+	g.own = mean(g.own, s.Own)
+	delete(g.running, t)
+	return g.fill(now)
+}
+
+// Tick refuses waiting calls whose time is up and starts what fits.
+func (g *Gate) Tick(now time.Time) []Effect {
+	var effects []Effect
+	for i := range g.lanes {
+		for _, r := range g.lanes[i].expired(now.Add(g.own)) {
+			g.waiting--
+			effects = append(effects, Refuse{Ticket: r.Ticket, Reason: fault.ReasonDeadline})
+		}
+	}
+	return append(effects, g.fill(now)...)
+}
+
+// Resize changes the slots, as the upstream announced them.
+func (g *Gate) Resize(cfg Config) {
+	if cfg == g.cfg {
+		return
+	}
+	g.cfg = cfg
+	g.limit = newLimiter(cfg.Slots)
+}
+
+// Load returns the gate's state.
+func (g *Gate) Load(now time.Time) Load {
+	level := LevelOpen
+	if now.Before(g.shed.until) {
+		level = g.shed.lane
+	}
+	return Load{Running: len(g.running), Waiting: g.waiting, Limit: g.limit.current(), Level: level}
+}
+
+func (g *Gate) start(t Ticket) Effect {
+	g.running[t] = struct{}{}
+	return Start{Ticket: t}
+}
+
+func (g *Gate) fill(now time.Time) []Effect {
+	var effects []Effect
+	for g.waiting > 0 && len(g.running) < g.limit.current() {
+		r := g.pop()
+		if now.Add(g.own).After(r.Deadline) {
+			effects = append(effects, Refuse{Ticket: r.Ticket, Reason: fault.ReasonDeadline})
+			continue
+		}
+		effects = append(effects, g.start(r.Ticket))
+	}
+	return effects
+}
+
+func (g *Gate) pop() Request {
+	g.waiting--
+	for i := range g.lanes {
+		if g.lanes[i].size > 0 {
+			return g.lanes[i].pop()
+		}
+	}
+	panic("admit: waiting count without a waiting call")
+}
+
+// cannotFinish reports whether a call would pass its deadline even if all
+// goes as usual: the work ahead of it, then its own time.
+func (g *Gate) cannotFinish(now time.Time, r Request) bool {
+	ahead := 0
+	if len(g.running) >= g.limit.current() {
+		for i := range Lane(r.Class, r.Inner) + 1 {
+			ahead += g.lanes[i].size
+		}
+	}
+	wait := g.own * time.Duration(ahead) / time.Duration(max(1, g.limit.current()))
+	return now.Add(wait + g.own).After(r.Deadline)
+}
+
+// victim chooses whom to shed for an arriving call of lane n, possibly the
+// call itself, and says from which lane.
+func (g *Gate) victim(n int, r Request) (Ticket, int) {
+	for i := laneCount - 1; i > n; i-- {
+		if g.lanes[i].size > 0 {
+			g.waiting--
+			return g.lanes[i].dropWorst().Ticket, i
+		}
+	}
+	if !g.lanes[n].betterThanWorst(r) {
+		return r.Ticket, n
+	}
+	g.waiting--
+	return g.lanes[n].dropWorst().Ticket, n
+}
+
+func (g *Gate) markShed(now time.Time, lane int) {
+	if now.After(g.shed.until) || lane < g.shed.lane {
+		g.shed.lane = lane
+	}
+	g.shed.until = now.Add(shedMemory)
+}
+
+func mean(have, sample time.Duration) time.Duration {
+	if have == 0 {
+		return sample
+	}
+	return have + time.Duration(ownWeight*float64(sample-have))
+}
--- /dev/null
+++ b/core/board/daemon.go
@@ -0,0 +1,170 @@
+package board
+
+import (
+	"time"
+
+	"chicorymast/core/ident"
+	"chicorymast/core/intent"
+	"chicorymast/core/match"
+	"chicorymast/core/member"
+	"chicorymast/core/state"
+)
+
+// Board is the sections of one daemon.
+type Board struct {
+	// Config is written by the configuration's agent or by the control part.
+	Config *Section[Config]
+	// Freshness is written by the same controller as Config.
+	Freshness *Section[Freshness]
+	// Members is written by the membership controller.
+	Members *Section[Members]
+	// Served is written by the upstream's local controller.
+	Served *Section[Served]
+	// Life is written by the daemon itself.
+	Life *Section[Life]
+}
+
+// New returns a board on which nothing is known yet.
+func New() *Board {
+	return &Board{
+		Config:    NewSection(NewConfig(state.New(), nil)),
+		Freshness: NewSection(&Freshness{}),
+		Members:   NewSection(&Members{}),
+		Served:    NewSection(&Served{}),
+		Life:      NewSection(&Life{Phase: LifeStarting}),
+	}
+}
+
+// Config is the configuration in force, prepared for the hot path.
+type Config struct {
+	State *state.State
+	// Table finds the route of a call.
+	Table *match.Table
+	// Recent holds the last accepted commands, oldest first.
+	Recent []Step
+	grants map[ident.Workspace]map[ident.Route]ident.Grant
+	digest string
+}
+
+// Step is one accepted command and the revision it led to.
+type Step struct {
+	Revision ident.Revision
+	Command  []byte
+}
+
+// NewConfig prepares a state. The state must not be changed afterwards.
+func NewConfig(st *state.State, recent []Step) *Config {
+	return &Config{State: st, Table: routeTable(st.Intent), Recent: recent, grants: grantIndex(st.Intent), digest: st.Digest()}
+}
+
+// Digest returns the hash of the state, computed once.
+func (c *Config) Digest() string {
+	return c.digest
+}
+
+// Mistrusted returns the same configuration with a digest that matches none,
+// so that the next synchronisation brings the whole state.
+func (c *Config) Mistrusted() *Config {
+	d := *c
+	d.digest = "mistrusted"
+	return &d
+}
+
+// Grant returns the grant under which a workspace may call a route.
+func (c *Config) Grant(w ident.Workspace, r ident.Route) (ident.Grant, intent.GrantSpec, bool) {
+	name, ok := c.grants[w][r]
+	return name, c.State.Intent.Grants[name], ok
+}
+
+// Since returns the commands after a revision, if they are still kept.
+func (c *Config) Since(have ident.Revision) ([]Step, bool) {
+	if have == c.State.Revision {
+		return nil, true
+	}
+	for i, step := range c.Recent {
+		if step.Revision == have+1 {
+			return c.Recent[i:], true
+		}
+	}
+	return nil, false
+}
+
+func routeTable(in intent.Intent) *match.Table {
+	entries := make([]match.Entry, 0, len(in.Routes))
+	for name, r := range in.Routes {
+		entries = append(entries, match.Entry{Method: r.Method, Pattern: r.Path, Route: name})
+	}
+	return match.NewTable(entries)
+}
+
+func grantIndex(in intent.Intent) map[ident.Workspace]map[ident.Route]ident.Grant {
+	index := map[ident.Workspace]map[ident.Route]ident.Grant{}
+	for name, g := range in.Grants {
+		if index[g.Workspace] == nil {
+			index[g.Workspace] = map[ident.Route]ident.Grant{}
+		}
+		for _, r := range in.GrantRoutes(g) {
+			index[g.Workspace][r] = name
+		}
+	}
+	return index
+}
+
+// Freshness says until when the configuration is known to be the newest.
+type Freshness struct {
+	// AsOf is the latest time at which the leader confirmed the revision.
+	AsOf   time.Time
+	Source ident.VM
+}
+
+// Age returns for how long the configuration has not been confirmed.
+func (f Freshness) Age(now time.Time) time.Duration {
+	return now.Sub(f.AsOf)
+}
+
+// Members is what this VM knows of the others.
+type Members struct {
+	// Entries are all daemons, this one included.
+	Entries []member.Entry
+	// ByService lists those that serve each service.
+	ByService map[ident.Service][]member.Entry
+}
+
+// NewMembers indexes entries by service.
+func NewMembers(entries []member.Entry) *Members {
+	m := &Members{Entries: entries, ByService: map[ident.Service][]member.Entry{}}
+	for _, e := range entries {
+		if e.Served != nil && e.Serves(e.Served.Service) {
+			m.ByService[e.Served.Service] = append(m.ByService[e.Served.Service], e)
+		}
+	}
+	return m
+}
+
+// Served is the upstream on this VM, or none.
+type Served struct {
+	member.Served
+	Address    string
+	HealthPath string
+	LoadPath   string
+	// Drained is set while an operator's drain of this VM is in force.
+	Drained bool
+}
+
+// Present reports whether an upstream is announced.
+func (s Served) Present() bool {
+	return s.Service != "" && s.Phase != member.PhaseGone
+}
+
+// LifePhase says where a daemon is in its life.
+type LifePhase string
+
+// The phases of a daemon's life.
+const (
+	LifeStarting LifePhase = "starting"
+	LifeRunning  LifePhase = "running"
+	LifeStopping LifePhase = "stopping"
+)
+
+// Life is the daemon's own phase.
+type Life struct{ Phase LifePhase }
--- /dev/null
+++ b/core/fault/fault.go
@@ -0,0 +1,82 @@
+// Package fault annotates errors and gives refusals a stable type.
+//
+// # Usage
+//
+// A function with a named result annotates it once, in a deferred call:
+//
+//	func load(path string) (cfg Config, err error) {
+//		defer fault.Note(&err, "load settings %s", path)
+//		...
+//	}
+//
+// A refusal that a caller can act on is a *Refusal; use errors.As to find it.
+// Errors keep their cause: errors.Is and errors.As see through the notes.
+package fault
+
+import (
+	"fmt"
+
+	"github.com/rotisserie/eris"
+)
+
+// Note wraps *err with a message when it is not nil.
+func Note(err *error, format string, args ...any) {
+	if *err == nil {
+		return
+	}
+	*err = eris.Wrapf(*err, format, args...)
+}
+
+// Reason is the stable, machine-readable cause of a refusal.
+type Reason string
+
+// The reasons that callers may see. docs/CALLERS.md describes each.
+const (
+	ReasonKeyMissing       Reason = "key_missing"
+	ReasonKeyUnknown       Reason = "key_unknown"
+	ReasonNoGrant          Reason = "no_grant"
+	ReasonNoRoute          Reason = "no_route"
+	ReasonActionMissing    Reason = "idempotency_key_missing"
+	ReasonActionConflict   Reason = "action_conflict"
+	ReasonActionRunning    Reason = "action_running"
+	ReasonActionUnknown    Reason = "outcome_unknown"
+	ReasonOverRate         Reason = "over_rate"
+	ReasonBodyTooLarge     Reason = "body_too_large"
+	ReasonBadRequest       Reason = "bad_request"
+	ReasonOverload         Reason = "overload"
+	ReasonNoUpstream       Reason = "no_upstream"
+	ReasonStaleConfig      Reason = "configuration_stale"
+	ReasonDeadline         Reason = "deadline"
+	ReasonDraining         Reason = "draining"
+	ReasonUpstreamFailed   Reason = "upstream_failed"
+	ReasonUpstreamCrashed  Reason = "upstream_crashed"
+	ReasonAnswerIncomplete Reason = "answer_incomplete"
+	ReasonCrashSuspect     Reason = "crash_suspect"
+	ReasonQuotaUnreachable Reason = "quota_unreachable"
+	ReasonRecordLost       Reason = "record_unreachable"
+	ReasonNotMember        Reason = "not_a_member"
+	ReasonCancelled        Reason = "cancelled"
+)
+
+// Refusal is an answer that the system gives in place of an upstream.
+type Refusal struct {
+	Reason Reason
+	Detail string
+	// NotRun is true only when it is proved that no upstream started the work.
+	NotRun bool
+}
+
+// Error describes the refusal in one line.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s: %s", r.Reason, r.Detail)
+}
+
+// Refuse returns a refusal for work that did not run.
+func Refuse(reason Reason, format string, args ...any) *Refusal {
+	return &Refusal{Reason: reason, Detail: fmt.Sprintf(format, args...), NotRun: true}
+}
+
+// Failed returns a refusal for work that may have run.
+func Failed(reason Reason, format string, args ...any) *Refusal {
+	return &Refusal{Reason: reason, Detail: fmt.Sprintf(format, args...)}
+}
--- /dev/null
+++ b/core/intent/check.go
@@ -0,0 +1,175 @@
+package intent
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"chicorymast/core/ident"
+	"chicorymast/core/match"
+	"chicorymast/core/schema"
+)
+
+// Bounds on what one intent may ask for.
+const (
+	MaxRetries = 16
+	MaxRate    = 10_000_000 // calls per second
+)
+
+var methods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
+
+// Check verifies that all names resolve and all numbers are possible. It is
+// what Parse runs, for an intent that arrived in another form.
+func Check(name string, in Intent) error {
+	return check(name, in)
+}
+
+func check(file string, in Intent) error {
+	c := checker{file: file, in: in}
+	steps := []func() error{c.limits, c.services, c.routes, c.overlaps, c.groups, c.grants}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type checker struct {
+	file string
+	in   Intent
+}
+
+func (c checker) fail(kind, name, key, format string, args ...any) error {
+	section := strings.TrimSpace(kind + " " + name)
+	return &schema.Error{File: c.file, Section: section, Key: key, Problem: fmt.Sprintf(format, args...)}
+}
+
+func (c checker) limits() error {
+	l := c.in.Limits
+	if l.Retries < 0 || l.Retries > MaxRetries {
+		return c.fail("limits", "", "retries", "%d is not between 0 and %d", l.Retries, MaxRetries)
+	}
+	if l.Timeout <= 0 {
+		return c.fail("limits", "", "timeout", "must be above zero")
+	}
+	if l.BodyLimit <= 0 {
+		return c.fail("limits", "", "body_limit", "must be above zero")
+	}
+	return nil
+}
+
+func (c checker) services() error {
+	for _, name := range sorted(c.in.Services) {
+		s := c.in.Services[name]
+		if s.Slots < 0 || s.Servers < 0 || s.Connections < 0 {
+			return c.fail("service", string(name), "", "slots, servers and connections can't be below zero")
+		}
+	}
+	return nil
+}
+
+func (c checker) routes() error {
+	for _, name := range sorted(c.in.Routes) {
+		if err := c.route(string(name), c.in.Routes[name]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c checker) route(name string, r RouteSpec) error {
+	if !slices.Contains(methods, r.Method) {
+		return c.fail("route", name, "method", "%q is not one of %s", r.Method, strings.Join(methods, " "))
+	}
+	if err := match.CheckPattern(r.Path); err != nil {
+		return c.fail("route", name, "path", "%v", err)
+	}
+	if _, ok := c.in.Services[r.Service]; !ok {
+		return c.fail("route", name, "service", "no service %q", r.Service)
+	}
+	if !r.Class.Valid() {
+		return c.fail("route", name, "class", "%q is not one of %v", r.Class, ident.Classes)
+	}
+	if r.Open && r.Internal {
+		return c.fail("route", name, "open", "a route is either open or internal")
+	}
+	if r.BodyLimit < 0 {
+		return c.fail("route", name, "body_limit", "can't be below zero")
+	}
+	return nil
+}
+
+func (c checker) overlaps() error {
+	seen := map[string]ident.Route{}
+	for _, name := range sorted(c.in.Routes) {
+		r := c.in.Routes[name]
+		shape := r.Method + " " + match.Shape(r.Path)
+		if other, taken := seen[shape]; taken {
+			return c.fail("route", string(name), "path", "matches the same calls as route %s", other)
+		}
+		seen[shape] = name
+	}
+	return nil
+}
+
+func (c checker) groups() error {
+	for _, name := range sorted(c.in.Groups) {
+		for _, r := range c.in.Groups[name].Routes {
+			if _, ok := c.in.Routes[r]; !ok {
+				return c.fail("group", string(name), "routes", "no route %q", r)
+			}
+		}
+	}
+	return nil
+}
+
+func (c checker) grants() error {
+	taken := map[string]ident.Grant{}
+	for _, name := range sorted(c.in.Grants) {
+		g := c.in.Grants[name]
+		if err := c.grant(string(name), g); err != nil {
+			return err
+		}
+		for _, r := range c.in.GrantRoutes(g) {
+			pair := string(g.Workspace) + " " + string(r)
+			if other, dup := taken[pair]; dup && other != name {
+				return c.fail("grant", string(name), "routes", "route %s is already granted to %s by %s", r, g.Workspace, other)
+			}
+			taken[pair] = name
+		}
+	}
+	return nil
+}
+
+func (c checker) grant(name string, g GrantSpec) error {
+	if _, ok := c.in.Workspaces[g.Workspace]; !ok {
+		return c.fail("grant", name, "workspace", "no workspace %q", g.Workspace)
+	}
+	if !(g.Rate > 0 && g.Rate <= MaxRate) {
+		return c.fail("grant", name, "rate", "%v is not above 0 and at most %d calls per second", g.Rate, MaxRate)
+	}
+	if !(g.Burst >= 1 && g.Burst <= MaxRate) {
+		return c.fail("grant", name, "burst", "%v is not between 1 and %d calls", g.Burst, MaxRate)
+	}
+	for _, group := range g.Groups {
+		if _, ok := c.in.Groups[group]; !ok {
+			return c.fail("grant", name, "groups", "no group %q", group)
+		}
+	}
+	for _, r := range g.Routes {
+		if _, ok := c.in.Routes[r]; !ok {
+			return c.fail("grant", name, "routes", "no route %q", r)
+		}
+	}
+	if len(c.in.GrantRoutes(g)) == 0 {
+		return c.fail("grant", name, "routes", "covers no route")
+	}
+	return nil
+}
+
+func sorted[K ~string, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
+
--- /dev/null
+++ b/core/intent/intent.go
@@ -0,0 +1,125 @@
+// Package intent describes what operators want: workspaces, services, routes
+// and grants, read from one INI text and checked as a whole.
+//
+// # Usage
+//
+//	want, err := intent.Parse("shop.ini", data)
+//	diff := intent.Compare(have, want)       // what would change, for whom
+//	warnings := intent.Review(want, facts)   // what a careful operator asks
+//
+// Rates are in calls per second, bursts and slots in calls. Errors name the
+// file, section and key (see package schema). All functions are pure.
+package intent
+
+import (
+	"time"
+
+	"chicorymast/core/ident"
+)
+
+// Defaults of the limits section.
+const (
+	DefaultRetries   = 3
+	DefaultTimeout   = 5 * time.Second
+	DefaultBodyLimit = 32 << 20 // bytes
+)
+
+// Intent is one whole configuration.
+type Intent struct {
+	Limits     Limits                            `json:"limits"`
+	Workspaces map[ident.Workspace]WorkspaceSpec `json:"workspaces"`
+	Services   map[ident.Service]ServiceSpec     `json:"services"`
+	Routes     map[ident.Route]RouteSpec         `json:"routes"`
+	Groups     map[ident.Group]GroupSpec         `json:"groups"`
+	Grants     map[ident.Grant]GrantSpec         `json:"grants"`
+}
+
+// Limits holds what applies to every route that does not say otherwise.
+type Limits struct {
+	Retries   int           `ini:"retries" json:"retries"`
+	Timeout   time.Duration `ini:"timeout" json:"timeout"`
+	BodyLimit int64         `ini:"body_limit" json:"body_limit"`
+}
+
+// WorkspaceSpec is one tenant.
+type WorkspaceSpec struct {
+	Title string `ini:"title" json:"title"`
+}
+
+// ServiceSpec is one service. Slots and Servers are what the operator expects
+// to run; they serve the review of a plan, not the traffic.
+type ServiceSpec struct {
+	Slots        int           `ini:"slots" json:"slots"`
+	Servers      int           `ini:"servers" json:"servers"`
+	Connections  int           `ini:"connections" json:"connections"`
+	ServiceTime  time.Duration `ini:"service_time" json:"service_time"`
+	ProgressTime time.Duration `ini:"progress_timeout" json:"progress_timeout"`
+}
+
+// RouteSpec is one kind of call.
+type RouteSpec struct {
+	Method     string        `ini:"method" json:"method"`
+	Path       string        `ini:"path" json:"path"`
+	Service    ident.Service `ini:"service" json:"service"`
+	Idempotent bool          `ini:"idempotent" json:"idempotent"`
+	Open       bool          `ini:"open" json:"open"`
+	Internal   bool          `ini:"internal" json:"internal"`
+	Class      ident.Class   `ini:"class" json:"class"`
+	Timeout    time.Duration `ini:"timeout" json:"timeout"`
+	BodyLimit  int64         `ini:"body_limit" json:"body_limit"`
+}
+
+// GroupSpec is a named set of routes.
+type GroupSpec struct {
+	Routes []ident.Route `ini:"routes" json:"routes"`
+}
+
+// GrantSpec lets one workspace call some routes at one shared rate and burst.
+type GrantSpec struct {
+	Workspace ident.Workspace `ini:"workspace" json:"workspace"`
+	Routes    []ident.Route   `ini:"routes" json:"routes"`
+	Groups    []ident.Group   `ini:"groups" json:"groups"`
+	Rate      ident.Rate      `ini:"rate" json:"rate"`
+	Burst     ident.Burst     `ini:"burst" json:"burst"`
+}
+
+// Empty returns the configuration that is in force before the first plan.
+func Empty() Intent {
+	return Intent{
+		Limits:     defaultLimits(),
+		Workspaces: map[ident.Workspace]WorkspaceSpec{},
+		Services:   map[ident.Service]ServiceSpec{},
+		Routes:     map[ident.Route]RouteSpec{},
+		Groups:     map[ident.Group]GroupSpec{},
+		Grants:     map[ident.Grant]GrantSpec{},
+	}
+}
+
+func defaultLimits() Limits {
+	return Limits{Retries: DefaultRetries, Timeout: DefaultTimeout, BodyLimit: DefaultBodyLimit}
+}
+
+// GrantRoutes returns the routes that a grant covers, groups included.
+func (in Intent) GrantRoutes(g GrantSpec) []ident.Route {
+	routes := append([]ident.Route(nil), g.Routes...)
+	for _, group := range g.Groups {
+		routes = append(routes, in.Groups[group].Routes...)
+	}
+	return routes
+}
+
+// RouteTimeout returns how long a call of the route may take.
+func (in Intent) RouteTimeout(r RouteSpec) time.Duration {
+	if r.Timeout > 0 {
+		return r.Timeout
+	}
+	return in.Limits.Timeout
+}
+
+// RouteBodyLimit returns the largest request body of the route in bytes.
+func (in Intent) RouteBodyLimit(r RouteSpec) int64 {
+	if r.BodyLimit > 0 {
+		return r.BodyLimit
+	}
+	return in.Limits.BodyLimit
+}
--- /dev/null
+++ b/core/member/member.go
@@ -0,0 +1,180 @@
+// Package member is the directory of daemons and the upstreams beside them.
+// Each VM speaks for itself with a version that only grows; copies merge by
+// the higher version, so gossip may repeat, reorder and lose messages.
+//
+// # Usage
+//
+//	dir := member.New(member.DefaultLease)
+//	dir.Announce(now, entry)                 // heard from the VM itself
+//	delta := dir.Since(version)              // for another relay or daemon
+//	dir.Merge(now, delta.Entries)            // heard from a relay
+//	dir.Expire(now)                          // drops what nobody renewed
+//
+// Ages, not clock readings, travel between VMs: an entry says for how long
+// it has not been renewed. A Directory is not safe for concurrent use.
+package member
+
+import (
+	"time"
+
+	"chicorymast/core/ident"
+)
+
+// DefaultLease is how long an entry lives without renewal.
+const DefaultLease = 3 * time.Second
+
+// Phase says whether an upstream takes new work.
+type Phase string
+
+// The phases of an announced upstream.
+const (
+	PhaseUp       Phase = "up"
+	PhaseDraining Phase = "draining"
+	PhaseGone     Phase = "gone"
+)
+
+// Addresses are where a daemon listens, as IP:port.
+type Addresses struct {
+	Peer    string `json:"peer"`
+	Control string `json:"control"`
+}
+
+// Served describes the upstream beside a daemon.
+type Served struct {
+	Service  ident.Service  `json:"service"`
+	Upstream ident.Upstream `json:"upstream"`
+	Slots    int            `json:"slots"`
+	Phase    Phase          `json:"phase"`
+}
+
+// Entry is what one VM says of itself.
+type Entry struct {
+	VM         ident.VM         `json:"vm"`
+	DataCentre ident.DataCentre `json:"data_centre"`
+	Addresses  Addresses        `json:"addresses"`
+	Served     *Served          `json:"served,omitempty"`
+	Phase      Phase            `json:"phase"`
+	// Version orders the announcements of one VM; it starts at the VM's start
+	// time, so that a restarted daemon is newer than its earlier life.
+	Version uint64 `json:"version"`
+	// Revision is the configuration that the VM has in force.
+	Revision ident.Revision `json:"revision"`
+	AgeMs    int64          `json:"age_ms"`
+}
+
+// Serves reports whether new calls of a service may be sent to the entry.
+func (e Entry) Serves(svc ident.Service) bool {
+	return e.Phase == PhaseUp && e.Served != nil && e.Served.Service == svc && e.Served.Phase == PhaseUp
+}
+
+type record struct {
+	entry   Entry
+	renewed time.Time
+	// change is the directory's own counter at the last change of content.
+	change uint64
+}
+
+// Directory holds the entries that one VM knows.
+type Directory struct {
+	lease   time.Duration
+	records map[ident.VM]*record
+	change  uint64
+}
+
+// New returns an empty directory.
+func New(lease time.Duration) *Directory {
+	return &Directory{lease: lease, records: map[ident.VM]*record{}}
+}
+
+// Announce takes an entry from the VM itself, or from one that speaks for it.
+// It reports whether the content changed.
+func (d *Directory) Announce(now time.Time, e Entry) (changed bool) {
+	heard := now.Add(-time.Duration(e.AgeMs) * time.Millisecond)
+	have := d.records[e.VM]
+	if have == nil {
+		d.put(e, heard)
+		return true
+	}
+	if e.Version < have.entry.Version {
+		return false
+	}
+	if e.Version > have.entry.Version {
+		d.put(e, heard)
+		return true
+	}
+	have.entry.Revision = max(have.entry.Revision, e.Revision)
+	if !heard.After(have.renewed) {
+		return false
+	}
+	have.renewed = heard
+	if have.entry.Phase == PhaseGone && e.Phase != PhaseGone && now.Sub(heard) <= d.lease {
+		d.put(e, heard)
+		return true
+	}
+	return false
+}
+
+func (d *Directory) put(e Entry, heard time.Time) {
+	d.change++
+	e.AgeMs = 0
+	d.records[e.VM] = &record{entry: e, renewed: heard, change: d.change}
+}
+
+// Merge announces several entries and counts the changes.
+func (d *Directory) Merge(now time.Time, entries []Entry) (changed int) {
+	for _, e := range entries {
+		if d.Announce(now, e) {
+			changed++
+		}
+	}
+	return changed
+}
+
+// Expire marks entries that were not renewed within the lease as gone and
+// forgets those that have been gone for ten leases. It counts the new ones.
+func (d *Directory) Expire(now time.Time) (expired int) {
+	const forgetAfter = 10
+	for vm, r := range d.records {
+		age := now.Sub(r.renewed)
+		if age > forgetAfter*d.lease {
+			delete(d.records, vm)
+			continue
+		}
+		if age > d.lease && r.entry.Phase != PhaseGone {
+			d.change++
+			r.change = d.change
+			r.entry.Phase = PhaseGone
+			expired++
+		}
+	}
+	return expired
+}
+
+// Change returns the counter that Since compares with; it grows with every
+// change of content.
+func (d *Directory) Change() uint64 {
+	return d.change
+}
+
+// Entries returns all entries with their ages.
+func (d *Directory) Entries(now time.Time) []Entry {
+	return d.collect(now, func(*record) bool { return true })
+}
+
+// Since returns the entries whose content changed after the given counter.
+func (d *Directory) Since(now time.Time, change uint64) []Entry {
+	return d.collect(now, func(r *record) bool { return r.change > change })
+}
+
+func (d *Directory) collect(now time.Time, keep func(*record) bool) []Entry {
+	entries := []Entry{}
+	for _, r := range d.records {
+		if !keep(r) {
+			continue
+		}
+		e := r.entry
+		e.AgeMs = max(0, now.Sub(r.renewed).Milliseconds())
+		entries = append(entries, e)
+	}
+	return entries
+}
--- /dev/null
+++ b/core/quota/bucket.go
@@ -0,0 +1,55 @@
+package quota
+
+import (
+	"time"
+
+	"chicorymast/core/ident"
+)
+
+// Bucket is a token bucket: it fills at the rate and holds the burst.
+type Bucket struct {
+	rate   float64
+	burst  float64
+	tokens float64
+	at     time.Time
+}
+
+// NewBucket returns a bucket that holds some tokens at a time.
+func NewBucket(now time.Time, rate ident.Rate, burst ident.Burst, tokens float64) Bucket {
+	return Bucket{rate: float64(rate), burst: float64(burst), tokens: min(tokens, float64(burst)), at: now}
+}
+
+// Take removes n tokens if they are there.
+func (b *Bucket) Take(now time.Time, n float64) bool {
+	b.fill(now, 0)
+	if b.tokens < n {
+		return false
+	}
+	b.tokens -= n
+	return true
+}
+
+// Wait returns how long until n tokens will be there.
+func (b *Bucket) Wait(now time.Time, n float64) time.Duration {
+	b.fill(now, 0)
+	if b.tokens >= n {
+		return 0
+	}
+	return time.Duration((n - b.tokens) / b.rate * float64(time.Second))
+}
+
+// Adjust changes rate and burst from now on.
+func (b *Bucket) Adjust(now time.Time, rate ident.Rate, burst ident.Burst) {
+	b.fill(now, 0)
+	b.rate, b.burst = float64(rate), float64(burst)
+	b.tokens = min(b.tokens, b.burst)
+}
+
+// fill adds what has accrued; reserved tokens count against the burst.
+func (b *Bucket) fill(now time.Time, reserved float64) {
+	if now.After(b.at) {
+		b.tokens += b.rate * now.Sub(b.at).Seconds()
+		b.at = now
+	}
+	b.tokens = min(b.tokens, max(0, b.burst-reserved))
+}
--- /dev/null
+++ b/core/schema/schema.go
@@ -0,0 +1,162 @@
+// Package schema fills structs from INI sections and names everything that
+// does not fit: an unknown key, a value of the wrong form, a key given twice.
+//
+// # Usage
+//
+//	type Limits struct {
+//		Retries int           `ini:"retries"`
+//		Timeout time.Duration `ini:"timeout"`
+//	}
+//	limits := Limits{Retries: 3}            // defaults stay where no key is given
+//	file, err := schema.Parse("intent.ini", data)
+//	err = schema.Decode("intent.ini", file.Section("limits"), &limits)
+//
+// Errors are *schema.Error values with file, section and key.
+// Supported fields: string kinds, ints, floats, bools, time.Duration, []string.
+package schema
+
+import (
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// Error says which key of which section of which file is wrong, and why.
+type Error struct {
+	File    string
+	Section string
+	Key     string
+	Problem string
+}
+
+// Error renders as `file: [section] key: problem`.
+func (e *Error) Error() string {
+	out := e.File + ":"
+	if e.Section != "" {
+		out += " [" + e.Section + "]"
+	}
+	if e.Key != "" {
+		out += " " + e.Key
+	}
+	return out + ": " + e.Problem
+}
+
+// Parse reads INI text. The name is used in errors only.
+func Parse(name string, data []byte) (*ini.File, error) {
+	opts := ini.LoadOptions{AllowShadows: true, SpaceBeforeInlineComment: true, AllowDuplicateShadowValues: true}
+	file, err := ini.LoadSources(opts, data)
+	if err != nil {
+		return nil, &Error{File: name, Problem: err.Error()}
+	}
+	for _, key := range file.Section(ini.DefaultSection).Keys() {
+		return nil, &Error{File: name, Key: key.Name(), Problem: "stands before the first section"}
+	}
+	return file, nil
+}
+
+// Decode fills the struct that dst points to from one section.
+func Decode(file string, sec *ini.Section, dst any) error {
+	fields := fieldsByKey(reflect.ValueOf(dst).Elem())
+	for _, key := range sec.Keys() {
+		fail := func(problem string) error {
+			return &Error{File: file, Section: sec.Name(), Key: key.Name(), Problem: problem}
+		}
+		field, known := fields[key.Name()]
+		if !known {
+			return fail("unknown key")
+		}
+		if len(key.ValueWithShadows()) > 1 {
+			return fail("given more than once")
+		}
+		if problem := assign(field, key.Value()); problem != "" {
+			return fail(problem)
+		}
+	}
+	return nil
+}
+
+func fieldsByKey(v reflect.Value) map[string]reflect.Value {
+	fields := make(map[string]reflect.Value, v.NumField())
+	for i := range v.NumField() {
+		if name := v.Type().Field(i).Tag.Get("ini"); name != "" {
+			fields[name] = v.Field(i)
+		}
+	}
+	return fields
+}
+
+func assign(field reflect.Value, text string) (problem string) {
+	if field.Type() == reflect.TypeFor[time.Duration]() {
+		return assignDuration(field, text)
+	}
+	switch field.Kind() {
+	case reflect.String:
+		field.SetString(text)
+	case reflect.Int, reflect.Int64:
+		return assignInt(field, text)
+	case reflect.Float64:
+		return assignFloat(field, text)
+	case reflect.Bool:
+		return assignBool(field, text)
+	case reflect.Slice:
+		assignList(field, text)
+	default:
+		return "has no readable form"
+	}
+	return ""
+}
+
+func assignDuration(field reflect.Value, text string) string {
+	d, err := time.ParseDuration(text)
+	if err != nil || d < 0 {
+		return fmt.Sprintf("%q is not a duration such as 250ms or 2s", text)
+	}
+	field.SetInt(int64(d))
+	return ""
+}
+
+func assignInt(field reflect.Value, text string) string {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return fmt.Sprintf("%q is not a whole number", text)
+	}
+	field.SetInt(n)
+	return ""
+}
+
+func assignFloat(field reflect.Value, text string) string {
+	f, err := strconv.ParseFloat(text, 64)
+	if err != nil || f != f {
+		return fmt.Sprintf("%q is not a number", text)
+	}
+	field.SetFloat(f)
+	return ""
+}
+
+func assignBool(field reflect.Value, text string) string {
+	switch strings.ToLower(text) {
+	case "true", "yes", "on":
+		field.SetBool(true)
+	case "false", "no", "off":
+		field.SetBool(false)
+	default:
+		return fmt.Sprintf("%q is neither true nor false", text)
+	}
+	return ""
+}
+
+func assignList(field reflect.Value, text string) {
+	list := reflect.MakeSlice(field.Type(), 0, 0)
+	for part := range strings.SplitSeq(text, ",") {
+		part = strings.TrimSpace(part)
+		if part == "" {
+			continue
+		}
+		list = reflect.Append(list, reflect.ValueOf(part).Convert(field.Type().Elem()))
+	}
+	field.Set(list)
+}
--- /dev/null
+++ b/core/state/command.go
@@ -0,0 +1,128 @@
+package state
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"chicorymast/core/ident"
+	"chicorymast/core/intent"
+)
+
+// Command is one change that operators ask for. The set is sealed.
+type Command interface {
+	head() Head
+	isCommand()
+}
+
+// Head is what every command carries.
+type Head struct {
+	ChangeID ident.ChangeID `json:"change_id"`
+	Actor    ident.Actor    `json:"actor"`
+	// AtMillis is the proposer's wall clock in Unix milliseconds; it serves
+	// the audit trail and the expiry of keys, never the order of commands.
+	AtMillis int64 `json:"at_ms"`
+}
+
+func (h Head) head() Head { return h }
+func (Head) isCommand()   {}
+
+// Confirm puts a planned intent in force.
+type Confirm struct {
+	Head
+	// Base is the revision of the confirmation that the plan was made on.
+	Base  ident.Revision `json:"base"`
+	Patch intent.Patch   `json:"patch"`
+}
+
+// GrantKey adds a key to a workspace.
+type GrantKey struct {
+	Head
+	Digest    ident.KeyDigest `json:"digest"`
+	Workspace ident.Workspace `json:"workspace"`
+	// ExpiresMillis is in Unix milliseconds; zero means never.
+	ExpiresMillis int64 `json:"expires_ms,omitempty"`
+}
+
+// WithdrawKey ends a key for good.
+type WithdrawKey struct {
+	Head
+	Key ident.KeyID `json:"key"`
+}
+
+// SetDrain keeps new work away from a VM's upstreams, or lets it back.
+type SetDrain struct {
+	Head
+	VM       ident.VM `json:"vm"`
+	Draining bool     `json:"draining"`
+}
+
+// Kind names the form of an encoded command.
+type Kind string
+
+// The kinds of commands.
+const (
+	KindConfirm     Kind = "confirm"
+	KindGrantKey    Kind = "grant_key"
+	KindWithdrawKey Kind = "withdraw_key"
+	KindSetDrain    Kind = "set_drain"
+)
+
+// ErrCommand is wrapped by every error about an unreadable command.
+var ErrCommand = errors.New("unreadable command")
+
+type envelope struct {
+	Kind Kind            `json:"kind"`
+	Body json.RawMessage `json:"body"`
+}
+
+// KindOf returns the kind of a command.
+func KindOf(c Command) Kind {
+	switch c.(type) {
+	case Confirm:
+		return KindConfirm
+	case GrantKey:
+		return KindGrantKey
+	case WithdrawKey:
+		return KindWithdrawKey
+	case SetDrain:
+		return KindSetDrain
+	}
+	return ""
+}
+
+// Encode renders a command as JSON.
+func Encode(c Command) (data []byte, err error) {
+	body, err := json.Marshal(c)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrCommand, err)
+	}
+	return json.Marshal(envelope{Kind: KindOf(c), Body: body})
+}
+
+// Decode reads what Encode wrote.
+func Decode(data []byte) (Command, error) {
+	var env envelope
+	if err := json.Unmarshal(data, &env); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrCommand, err)
+	}
+	switch env.Kind {
+	case KindConfirm:
+		return decodeBody[Confirm](env.Body)
+	case KindGrantKey:
+		return decodeBody[GrantKey](env.Body)
+	case KindWithdrawKey:
+		return decodeBody[WithdrawKey](env.Body)
+	case KindSetDrain:
+		return decodeBody[SetDrain](env.Body)
+	}
+	return nil, fmt.Errorf("%w: kind %q", ErrCommand, env.Kind)
+}
+
+func decodeBody[C Command](body []byte) (Command, error) {
+	var c C
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrCommand, err)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/io/admin/admin.go
@@ -0,0 +1,221 @@
+// Package admin is the administration API: JSON over HTTP for operators.
+//
+// # Usage
+//
+//	handler := admin.New(admin.Options{...})
+//
+// Every request below /v1/ needs an operator's token; /healthz and /metrics
+// need none. Errors are RFC 9457 problem documents. docs/OPERATIONS.md lists
+// the resources.
+package admin
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"chicorymast/config"
+	"chicorymast/core/board"
+	"chicorymast/core/ident"
+	"chicorymast/core/state"
+	"chicorymast/io/event"
+	"chicorymast/io/timer"
+	"chicorymast/io/wire"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+)
+
+// bodyLimit is the largest request in bytes.
+const bodyLimit = 16 << 20
+
+// Options is what the API needs.
+type Options struct {
+	Config   func() *config.Config
+	Board    *board.Board
+	Clock    timer.Clock
+	Log      *event.Log
+	Pool     *wire.Pool
+	Gatherer prometheus.Gatherer
+}
+
+type api struct{ opt Options }
+
+// action is one request that passed the check of its token.
+type action func(a *api, r *http.Request, who ident.Actor) (any, *Problem)
+
+// New returns the handler of the API.
+func New(opt Options) http.Handler {
+	a := &api{opt: opt}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(opt.Gatherer, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", a.health)
+	routes := []struct {
+		pattern string
+		need    config.OperatorRole
+		do      action
+	}{
+		{"GET /v1/configuration", config.OperatorView, (*api).show},
+		{"GET /v1/status", config.OperatorView, (*api).status},
+		{"GET /v1/history", config.OperatorView, (*api).history},
+		{"GET /v1/keys", config.OperatorView, (*api).listKeys},
+		{"POST /v1/plans", config.OperatorPlan, (*api).plan},
+		{"POST /v1/confirmations", config.OperatorConfirm, (*api).confirm},
+		{"POST /v1/keys", config.OperatorAdminister, (*api).grantKey},
+		{"POST /v1/withdrawals", config.OperatorAdminister, (*api).withdrawKey},
+		{"POST /v1/drains", config.OperatorConfirm, (*api).drain},
+	}
+	for _, route := range routes {
+		mux.HandleFunc(route.pattern, a.guard(route.need, route.do))
+	}
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		write(w, problem(http.StatusNotFound, "no_resource", "nothing at %s %s", r.Method, r.URL.Path))
+	})
+	return mux
+}
+
+// Problem is an RFC 9457 document of the API.
+type Problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail"`
+	Reason string `json:"reason"`
+	// Result is the outcome of the change, where there is one.
+	Result *state.Result `json:"result,omitempty"`
+}
+
+func problem(status int, reason, format string, args ...any) *Problem {
+	return &Problem{
+		Type:   "urn:chicorymast:problem:" + reason,
+		Title:  http.StatusText(status),
+		Status: status,
+		Detail: fmt.Sprintf(format, args...),
+		Reason: reason,
+	}
+}
+
+func write(w http.ResponseWriter, p *Problem) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	if p.Status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", `Bearer realm="chicorymast operators"`)
+	}
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+// guard checks the operator's token and role before an action.
+func (a *api) guard(need config.OperatorRole, do action) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		who, role, ok := a.operator(r)
+		if !ok {
+			write(w, problem(http.StatusUnauthorized, "token_unknown", "show an operator's token as Authorization: Bearer TOKEN"))
+			return
+		}
+		if !role.Allows(need) {
+			write(w, problem(http.StatusForbidden, "role_too_small", "operator %s has the role %s; this needs %s", who, role, need))
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, bodyLimit)
+		answer, p := do(a, r, who)
+		if p != nil {
+			write(w, p)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(answer)
+	}
+}
+
+func (a *api) operator(r *http.Request) (ident.Actor, config.OperatorRole, bool) {
+	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "bearer") || token == "" {
+		return "", "", false
+	}
+	sum := sha256.Sum256([]byte(strings.TrimSpace(token)))
+	text := []byte(hex.EncodeToString(sum[:]))
+	var who ident.Actor
+	var role config.OperatorRole
+	found := false
+	for name, op := range a.opt.Config().Operators {
+		if subtle.ConstantTimeCompare(text, []byte(op.TokenSHA256)) == 1 {
+			who, role, found = ident.Actor(name), op.Role, true
+		}
+	}
+	return who, role, found
+}
+
+func (a *api) health(w http.ResponseWriter, _ *http.Request) {
+	life := a.opt.Board.Life.Read().Phase
+	if life != board.LifeRunning {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_, _ = fmt.Fprintln(w, life)
+}
+
+func decode[T any](r *http.Request) (v T, p *Problem) {
+	dec := json.NewDecoder(r.Body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&v); err != nil {
+		return v, problem(http.StatusBadRequest, "bad_request", "the body does not fit: %v", err)
+	}
+	return v, nil
+}
+
+// propose sends a command to the control daemons until one gives its outcome.
+func (a *api) propose(ctx context.Context, cmd state.Command) (any, *Problem) {
+	const patience = 5 * time.Second
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	data, err := state.Encode(cmd)
+	if err != nil {
+		return nil, problem(http.StatusBadRequest, "bad_request", "%v", err)
+	}
+	result, err := Propose(ctx, a.opt.Pool, a.voters(), data)
+	if err != nil {
+		return nil, problem(http.StatusGatewayTimeout, "outcome_unknown",
+			"the change may or may not be accepted (%v); send it again with the same change_id to learn its outcome", err)
+	}
+	a.logResult(result)
+	return outcome(result)
+}
+
+func (a *api) logResult(r state.Result) {
+	id := event.ChangeAccepted
+	if r.Outcome != state.OutcomeAccepted {
+		id = event.ChangeRefused
+	}
+	a.opt.Log.Emit(id, zap.String("change_id", string(r.ChangeID)), zap.String("actor", string(r.Actor)),
+		zap.String("kind", string(r.Kind)), zap.Uint64("revision", uint64(r.Revision)), zap.String("detail", r.Detail))
+}
+
+func outcome(r state.Result) (any, *Problem) {
+	switch r.Outcome {
+	case state.OutcomeAccepted:
+		return r, nil
+	case state.OutcomeConflict:
+		p := problem(http.StatusConflict, "conflict", "%s; change %s won", r.Detail, r.Winner)
+		p.Result = &r
+		return nil, p
+	default:
+		p := problem(http.StatusUnprocessableEntity, "invalid", "%s", r.Detail)
+		p.Result = &r
+		return nil, p
+	}
+}
+
+// voters lists the control addresses, this daemon's own first.
+func (a *api) voters() []string {
+	var addresses []string
+	for _, v := range a.opt.Config().Control.VoterList() {
+		addresses = append(addresses, v.Address)
+	}
+	return addresses
+}
--- /dev/null
+++ b/io/admin/resources.go
@@ -0,0 +1,228 @@
+package admin
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"chicorymast/core/board"
+	"chicorymast/core/ident"
+	"chicorymast/core/intent"
+	"chicorymast/core/member"
+	"chicorymast/core/state"
+)
+
+// Configuration is the answer of GET /v1/configuration.
+type Configuration struct {
+	Revision ident.Revision    `json:"revision"`
+	Digest   string            `json:"digest"`
+	Intent   intent.Intent     `json:"intent"`
+	Drains   map[ident.VM]bool `json:"drains"`
+}
+
+// PlanRequest asks what an intent would change. Text is the INI form.
+type PlanRequest struct {
+	Name string `json:"name"`
+	Text string `json:"text"`
+}
+
+// Plan says what a confirmation would change.
+type Plan struct {
+	Base     ident.Revision  `json:"base"`
+	Changes  []intent.Change `json:"changes"`
+	Warnings []string        `json:"warnings"`
+	Patch    intent.Patch    `json:"patch"`
+}
+
+// Confirmation puts a plan in force.
+type Confirmation struct {
+	ChangeID ident.ChangeID `json:"change_id"`
+	Base     ident.Revision `json:"base"`
+	Patch    intent.Patch   `json:"patch"`
+}
+
+// KeyGrant adds a key of which only the digest is known here.
+type KeyGrant struct {
+	ChangeID      ident.ChangeID  `json:"change_id"`
+	Digest        ident.KeyDigest `json:"digest"`
+	Workspace     ident.Workspace `json:"workspace"`
+	ExpiresMillis int64           `json:"expires_ms,omitempty"`
+}
+
+// KeyWithdrawal ends a key.
+type KeyWithdrawal struct {
+	ChangeID ident.ChangeID `json:"change_id"`
+	Key      ident.KeyID    `json:"key"`
+}
+
+// Drain keeps work away from a VM or lets it back.
+type Drain struct {
+	ChangeID ident.ChangeID `json:"change_id"`
+	VM       ident.VM       `json:"vm"`
+	Draining bool           `json:"draining"`
+}
+
+// Status is the answer of GET /v1/status.
+type Status struct {
+	Revision ident.Revision `json:"revision"`
+	Digest   string         `json:"digest"`
+	AgeMs    int64          `json:"age_ms"`
+	Source   ident.VM       `json:"source"`
+	Members  int            `json:"members"`
+	InForce  int            `json:"in_force"`
+	Behind   []ident.VM     `json:"behind"`
+	Services []ServiceLine  `json:"services"`
+}
+
+// ServiceLine is one service in a status.
+type ServiceLine struct {
+	Service   ident.Service `json:"service"`
+	Upstreams int           `json:"upstreams"`
+	Slots     int           `json:"slots"`
+}
+
+func (a *api) show(*http.Request, ident.Actor) (any, *Problem) {
+	c := a.opt.Board.Config.Read()
+	return Configuration{Revision: c.State.Revision, Digest: c.Digest(), Intent: c.State.Intent, Drains: c.State.Drains}, nil
+}
+
+func (a *api) status(*http.Request, ident.Actor) (any, *Problem) {
+	c, fresh, members := a.opt.Board.Config.Read(), a.opt.Board.Freshness.Read(), a.opt.Board.Members.Read()
+	s := Status{
+		Revision: c.State.Revision,
+		Digest:   c.Digest(),
+		AgeMs:    fresh.Age(a.opt.Clock.Now()).Milliseconds(),
+		Source:   fresh.Source,
+		Members:  len(members.Entries),
+		Behind:   []ident.VM{},
+		Services: serviceLines(members),
+	}
+	for _, e := range members.Entries {
+		if e.Revision >= c.State.Revision {
+			s.InForce++
+			continue
+		}
+		s.Behind = append(s.Behind, e.VM)
+	}
+	slices.Sort(s.Behind)
+	return s, nil
+}
+
+func serviceLines(m *board.Members) []ServiceLine {
+	lines := []ServiceLine{}
+	for name, entries := range m.ByService {
+		line := ServiceLine{Service: name, Upstreams: len(entries)}
+		for _, e := range entries {
+			line.Slots += e.Served.Slots
+		}
+		lines = append(lines, line)
+	}
+	slices.SortFunc(lines, func(x, y ServiceLine) int { return cmp.Compare(x.Service, y.Service) })
+	return lines
+}
+
+func (a *api) history(r *http.Request, _ ident.Actor) (any, *Problem) {
+	const most = 1000
+	limit, err := strconv.Atoi(cmp.Or(r.URL.Query().Get("limit"), "50"))
+	if err != nil || limit < 1 || limit > most {
+		return nil, problem(http.StatusBadRequest, "bad_request", "limit must be between 1 and %d", most)
+	}
+	st := a.opt.Board.Config.Read().State
+	results := []state.Result{}
+	for i := len(st.Trail) - 1; i >= 0 && len(results) < limit; i-- {
+		results = append(results, st.Results[st.Trail[i]])
+	}
+	return results, nil
+}
+
+func (a *api) listKeys(*http.Request, ident.Actor) (any, *Problem) {
+	keys := []state.Key{}
+	for _, key := range a.opt.Board.Config.Read().State.Keys {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(x, y state.Key) int {
+		return cmp.Or(cmp.Compare(x.Workspace, y.Workspace), cmp.Compare(x.ID, y.ID))
+	})
+	return keys, nil
+}
+
+func (a *api) plan(r *http.Request, _ ident.Actor) (any, *Problem) {
+	q, p := decode[PlanRequest](r)
+	if p != nil {
+		return nil, p
+	}
+	want, err := intent.Parse(cmp.Or(q.Name, "intent"), []byte(q.Text))
+	if err != nil {
+		return nil, problem(http.StatusUnprocessableEntity, "invalid", "%v", err)
+	}
+	st := a.opt.Board.Config.Read().State
+	return Plan{
+		Base:     st.ConfirmedAt,
+		Changes:  intent.Compare(st.Intent, want),
+		Warnings: intent.Review(want, intent.Facts{Keys: st.KeyCounts()}),
+		Patch:    intent.Diff(st.Intent, want),
+	}, nil
+}
+
+func (a *api) head(id ident.ChangeID, who ident.Actor) (state.Head, *Problem) {
+	if id == "" {
+		return state.Head{}, problem(http.StatusBadRequest, "bad_request", "change_id is missing")
+	}
+	return state.Head{ChangeID: id, Actor: who, AtMillis: a.opt.Clock.Now().UnixMilli()}, nil
+}
+
+func (a *api) confirm(r *http.Request, who ident.Actor) (any, *Problem) {
+	q, p := decode[Confirmation](r)
+	if p != nil {
+		return nil, p
+	}
+	head, p := a.head(q.ChangeID, who)
+	if p != nil {
+		return nil, p
+	}
+	return a.propose(r.Context(), state.Confirm{Head: head, Base: q.Base, Patch: q.Patch})
+}
+
+func (a *api) grantKey(r *http.Request, who ident.Actor) (any, *Problem) {
+	q, p := decode[KeyGrant](r)
+	if p != nil {
+		return nil, p
+	}
+	head, p := a.head(q.ChangeID, who)
+	if p != nil {
+		return nil, p
+	}
+	if q.ExpiresMillis != 0 && q.ExpiresMillis <= a.opt.Clock.Now().UnixMilli() {
+		return nil, problem(http.StatusBadRequest, "bad_request", "expires_ms lies in the past: %s", time.UnixMilli(q.ExpiresMillis).UTC())
+	}
+	return a.propose(r.Context(), state.GrantKey{Head: head, Digest: q.Digest, Workspace: q.Workspace, ExpiresMillis: q.ExpiresMillis})
+}
+
+func (a *api) withdrawKey(r *http.Request, who ident.Actor) (any, *Problem) {
+	q, p := decode[KeyWithdrawal](r)
+	if p != nil {
+		return nil, p
+	}
+	head, p := a.head(q.ChangeID, who)
+	if p != nil {
+		return nil, p
+	}
+	return a.propose(r.Context(), state.WithdrawKey{Head: head, Key: q.Key})
+}
+
+func (a *api) drain(r *http.Request, who ident.Actor) (any, *Problem) {
+	q, p := decode[Drain](r)
+	if p != nil {
+		return nil, p
+	}
+	if !slices.ContainsFunc(a.opt.Board.Members.Read().Entries, func(e member.Entry) bool { return e.VM == q.VM }) && q.Draining {
+		return nil, problem(http.StatusUnprocessableEntity, "invalid", "no VM %q is known", q.VM)
+	}
+	head, p := a.head(q.ChangeID, who)
+	if p != nil {
+		return nil, p
+	}
+	return a.propose(r.Context(), state.SetDrain{Head: head, VM: q.VM, Draining: q.Draining})
+}
--- /dev/null
+++ b/io/agent/agent.go
@@ -0,0 +1,345 @@
+// Package agent keeps a daemon in touch with a relay: it announces the VM,
+// brings in configuration and members, and changes the relay when that one
+// is silent or stale.
+//
+// # Usage
+//
+//	a := agent.New(agent.Options{...})
+//	a.Start()
+//	defer a.Stop(ctx)     // tells the relay that this VM leaves
+//
+// The agent writes the sections Members and, unless the daemon is a control
+// daemon, Config and Freshness of the blackboard.
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"chicorymast/core/board"
+	"chicorymast/core/fault"
+	"chicorymast/core/ident"
+	"chicorymast/core/member"
+	"chicorymast/core/state"
+	"chicorymast/io/event"
+	"chicorymast/io/timer"
+	"chicorymast/io/wire"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// syncWait is how long a relay may hold a sync that brings nothing new.
+	syncWait = time.Second
+	// syncTimeout makes a relay silent.
+	syncTimeout = syncWait + time.Second
+	// staleAfter makes a relay's configuration stale.
+	staleAfter = 2 * time.Second
+	// retryPause stands between two attempts that fail.
+	retryPause = 200 * time.Millisecond
+	// keptSteps is how many commands are kept to be passed on as deltas.
+	keptSteps = 1024
+)
+
+// Options is what an agent needs.
+type Options struct {
+	VM         ident.VM
+	DataCentre ident.DataCentre
+	Addresses  member.Addresses
+	Clock      timer.Clock
+	Board      *board.Board
+	Pool       *wire.Pool
+	Log        *event.Log
+	// Relays lists the control addresses of relays, the preferred one first.
+	Relays func() []string
+	// FollowConfig is false on control daemons, which hold the log themselves.
+	FollowConfig bool
+}
+
+// Agent is one daemon's side of the synchronisation.
+type Agent struct {
+	opt     Options
+	cancel  context.CancelFunc
+	done    chan struct{}
+	members map[ident.VM]member.Entry
+	mark    wire.Mark
+	relay   string
+	turn    int
+	// sourceSince is when the present relay was chosen.
+	sourceSince time.Time
+
+	mu      sync.Mutex
+	version uint64
+	last    entryContent
+	stale   bool
+}
+
+// entryContent is what of an announcement raises its version.
+type entryContent struct {
+	served member.Served
+	phase  member.Phase
+	relay  string
+}
+
+// New returns an agent that is not in touch yet.
+func New(opt Options) *Agent {
+	return &Agent{
+		opt:     opt,
+		done:    make(chan struct{}),
+		members: map[ident.VM]member.Entry{},
+		version: uint64(opt.Clock.Now().UnixMilli()),
+	}
+}
+
+// Start begins to synchronise.
+func (a *Agent) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	go func() {
+		defer close(a.done)
+		for ctx.Err() == nil {
+			a.round(ctx)
+		}
+	}()
+}
+
+// Stop ends the synchronisation and announces that the VM leaves.
+func (a *Agent) Stop(ctx context.Context) {
+	a.cancel()
+	<-a.done
+	q := a.request(0)
+	q.Entry.Phase = member.PhaseGone
+	q.Entry.Version++
+	_, _ = wire.Call[wire.SyncReply](ctx, a.opt.Pool, a.relay, wire.MethodSync, q)
+}
+
+func (a *Agent) round(ctx context.Context) {
+	a.chooseRelay()
+	wait := syncWait
+	if a.mark.Epoch == "" {
+		wait = 0
+	}
+	callCtx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	stopWatch := a.interruptOnChange(callCtx, cancel)
+	reply, err := wire.Call[wire.SyncReply](callCtx, a.opt.Pool, a.relay, wire.MethodSync, a.request(wait))
+	interrupted := stopWatch()
+	if ctx.Err() != nil || (err != nil && interrupted) {
+		return
+	}
+	if err != nil {
+		a.nextRelay()
+		a.pause(ctx)
+		return
+	}
+	a.take(reply)
+}
+
+// interruptOnChange ends a waiting sync when this VM has something to
+// announce, so that a drain is known at once.
+func (a *Agent) interruptOnChange(ctx context.Context, cancel context.CancelFunc) (stop func() bool) {
+	served, life := a.opt.Board.Served.Changed(), a.opt.Board.Life.Changed()
+	result := make(chan bool, 1)
+	finished := make(chan struct{})
+	go func() {
+		select {
+		case <-served:
+		case <-life:
+		case <-ctx.Done():
+			result <- false
+			return
+		case <-finished:
+			result <- false
+			return
+		}
+		cancel()
+		result <- true
+	}()
+	return func() bool {
+		close(finished)
+		return <-result
+	}
+}
+
+func (a *Agent) pause(ctx context.Context) {
+	t := time.NewTimer(retryPause)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (a *Agent) chooseRelay() {
+	relays := a.opt.Relays()
+	if len(relays) == 0 {
+		return
+	}
+	next := relays[a.turn%len(relays)]
+	if next == a.relay {
+		return
+	}
+	a.relay = next
+	a.sourceSince = a.opt.Clock.Now()
+	a.mark = wire.Mark{}
+	a.opt.Log.Emit(event.SourceChanged, zap.String("relay", next))
+}
+
+func (a *Agent) nextRelay() {
+	a.turn++
+}
+
+func (a *Agent) request(wait time.Duration) wire.SyncRequest {
+	c := a.opt.Board.Config.Read()
+	return wire.SyncRequest{
+		Entry:        a.Entry(),
+		HaveRevision: c.State.Revision,
+		HaveDigest:   c.Digest(),
+		Directory:    a.mark,
+		WaitMs:       wait.Milliseconds(),
+	}
+}
+
+// Entry returns what this VM announces of itself at the moment.
+func (a *Agent) Entry() member.Entry {
+	e := member.Entry{
+		VM:         a.opt.VM,
+		DataCentre: a.opt.DataCentre,
+		Addresses:  a.opt.Addresses,
+		Phase:      member.PhaseUp,
+		Revision:   a.opt.Board.Config.Read().State.Revision,
+	}
+	if a.opt.Board.Life.Read().Phase == board.LifeStopping {
+		e.Phase = member.PhaseDraining
+	}
+	content := entryContent{phase: e.Phase, relay: a.relay}
+	if s := a.opt.Board.Served.Read(); s.Present() {
+		served := s.Served
+		if s.Drained {
+			served.Phase = member.PhaseDraining
+		}
+		e.Served = &served
+		content.served = served
+	}
+	e.Version = a.versionOf(content)
+	return e
+}
+
+func (a *Agent) versionOf(content entryContent) uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if content != a.last {
+		a.last = content
+		a.version = max(a.version+1, uint64(a.opt.Clock.Now().UnixMilli()))
+	}
+	return a.version
+}
+
+func (a *Agent) take(reply wire.SyncReply) {
+	a.takeMembers(reply)
+	if !a.opt.FollowConfig {
+		return
+	}
+	if reply.Config != nil {
+		a.takeConfig(*reply.Config)
+	}
+	a.takeFreshness(reply)
+}
+
+func (a *Agent) takeMembers(reply wire.SyncReply) {
+	a.mark = reply.Directory
+	if reply.Whole {
+		a.members = make(map[ident.VM]member.Entry, len(reply.Members))
+	}
+	if !reply.Whole && len(reply.Members) == 0 {
+		return
+	}
+	for _, e := range reply.Members {
+		a.members[e.VM] = e
+		a.outbid(e)
+	}
+	entries := make([]member.Entry, 0, len(a.members))
+	for vm, e := range a.members {
+		if e.Phase == member.PhaseGone {
+			delete(a.members, vm)
+			continue
+		}
+		entries = append(entries, e)
+	}
+	a.opt.Board.Members.Write(board.NewMembers(entries))
+}
+
+// outbid raises the own version above one that an earlier life of this VM
+// has left behind under a clock that ran ahead.
+func (a *Agent) outbid(e member.Entry) {
+	if e.VM != a.opt.VM {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if e.Version > a.version {
+		a.version = e.Version + 1
+	}
+}
+
+func (a *Agent) takeConfig(d wire.ConfigDelta) {
+	next, err := applyDelta(a.opt.Board.Config.Read(), d)
+	if err == nil && next.Digest() == d.Digest {
+		a.opt.Board.Config.Write(next)
+		a.opt.Log.Emit(event.ConfigApplied, zap.Uint64("revision", uint64(next.State.Revision)))
+		return
+	}
+	a.opt.Log.Emit(event.DigestMismatch, zap.Uint64("revision", uint64(d.Revision)), zap.Error(err))
+	if have := a.opt.Board.Config.Read(); d.Snapshot == nil {
+		// A digest that fits nothing makes the next sync bring a snapshot.
+		a.opt.Board.Config.Write(have.Mistrusted())
+	}
+}
+
+func applyDelta(have *board.Config, d wire.ConfigDelta) (next *board.Config, err error) {
+	defer fault.Note(&err, "apply configuration delta to revision %d", d.Revision)
+	if d.Snapshot != nil {
+		return board.NewConfig(d.Snapshot, nil), nil
+	}
+	st := have.State.Clone()
+	recent := have.Recent
+	for _, raw := range d.Commands {
+		cmd, err := state.Decode(raw)
+		if err != nil {
+			return nil, err
+		}
+		st.Follow(cmd)
+		recent = append(recent[:len(recent):len(recent)], board.Step{Revision: st.Revision, Command: raw})
+	}
+	if len(recent) > keptSteps {
+		recent = recent[len(recent)-keptSteps:]
+	}
+	return board.NewConfig(st, recent), nil
+}
+
+func (a *Agent) takeFreshness(reply wire.SyncReply) {
+	now := a.opt.Clock.Now()
+	have := a.opt.Board.Freshness.Read()
+	asOf := now.Add(-time.Duration(reply.AgeMs) * time.Millisecond)
+	if asOf.After(have.AsOf) {
+		a.opt.Board.Freshness.Write(&board.Freshness{AsOf: asOf, Source: reply.Relay})
+	}
+	stale := a.opt.Board.Freshness.Read().Age(now) > staleAfter
+	a.noteStale(stale)
+	if stale && now.Sub(a.sourceSince) > staleAfter {
+		a.nextRelay()
+	}
+}
+
+func (a *Agent) noteStale(stale bool) {
+	if stale == a.stale {
+		return
+	}
+	a.stale = stale
+	if stale {
+		a.opt.Log.Emit(event.ConfigStale)
+		return
+	}
+	a.opt.Log.Emit(event.ConfigFresh)
+}
--- /dev/null
+++ b/io/daemon/daemon.go
@@ -0,0 +1,310 @@
+// Package daemon puts one daemon together and runs it from its start to its
+// graceful end.
+//
+// # Usage
+//
+//	d, err := daemon.New(cfg, log)
+//	err = d.Run(ctx)          // until ctx ends; then finishes what runs
+//	err = d.Reload()          // reads the settings file again
+//
+// At a planned stop the daemon first tells its peers, then takes no new work,
+// lets running calls finish within the shutdown timeout, and only then closes
+// its listeners.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"chicorymast/config"
+	"chicorymast/core/board"
+	"chicorymast/core/fault"
+	"chicorymast/core/member"
+	"chicorymast/io/admin"
+	"chicorymast/io/agent"
+	"chicorymast/io/ctrl"
+	"chicorymast/io/event"
+	"chicorymast/io/proxy"
+	"chicorymast/io/relay"
+	"chicorymast/io/timer"
+	"chicorymast/io/trace"
+	"chicorymast/io/wire"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"go.uber.org/zap"
+)
+
+// Daemon is one running daemon.
+type Daemon struct {
+	cfg   atomic.Pointer[config.Config]
+	log   *event.Log
+	clock timer.Clock
+	board *board.Board
+	reg   *prometheus.Registry
+
+	pool    *wire.Pool
+	server  *wire.Server
+	relay   *relay.Relay
+	agent   *agent.Agent
+	control *ctrl.Control
+	proxy   *proxy.Proxy
+	tracer  *trace.Tracer
+	host    *host
+
+	listeners []*listener
+	stops     []func()
+	failed    chan error
+}
+
+// listener is one HTTP listener of the daemon.
+type listener struct {
+	name string
+	ln   net.Listener
+	srv  *http.Server
+}
+
+// New opens everything that a daemon needs; nothing serves yet.
+func New(cfg config.Config, log *event.Log) (d *Daemon, err error) {
+	defer fault.Note(&err, "set up daemon %s", cfg.Daemon.VM)
+	d = &Daemon{
+		log:    log.With(zap.String("vm", string(cfg.Daemon.VM))),
+		clock:  timer.NewClock(),
+		board:  board.New(),
+		reg:    prometheus.NewRegistry(),
+		pool:   wire.NewPool(cfg.Calls.ConnectTimeout),
+		server: wire.NewServer(),
+		failed: make(chan error, 1),
+	}
+	d.cfg.Store(&cfg)
+	d.reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	if d.tracer, err = trace.Open(cfg.Trace, cfg.Daemon.VM); err != nil {
+		return nil, err
+	}
+	d.host = &host{vm: cfg.Daemon.VM, clock: d.clock, board: d.board, log: d.log}
+	if err := d.join(); err != nil {
+		return nil, err
+	}
+	d.buildProxy()
+	return d, d.listen()
+}
+
+// Config returns the settings in force.
+func (d *Daemon) Config() *config.Config {
+	return d.cfg.Load()
+}
+
+func (d *Daemon) join() error {
+	cfg := d.Config()
+	d.relay = relay.New(relay.Options{
+		VM: cfg.Daemon.VM, Clock: d.clock, Board: d.board, Pool: d.pool, Others: d.otherRelays,
+	})
+	d.relay.Register(d.server)
+	d.agent = agent.New(agent.Options{
+		VM:           cfg.Daemon.VM,
+		DataCentre:   cfg.Daemon.DataCentre,
+		Addresses:    member.Addresses{Peer: cfg.Listen.Peer, Control: cfg.Listen.Control},
+		Clock:        d.clock,
+		Board:        d.board,
+		Pool:         d.pool,
+		Log:          d.log,
+		Relays:       d.relays,
+		FollowConfig: cfg.Daemon.Role != config.RoleControl,
+	})
+	if cfg.Daemon.Role == config.RoleControl {
+		d.control = ctrl.New(cfg.Daemon.VM, d.clock, d.board)
+		d.control.Register(d.server)
+	}
+	return nil
+}
+
+// relays lists where this daemon may synchronise: a control daemon at itself,
+// the others at those of the own data centre first.
+func (d *Daemon) relays() []string {
+	cfg := d.Config()
+	if cfg.Daemon.Role == config.RoleControl {
+		return []string{cfg.Listen.Control}
+	}
+	near := map[string]bool{}
+	for _, e := range d.board.Members.Read().Entries {
+		if e.DataCentre == cfg.Daemon.DataCentre {
+			near[e.Addresses.Control] = true
+		}
+	}
+	var first, rest []string
+	for _, address := range cfg.Control.JoinAddresses() {
+		if near[address] {
+			first = append(first, address)
+			continue
+		}
+		rest = append(rest, address)
+	}
+	return append(first, rest...)
+}
+
+func (d *Daemon) otherRelays() []string {
+	cfg := d.Config()
+	var others []string
+	for _, address := range cfg.Control.JoinAddresses() {
+		if address != cfg.Listen.Control {
+			others = append(others, address)
+		}
+	}
+	return others
+}
+
+func (d *Daemon) buildProxy() {
+	d.proxy = proxy.New(proxy.Options{
+		Config:  d.Config,
+		Clock:   d.clock,
+		Board:   d.board,
+		Log:     d.log,
+		Trace:   d.tracer,
+		Meter:   proxy.NewMeter(d.reg),
+		Seed:    uint64(d.clock.Now().UnixNano()),
+		Quota:   proxy.NewLocalQuota(d.clock),
+		Records: proxy.NewLocalRecords(d.clock),
+	})
+}
+
+func (d *Daemon) listen() (err error) {
+	defer fault.Note(&err, "open listeners")
+	cfg := d.Config()
+	handlers := []struct {
+		name    string
+		address string
+		handler http.Handler
+	}{
+		{"caller", cfg.Listen.Caller, d.proxy.Entry()},
+		{"peer", cfg.Listen.Peer, d.proxy.Peer()},
+		{"local", cfg.Listen.Local, d.proxy.Local(d.host)},
+		{"admin", cfg.Listen.Admin, admin.New(admin.Options{Config: d.Config, Board: d.board, Clock: d.clock, Log: d.log, Pool: d.pool, Gatherer: d.reg})},
+	}
+	for _, h := range handlers {
+		if h.address == "" {
+			continue
+		}
+		if err := d.open(h.name, h.address, h.handler); err != nil {
+			return err
+		}
+	}
+	ln, err := net.Listen("tcp", cfg.Listen.Control)
+	if err != nil {
+		return err
+	}
+	d.listeners = append(d.listeners, &listener{name: "control", ln: ln})
+	return nil
+}
+
+func (d *Daemon) open(name, address string, handler http.Handler) error {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	calls := d.Config().Calls
+	const idle = 2 * time.Minute
+	srv := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: calls.HeaderTimeout,
+		MaxHeaderBytes:    calls.HeaderLimit,
+		IdleTimeout:       idle,
+		ErrorLog:          discardLogger(),
+	}
+	if name == "caller" {
+		ln = limitListener(ln, calls.Connections)
+	}
+	d.listeners = append(d.listeners, &listener{name: name, ln: ln, srv: srv})
+	return nil
+}
+
+// Run serves until ctx ends and then stops gracefully.
+func (d *Daemon) Run(ctx context.Context) (err error) {
+	defer fault.Note(&err, "run daemon %s", d.Config().Daemon.VM)
+	d.start()
+	d.log.Emit(event.DaemonStarted, zap.String("data_centre", string(d.Config().Daemon.DataCentre)))
+	select {
+	case <-ctx.Done():
+	case err = <-d.failed:
+		d.log.Emit(event.ListenerFailed, zap.Error(err))
+	}
+	d.shutdown()
+	return err
+}
+
+func (d *Daemon) start() {
+	const hostTick = 200 * time.Millisecond
+	for _, l := range d.listeners {
+		go d.serve(l)
+	}
+	d.stops = append(d.stops, d.relay.Start(), d.proxy.Start(), d.clock.Every(hostTick, d.host.tick))
+	if d.control != nil {
+		d.stops = append(d.stops, d.control.Start())
+	}
+	d.board.Life.Write(&board.Life{Phase: board.LifeRunning})
+	d.agent.Start()
+}
+
+func (d *Daemon) serve(l *listener) {
+	var err error
+	if l.srv == nil {
+		err = d.server.Serve(l.ln)
+	} else {
+		err = l.srv.Serve(l.ln)
+	}
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return
+	}
+	select {
+	case d.failed <- err:
+	default:
+	}
+}
+
+// shutdown tells the peers, waits until they no longer send work, finishes
+// what runs and closes.
+func (d *Daemon) shutdown() {
+	d.log.Emit(event.DaemonStopping)
+	d.board.Life.Write(&board.Life{Phase: board.LifeStopping})
+	ctx, cancel := context.WithTimeout(context.Background(), d.Config().Daemon.ShutdownTimeout)
+	defer cancel()
+	d.agent.Stop(ctx)
+	for _, l := range d.listeners {
+		if l.srv != nil {
+			_ = l.srv.Shutdown(ctx)
+		}
+	}
+	for _, stop := range d.stops {
+		stop()
+	}
+	d.server.Close()
+	for _, l := range d.listeners {
+		_ = l.ln.Close()
+	}
+	d.pool.Close()
+	d.tracer.Close(ctx)
+	if n := d.proxy.Running(); n > 0 {
+		d.log.Emit(event.DaemonStopLate, zap.Int64("running", n))
+		return
+	}
+	d.log.Emit(event.DaemonStopped)
+}
+
+// Reload reads the settings file again. Settings that are not valid change
+// nothing. Identity and addresses stay until the next start.
+func (d *Daemon) Reload() (err error) {
+	have := d.Config()
+	next, err := config.Load(have.File)
+	if err != nil {
+		d.log.Emit(event.SettingsKept, zap.Error(err))
+		return err
+	}
+	next.Daemon, next.Listen = have.Daemon, have.Listen
+	d.cfg.Store(&next)
+	d.log.SetLevel(next.Log.Level)
+	d.log.Emit(event.SettingsReloaded)
+	return nil
+}
--- /dev/null
+++ b/io/hop/hop.go
@@ -0,0 +1,158 @@
+// Package hop defines what travels with a call from one daemon to the next
+// and back, and which headers pass at each border.
+//
+// # Usage
+//
+//	hop.StripInbound(r.Header)              // a caller's request
+//	hop.PutCall(out.Header, call)           // towards a peer
+//	call, err := hop.GetCall(r.Header)      // at the peer
+//	hop.PutAnswer(w.Header(), answer)       // back
+//
+// Both values are JSON in one header each. Times are spans in milliseconds,
+// never clock readings.
+package hop
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+
+	"chicorymast/core/admit"
+	"chicorymast/core/fault"
+	"chicorymast/core/ident"
+)
+
+// Header names.
+const (
+	HeaderPrefix = "Chicorymast-"
+	HeaderCall   = "Chicorymast-Call"
+	HeaderAnswer = "Chicorymast-Answer"
+	// HeaderNotRun is set by an upstream that proves that it ran nothing.
+	HeaderNotRun = "Chicorymast-Not-Run"
+	// HeaderAction carries the caller's action id. The lower-case form is what
+	// goes on the wire: net/http sends a request again by itself when it finds
+	// the canonical form, which would run an action twice.
+	HeaderAction     = "Idempotency-Key"
+	headerActionWire = "idempotency-key"
+	// HeaderTimeout carries the time that is left, in seconds.
+	HeaderTimeout = "Request-Timeout"
+	HeaderReplay  = "Idempotency-Replayed"
+)
+
+// ErrNoCall is returned for a request without a readable call.
+var ErrNoCall = errors.New("no readable call header")
+
+// Call is what a daemon tells the next one about a call.
+type Call struct {
+	Action     ident.ActionID  `json:"action"`
+	Workspace  ident.Workspace `json:"workspace"`
+	Route      ident.Route     `json:"route"`
+	Service    ident.Service   `json:"service"`
+	Class      ident.Class     `json:"class"`
+	Rank       admit.Rank      `json:"rank"`
+	Inner      bool            `json:"inner,omitempty"`
+	Idempotent bool            `json:"idempotent,omitempty"`
+	Depth      int             `json:"depth"`
+	// Retries is lent to the call for all that it causes.
+	Retries   int   `json:"retries"`
+	TimeoutMs int64 `json:"timeout_ms"`
+}
+
+// Answer is what a daemon tells the one before about a call.
+type Answer struct {
+	Load    admit.Load `json:"load"`
+	Unspent int        `json:"unspent"`
+	// Reason is set when the daemon answers in place of the upstream.
+	Reason fault.Reason `json:"reason,omitempty"`
+	Detail string       `json:"detail,omitempty"`
+	NotRun bool         `json:"not_run,omitempty"`
+	// Deeper is set when the failure came from a hop further on, which has
+	// done its own retries.
+	Deeper bool `json:"deeper,omitempty"`
+}
+
+// PutCall sets the call header.
+func PutCall(h http.Header, c Call) {
+	put(h, HeaderCall, c)
+}
+
+// GetCall reads the call header.
+func GetCall(h http.Header) (c Call, err error) {
+	if json.Unmarshal([]byte(h.Get(HeaderCall)), &c) != nil || c.Service == "" {
+		return Call{}, ErrNoCall
+	}
+	return c, nil
+}
+
+// PutAnswer sets the answer header.
+func PutAnswer(h http.Header, a Answer) {
+	put(h, HeaderAnswer, a)
+}
+
+// GetAnswer reads the answer header; a peer that sends none has no load.
+func GetAnswer(h http.Header) (a Answer, ok bool) {
+	text := h.Get(HeaderAnswer)
+	if text == "" || json.Unmarshal([]byte(text), &a) != nil {
+		return Answer{}, false
+	}
+	return a, true
+}
+
+func put(h http.Header, name string, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return // the types above always marshal
+	}
+	h.Set(name, string(data))
+}
+
+// hopByHop lists the headers that end at each connection (RFC 9110, 7.6.1).
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// StripHopByHop removes the headers that end at this connection, those named
+// by Connection included.
+func StripHopByHop(h http.Header) {
+	for _, value := range h.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
+
+// StripOwn removes every header of ours.
+func StripOwn(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(http.CanonicalHeaderKey(name), HeaderPrefix) {
+			delete(h, name)
+		}
+	}
+}
+
+// StripSecrets removes a caller's key.
+func StripSecrets(h http.Header) {
+	h.Del("Authorization")
+}
+
+// StripInbound cleans a request from outside before anything is forwarded.
+func StripInbound(h http.Header) {
+	StripHopByHop(h)
+	StripOwn(h)
+	StripSecrets(h)
+	h.Del("Expect")
+}
+
+// MoveAction puts the action id into the form that net/http does not act on.
+func MoveAction(h http.Header) {
+	values := h.Values(HeaderAction)
+	h.Del(HeaderAction)
+	if len(values) > 0 {
+		h[headerActionWire] = values
+	}
+}
--- /dev/null
+++ b/io/load/result.go
@@ -0,0 +1,105 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Sample is what one customer got in the end.
+type Sample struct {
+	Status   int
+	Outcome  string
+	Whole    bool
+	NotRun   bool
+	Attempts int
+	Latency  time.Duration
+}
+
+// Result is what all customers got.
+type Result struct {
+	mu      sync.Mutex
+	began   time.Time
+	Seconds float64                 `json:"seconds"`
+	Streams map[string]*StreamStats `json:"streams"`
+	Total   *StreamStats            `json:"total"`
+	// Timeline counts calls by the second in which they were due.
+	Timeline []Second `json:"timeline"`
+}
+
+// StreamStats sums up one stream.
+type StreamStats struct {
+	Workspace string         `json:"workspace"`
+	Offered   int            `json:"offered"`
+	Whole     int            `json:"whole"`
+	Attempts  int            `json:"attempts"`
+	MaxTries  int            `json:"max_tries"`
+	Outcomes  map[string]int `json:"outcomes"`
+	P50Ms     float64        `json:"p50_ms"`
+	P90Ms     float64        `json:"p90_ms"`
+	P99Ms     float64        `json:"p99_ms"`
+	hist      *hdrhistogram.Histogram
+}
+
+// Second is one second of the run.
+type Second struct {
+	Offered int `json:"offered"`
+	Whole   int `json:"whole"`
+	Refused int `json:"refused"`
+}
+
+func newResult(p Plan) *Result {
+	r := &Result{Streams: map[string]*StreamStats{}, Total: newStats("")}
+	for _, s := range p.Streams {
+		r.Streams[s.Name] = newStats(s.Workspace)
+	}
+	r.began = time.Now()
+	return r
+}
+
+func newStats(workspace string) *StreamStats {
+	const longest, digits = int64(60 * time.Second / time.Microsecond), 3
+	return &StreamStats{Workspace: workspace, Outcomes: map[string]int{}, hist: hdrhistogram.New(1, longest, digits)}
+}
+
+func (r *Result) add(s Stream, due time.Time, out Sample) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Streams[s.Name].add(out)
+	r.Total.add(out)
+	second := int(due.Sub(r.began) / time.Second)
+	for len(r.Timeline) <= second {
+		r.Timeline = append(r.Timeline, Second{})
+	}
+	r.Timeline[second].Offered++
+	if out.Whole {
+		r.Timeline[second].Whole++
+	} else {
+		r.Timeline[second].Refused++
+	}
+}
+
+func (s *StreamStats) add(out Sample) {
+	s.Offered++
+	s.Attempts += out.Attempts
+	s.MaxTries = max(s.MaxTries, out.Attempts)
+	s.Outcomes[out.Outcome]++
+	if out.Whole {
+		s.Whole++
+		_ = s.hist.RecordValue(max(1, out.Latency.Microseconds())) // above a minute counts as a minute
+	}
+}
+
+func (r *Result) finish(took time.Duration) {
+	r.Seconds = took.Seconds()
+	r.Total.finish()
+	for _, s := range r.Streams {
+		s.finish()
+	}
+}
+
+func (s *StreamStats) finish() {
+	ms := func(q float64) float64 { return float64(s.hist.ValueAtQuantile(q)) / 1000 }
+	s.P50Ms, s.P90Ms, s.P99Ms = ms(50), ms(90), ms(99)
+}
--- /dev/null
+++ b/io/proxy/body.go
@@ -0,0 +1,94 @@
+package proxy
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+
+	"chicorymast/core/fault"
+)
+
+// payload is a request body that can be sent again while it is small.
+type payload struct {
+	head   []byte
+	rest   io.Reader
+	whole  bool
+	length int64
+	used   bool
+	over   atomic.Bool
+}
+
+// readPayload reads up to keep bytes of a body in advance. A body above the
+// limit is refused, at once when its length is declared.
+func readPayload(r *http.Request, keep int, limit int64) (*payload, error) {
+	if r.ContentLength > limit {
+		return nil, fault.Refuse(fault.ReasonBodyTooLarge, "the body has %d bytes, the route takes %d", r.ContentLength, limit)
+	}
+	p := &payload{length: r.ContentLength}
+	if r.Body == nil || r.Body == http.NoBody {
+		p.whole = true
+		return p, nil
+	}
+	head, err := io.ReadAll(io.LimitReader(r.Body, int64(keep)+1))
+	if err != nil {
+		return nil, fault.Refuse(fault.ReasonBadRequest, "the body ended early: %v", err)
+	}
+	if int64(len(head)) > limit {
+		return nil, fault.Refuse(fault.ReasonBodyTooLarge, "the body is above the %d bytes that the route takes", limit)
+	}
+	p.head = head
+	p.whole = len(head) <= keep
+	if p.whole {
+		p.length = int64(len(head))
+		return p, nil
+	}
+	p.rest = &limitedBody{from: r.Body, left: limit - int64(len(head)), over: &p.over}
+	return p, nil
+}
+
+// sendable reports whether the body can be sent (again).
+func (p *payload) sendable() bool {
+	return p.whole || !p.used
+}
+
+// attach gives the body to a request in a form that net/http never sends a
+// second time by itself.
+func (p *payload) attach(r *http.Request) {
+	p.used = true
+	r.GetBody = nil
+	r.ContentLength = p.length
+	if p.whole && len(p.head) == 0 {
+		r.Body = http.NoBody
+		r.ContentLength = 0
+		return
+	}
+	if p.whole {
+		r.Body = onceBody{bytes.NewReader(p.head)}
+		return
+	}
+	r.Body = onceBody{io.MultiReader(bytes.NewReader(p.head), p.rest)}
+}
+
+type onceBody struct{ io.Reader }
+
+func (onceBody) Close() error { return nil }
+
+var errBodyTooLarge = errors.New("body is above the limit")
+
+type limitedBody struct {
+	from io.Reader
+	left int64
+	over *atomic.Bool
+}
+
+func (b *limitedBody) Read(p []byte) (int, error) {
+	n, err := b.from.Read(p)
+	b.left -= int64(n)
+	if b.left < 0 {
+		b.over.Store(true)
+		return 0, errBodyTooLarge
+	}
+	return n, err
+}
--- /dev/null
+++ b/io/proxy/calls.go
@@ -0,0 +1,84 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+
+	"chicorymast/core/retry"
+	"chicorymast/io/hop"
+)
+
+// servedCall is a call that runs at the upstream on this VM. Calls that the
+// upstream makes for it find it by the token in the trace state.
+type servedCall struct {
+	call     hop.Call
+	deadline time.Time
+	done     <-chan struct{}
+
+	mu     sync.Mutex
+	budget retry.Budget
+	children int
+	since    time.Time
+	// away is the time during which at least one child call was under way.
+	away   time.Duration
+	deeper   bool
+}
+
+func (s *servedCall) lend(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.children == 0 {
+		s.since = now
+	}
+	s.children++
+	return s.budget.Lend()
+}
+
+func (s *servedCall) settle(now time.Time, lent, unspent int, failed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Settle(lent, unspent)
+	s.deeper = s.deeper || failed
+	s.children--
+	if s.children == 0 {
+		s.away += now.Sub(s.since)
+	}
+}
+
+func (s *servedCall) summary(now time.Time) (unspent int, away time.Duration, deeper bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	away = s.away
+	if s.children > 0 {
+		away += now.Sub(s.since)
+	}
+	return s.budget.Left(), away, s.deeper
+}
+
+// callTable finds the calls that run at the upstream.
+type callTable struct {
+	mu    sync.Mutex
+	calls map[string]*servedCall
+}
+
+func newCallTable() *callTable {
+	return &callTable{calls: map[string]*servedCall{}}
+}
+
+func (t *callTable) add(token string, c *servedCall) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.calls[token] = c
+}
+
+func (t *callTable) remove(token string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.calls, token)
+}
+
+func (t *callTable) find(token string) *servedCall {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.calls[token]
+}
--- /dev/null
+++ b/io/proxy/dispatch.go
@@ -0,0 +1,313 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"chicorymast/core/admit"
+	"chicorymast/core/fault"
+	"chicorymast/core/ident"
+	"chicorymast/core/retry"
+	"chicorymast/core/route"
+	"chicorymast/io/hop"
+	"chicorymast/io/trace"
+)
+
+// outbound is a call on its way to the daemon beside an upstream.
+type outbound struct {
+	call   hop.Call
+	method string
+	url    *url.URL
+	header http.Header
+	body   *payload
+}
+
+// answered is a good answer: what the upstream said, whatever its status.
+type answered struct {
+	status int
+	header http.Header
+	length int64
+	// whole holds the body when all of it has arrived.
+	whole []byte
+	// rest delivers the body when it is streamed.
+	rest   io.ReadCloser
+	finish func(error)
+}
+
+// attempt is what became of one try.
+type attempt struct {
+	answer  *answered
+	refusal *fault.Refusal
+	// deeper is set when a hop further on failed and has retried.
+	deeper  bool
+	unspent int
+}
+
+// settlement says what is left of the retries lent to a dispatch.
+type settlement struct {
+	unspent int
+	deeper  bool
+}
+
+const (
+	// firstBackoff is the longest pause before the first retry; it doubles.
+	firstBackoff = 5 * time.Millisecond
+	// naiveRetries is what the plain pass-through mode does at every hop.
+	naiveRetries = 3
+)
+
+// dispatch sends a call to the fleet, again where that is safe and allowed.
+func (p *Proxy) dispatch(ctx context.Context, o *outbound) (*answered, settlement, *fault.Refusal) {
+	budget := retry.NewBudget(o.call.Retries)
+	tried := map[ident.VM]bool{}
+	maybeRan := false
+	for n := 0; ; n++ {
+		vm, ok := p.pick(o.call, tried)
+		if !ok {
+			r := fault.Refuse(fault.ReasonNoUpstream, "no upstream of service %s takes the call", o.call.Service)
+			r.NotRun = !maybeRan
+			return nil, settlement{unspent: budget.Left()}, r
+		}
+		lent := budget.Lend()
+		a := p.try(ctx, o, vm, lent)
+		budget.Settle(lent, a.unspent)
+		if a.answer != nil && !retryStatus(o, a) {
+			return a.answer, settlement{budget.Left(), a.deeper}, nil
+		}
+		if a.refusal != nil {
+			maybeRan = maybeRan || !a.refusal.NotRun
+		}
+		tried[vm.VM] = true
+		if !p.again(ctx, o, a, &budget, n) {
+			if a.refusal != nil {
+				a.refusal.NotRun = !maybeRan
+			}
+			return a.answer, settlement{budget.Left(), a.deeper}, a.refusal
+		}
+		a.discard()
+		p.opt.Meter.retries.Inc()
+	}
+}
+
+func (p *Proxy) pick(c hop.Call, tried map[ident.VM]bool) (route.Candidate, bool) {
+	lane := admit.Lane(c.Class, c.Inner)
+	vm, ok := p.fleet.pick(c.Service, lane, tried)
+	if !ok && len(tried) > 0 && p.passThrough() {
+		return p.fleet.pick(c.Service, lane, nil)
+	}
+	return vm, ok
+}
+
+// retryStatus reports whether the upstream's own answer asks to try another.
+func retryStatus(o *outbound, a attempt) bool {
+	switch a.answer.status {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return (o.call.Idempotent || a.answer.header.Get(hop.HeaderNotRun) == "true") && !a.deeper
+	}
+	return false
+}
+
+// again decides on a retry and waits before it.
+func (p *Proxy) again(ctx context.Context, o *outbound, a attempt, budget *retry.Budget, n int) bool {
+	if p.passThrough() {
+		return n < naiveRetries && ctx.Err() == nil && o.body.sendable()
+	}
+	if ctx.Err() != nil || a.deeper || !o.body.sendable() {
+		return false
+	}
+	if a.refusal != nil && !retryable(o, a.refusal) {
+		return false
+	}
+	if !budget.Spend() || !p.fleet.mayRetry(o.call.Service) {
+		return false
+	}
+	return p.backoff(ctx, n)
+}
+
+func retryable(o *outbound, r *fault.Refusal) bool {
+	switch r.Reason {
+	case fault.ReasonCancelled, fault.ReasonDeadline, fault.ReasonBodyTooLarge, fault.ReasonBadRequest:
+		return false
+	}
+	return r.NotRun || o.call.Idempotent
+}
+
+func (p *Proxy) backoff(ctx context.Context, n int) bool {
+	p.rngMu.Lock()
+	pause := time.Duration(p.rng.Int64N(int64(firstBackoff << min(n, 4))))
+	p.rngMu.Unlock()
+	t := time.NewTimer(pause)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (a attempt) discard() {
+	if a.answer != nil && a.answer.rest != nil {
+		_ = a.answer.rest.Close()
+		a.answer.finish(nil)
+	}
+}
+
+// try sends the call once.
+func (p *Proxy) try(ctx context.Context, o *outbound, vm route.Candidate, lent int) attempt {
+	req, wrote := p.request(ctx, o, vm, lent)
+	resp, err := p.transport.RoundTrip(req)
+	if err != nil {
+		r := sendRefusal(ctx, err, wrote.Load(), o)
+		p.report(o, vm, r, nil)
+		return attempt{refusal: r}
+	}
+	answer, ok := hop.GetAnswer(resp.Header)
+	if !ok {
+		drain(resp)
+		r := fault.Failed(fault.ReasonUpstreamFailed, "VM %s did not answer as a daemon", vm.VM)
+		p.report(o, vm, r, nil)
+		return attempt{refusal: r}
+	}
+	if answer.Reason != "" {
+		drain(resp)
+		r := &fault.Refusal{Reason: answer.Reason, Detail: answer.Detail, NotRun: answer.NotRun}
+		p.report(o, vm, r, &answer.Load)
+		return attempt{refusal: r, deeper: answer.Deeper, unspent: answer.Unspent}
+	}
+	return p.receive(ctx, o, vm, resp, answer)
+}
+
+func (p *Proxy) request(ctx context.Context, o *outbound, vm route.Candidate, lent int) (*http.Request, *atomic.Bool) {
+	wrote := &atomic.Bool{}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }})
+	target := *o.url
+	target.Scheme, target.Host = "http", vm.Address
+	req := &http.Request{Method: o.method, URL: &target, Header: o.header.Clone(), Host: o.header.Get("Host")}
+	call := o.call
+	call.Retries = lent
+	call.TimeoutMs = remaining(ctx, p.opt.Clock.Now()).Milliseconds()
+	hop.MoveAction(req.Header)
+	hop.PutCall(req.Header, call)
+	trace.Inject(ctx, req.Header, "")
+	o.body.attach(req)
+	if !o.body.whole {
+		req.Header.Set("Expect", "100-continue")
+	}
+	return req.WithContext(ctx), wrote
+}
+
+func remaining(ctx context.Context, now time.Time) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return time.Hour
+	}
+	return max(0, deadline.Sub(now))
+}
+
+// sendRefusal turns an error of sending into a refusal. Only a request of
+// which nothing was written is known not to have run.
+func sendRefusal(ctx context.Context, err error, wrote bool, o *outbound) *fault.Refusal {
+	r := fault.Failed(fault.ReasonUpstreamFailed, "%v", err)
+	switch {
+	case o.body.over.Load():
+		r = fault.Failed(fault.ReasonBodyTooLarge, "the body is above the limit of the route")
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		r = fault.Failed(fault.ReasonDeadline, "the time was up")
+	case ctx.Err() != nil:
+		r = fault.Failed(fault.ReasonCancelled, "the caller left")
+	}
+	r.NotRun = !wrote
+	return r
+}
+
+// receive takes the answer; one that is small arrives whole before anything
+// of it is passed on.
+func (p *Proxy) receive(ctx context.Context, o *outbound, vm route.Candidate, resp *http.Response, a hop.Answer) attempt {
+	out := &answered{status: resp.StatusCode, header: resp.Header, length: resp.ContentLength}
+	if a.NotRun {
+		out.header.Set(hop.HeaderNotRun, "true")
+	}
+	keep := p.keepLimit(o, resp.ContentLength)
+	head, err := io.ReadAll(io.LimitReader(resp.Body, int64(keep)+1))
+	if err != nil {
+		_ = resp.Body.Close()
+		r := incomplete(ctx, err)
+		p.report(o, vm, r, &a.Load)
+		return attempt{refusal: r, unspent: a.Unspent}
+	}
+	result := attempt{answer: out, deeper: a.Deeper, unspent: a.Unspent}
+	if len(head) <= keep {
+		_ = resp.Body.Close()
+		out.whole = head
+		out.length = int64(len(head))
+		p.report(o, vm, nil, &a.Load)
+		return result
+	}
+	out.rest = struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(bytes.NewReader(head), resp.Body), resp.Body}
+	out.finish = func(err error) {
+		if err != nil {
+			p.report(o, vm, incomplete(ctx, err), &a.Load)
+			return
+		}
+		p.report(o, vm, nil, &a.Load)
+	}
+	return result
+}
+
+// keepLimit says how many bytes of an answer are collected before it is
+// passed on: all that an action's record may keep, or a small whole answer.
+func (p *Proxy) keepLimit(o *outbound, length int64) int {
+	calls := p.opt.Config().Calls
+	if !o.call.Idempotent {
+		return calls.AnswerLimit
+	}
+	if length >= 0 && length <= int64(calls.ReplayLimit) {
+		return calls.ReplayLimit
+	}
+	return 0
+}
+
+func incomplete(ctx context.Context, err error) *fault.Refusal {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return fault.Failed(fault.ReasonDeadline, "the time was up in the middle of the answer")
+	case ctx.Err() != nil:
+		return fault.Failed(fault.ReasonCancelled, "the caller left in the middle of the answer")
+	}
+	return fault.Failed(fault.ReasonAnswerIncomplete, "the answer was cut short: %v", err)
+}
+
+func drain(resp *http.Response) {
+	const most = 16 << 10
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, most))
+	_ = resp.Body.Close()
+}
+
+// report tells the balancer how a try ended.
+func (p *Proxy) report(o *outbound, vm route.Candidate, r *fault.Refusal, load *admit.Load) {
+	out := route.OutcomeAnswered
+	if r != nil {
+		out = vmOutcome(r)
+	}
+	p.fleet.done(o.call.Service, vm.VM, route.Report{Outcome: out, Load: load})
+}
+
+// vmOutcome says what a refusal tells of the health of the VM it came from.
+func vmOutcome(r *fault.Refusal) route.Outcome {
+	switch r.Reason {
+	case fault.ReasonUpstreamFailed, fault.ReasonUpstreamCrashed, fault.ReasonAnswerIncomplete:
+		return route.OutcomeFailed
+	}
+	return route.OutcomeRefused
+}
--- /dev/null
+++ b/io/proxy/entry.go
@@ -0,0 +1,334 @@
+package proxy
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"chicorymast/core/admit"
+	"chicorymast/core/board"
+	"chicorymast/core/dedup"
+	"chicorymast/core/fault"
+	"chicorymast/core/ident"
+	"chicorymast/core/intent"
+	"chicorymast/io/event"
+	"chicorymast/io/hop"
+	"chicorymast/io/trace"
+
+	"github.com/cespare/xxhash/v2"
+	"go.opentelemetry.io/otel/attribute"
+	"go.uber.org/zap"
+)
+
+// Entry returns the handler for callers.
+func (p *Proxy) Entry() http.Handler {
+	return http.HandlerFunc(p.serveEntry)
+}
+
+// admitted is a call that has passed the checks at entry.
+type admitted struct {
+	workspace ident.Workspace
+	route     ident.Route
+	spec      intent.RouteSpec
+	config    *board.Config
+	action    ident.ActionID
+	body      *payload
+}
+
+func (p *Proxy) serveEntry(w http.ResponseWriter, r *http.Request) {
+	p.running.Add(1)
+	defer p.running.Add(-1)
+	began := p.opt.Clock.Now()
+	ctx, span := p.opt.Trace.Start(trace.Extract(r), "entry")
+	defer span.End()
+	in, refusal := p.check(r)
+	if refusal != nil {
+		p.refuseEntry(w, "", refusal, 0, began)
+		return
+	}
+	span.SetAttributes(attribute.String("chicorymast.route", string(in.route)))
+	ctx, cancel := context.WithTimeout(ctx, p.timeout(r, in))
+	defer cancel()
+	if p.passThrough() {
+		p.run(ctx, w, r, in, began)
+		return
+	}
+	if in.spec.Idempotent {
+		if p.chargeOrRefuse(ctx, w, in, began) {
+			p.run(ctx, w, r, in, began)
+		}
+		return
+	}
+	p.runOnce(ctx, w, r, in, began)
+}
+
+// check finds the route, the workspace and the grant, and reads the start of
+// the body. Nothing has run when it refuses.
+func (p *Proxy) check(r *http.Request) (*admitted, *fault.Refusal) {
+	if p.opt.Board.Life.Read().Phase == board.LifeStopping {
+		return nil, fault.Refuse(fault.ReasonDraining, "this daemon is stopping; call another one")
+	}
+	in := &admitted{config: p.opt.Board.Config.Read()}
+	name, ok := in.config.Table.Find(r.Method, r.URL.Path)
+	in.route, in.spec = name, in.config.State.Intent.Routes[name]
+	if !ok || in.spec.Internal {
+		return nil, fault.Refuse(fault.ReasonNoRoute, "no route for %s %s", r.Method, r.URL.Path)
+	}
+	if refusal := p.authorise(r, in); refusal != nil {
+		return nil, refusal
+	}
+	if refusal := p.checkFresh(in.spec); refusal != nil {
+		return nil, refusal
+	}
+	in.action = ident.ActionID(r.Header.Get(hop.HeaderAction))
+	if !in.spec.Idempotent && in.action == "" {
+		return nil, fault.Refuse(fault.ReasonActionMissing, "route %s runs at most once and needs an %s", name, hop.HeaderAction)
+	}
+	body, err := readPayload(r, p.opt.Config().Calls.ReplayLimit, in.config.State.Intent.RouteBodyLimit(in.spec))
+	if err != nil {
+		return nil, asRefusal(err)
+	}
+	in.body = body
+	return in, nil
+}
+
+func (p *Proxy) authorise(r *http.Request, in *admitted) *fault.Refusal {
+	if in.spec.Open {
+		return nil
+	}
+	key, ok := bearer(r)
+	if !ok {
+		return fault.Refuse(fault.ReasonKeyMissing, "show a key as Authorization: Bearer KEY")
+	}
+	known, ok := in.config.State.Keys[ident.DigestKey(key)]
+	expired := known.ExpiresMillis > 0 && p.opt.Clock.Now().UnixMilli() >= known.ExpiresMillis
+	if !ok || expired {
+		return fault.Refuse(fault.ReasonKeyUnknown, "the key is unknown, withdrawn or expired")
+	}
+	in.workspace = known.Workspace
+	if _, _, granted := in.config.Grant(known.Workspace, in.route); !granted {
+		return fault.Refuse(fault.ReasonNoGrant, "workspace %s may not call route %s", known.Workspace, in.route)
+	}
+	return nil
+}
+
+func bearer(r *http.Request) (key string, ok bool) {
+	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	key = strings.TrimSpace(key)
+	return key, strings.EqualFold(scheme, "bearer") && key != ""
+}
+
+// checkFresh refuses work for which the configuration is too old.
+func (p *Proxy) checkFresh(spec intent.RouteSpec) *fault.Refusal {
+	age := p.opt.Board.Freshness.Read().Age(p.opt.Clock.Now())
+	if age <= p.opt.Config().CutOff.Grace(spec.Idempotent, spec.Class) {
+		return nil
+	}
+	return fault.Refuse(fault.ReasonStaleConfig, "the configuration could not be confirmed as current for %s", age.Round(time.Second))
+}
+
+// timeout is the route's, or less when the caller asks for less.
+func (p *Proxy) timeout(r *http.Request, in *admitted) time.Duration {
+	limit := in.config.State.Intent.RouteTimeout(in.spec)
+	seconds, err := strconv.ParseFloat(r.Header.Get(hop.HeaderTimeout), 64)
+	if err != nil || seconds <= 0 || seconds > limit.Seconds() {
+		return limit
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// chargeOrRefuse counts the call against its grant.
+func (p *Proxy) chargeOrRefuse(ctx context.Context, w http.ResponseWriter, in *admitted, began time.Time) bool {
+	refusal, wait := p.charge(ctx, in)
+	if refusal == nil {
+		return true
+	}
+	p.refuseEntry(w, in.route, refusal, wait, began)
+	return false
+}
+
+func (p *Proxy) charge(ctx context.Context, in *admitted) (*fault.Refusal, time.Duration) {
+	if in.spec.Open {
+		return nil, 0
+	}
+	lane := admit.Lane(in.spec.Class, false)
+	if p.fleet.shedding(in.spec.Service, lane) && !p.probes() {
+		return fault.Refuse(fault.ReasonOverload, "service %s sheds calls of class %s", in.spec.Service, in.spec.Class), 0
+	}
+	name, grant, ok := in.config.Grant(in.workspace, in.route)
+	if !ok {
+		return fault.Refuse(fault.ReasonNoGrant, "workspace %s may not call route %s", in.workspace, in.route), 0
+	}
+	wait, err := p.opt.Quota.Charge(ctx, name, grant.Rate, grant.Burst)
+	if err != nil {
+		return asRefusal(err), 0
+	}
+	if wait > 0 {
+		return fault.Refuse(fault.ReasonOverRate, "grant %s allows %v calls per second, burst %v", name, grant.Rate, grant.Burst), wait
+	}
+	return nil, 0
+}
+
+// probes lets a few calls through to a service that sheds, so that its
+// recovery is noticed.
+func (p *Proxy) probes() bool {
+	const share = 0.05
+	p.rngMu.Lock()
+	defer p.rngMu.Unlock()
+	return p.rng.Float64() < share
+}
+
+// runOnce runs an action that must not run twice.
+func (p *Proxy) runOnce(ctx context.Context, w http.ResponseWriter, r *http.Request, in *admitted, began time.Time) {
+	id := dedup.ID{Workspace: in.workspace, Action: in.action}
+	verdict, err := p.opt.Records.Begin(ctx, id, fingerprint(r, in))
+	if err != nil {
+		p.refuseEntry(w, in.route, asRefusal(err), 0, began)
+		return
+	}
+	switch v := verdict.(type) {
+	case dedup.Run:
+		p.runFirst(ctx, w, r, in, id, began)
+	case dedup.Replay:
+		p.replay(w, in, v.Answer, began)
+	case dedup.Join:
+		p.refuseEntry(w, in.route, fault.Failed(fault.ReasonActionRunning, "the action is still running; ask again"), 0, began)
+	case dedup.Conflict:
+		p.refuseEntry(w, in.route, fault.Refuse(fault.ReasonActionConflict, "this %s was used for another request", hop.HeaderAction), 0, began)
+	case dedup.Unknown:
+		p.refuseEntry(w, in.route, fault.Failed(fault.ReasonActionUnknown, "an earlier run of this action may have happened; it is not run again"), 0, began)
+	}
+}
+
+func (p *Proxy) runFirst(ctx context.Context, w http.ResponseWriter, r *http.Request, in *admitted, id dedup.ID, began time.Time) {
+	if refusal, wait := p.charge(ctx, in); refusal != nil {
+		p.opt.Records.Abandon(id, true)
+		p.refuseEntry(w, in.route, refusal, wait, began)
+		return
+	}
+	// The caller may leave; the action goes on, so that its outcome is known.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), remaining(ctx, p.opt.Clock.Now()))
+	defer cancel()
+	answer, _, refusal := p.dispatch(ctx, p.outbound(r, in))
+	if refusal != nil {
+		p.opt.Records.Abandon(id, refusal.NotRun)
+		if !refusal.NotRun {
+			p.opt.Log.Emit(event.ActionUnknown, zap.String("route", string(in.route)), zap.String("reason", string(refusal.Reason)))
+		}
+		p.refuseEntry(w, in.route, refusal, 0, began)
+		return
+	}
+	p.keep(id, answer)
+	p.write(w, in.route, answer, began)
+}
+
+// keep records the outcome of an action before its caller sees it.
+func (p *Proxy) keep(id dedup.ID, a *answered) {
+	if a.header.Get(hop.HeaderNotRun) == "true" {
+		p.opt.Records.Abandon(id, true)
+		return
+	}
+	if a.rest != nil {
+		p.opt.Records.Abandon(id, false)
+		return
+	}
+	h := http.Header{}
+	copyHeader(h, a.header)
+	p.opt.Records.Finish(id, dedup.Answer{Status: a.status, Header: h, Body: a.whole})
+}
+
+func (p *Proxy) replay(w http.ResponseWriter, in *admitted, a dedup.Answer, began time.Time) {
+	p.opt.Meter.replays.Inc()
+	header := http.Header(a.Header).Clone()
+	header.Set(hop.HeaderReplay, "true")
+	p.write(w, in.route, &answered{status: a.Status, header: header, whole: a.Body, length: int64(len(a.Body))}, began)
+}
+
+func fingerprint(r *http.Request, in *admitted) dedup.Fingerprint {
+	h := sha256.New()
+	h.Write([]byte(r.Method + " " + r.URL.RequestURI() + "\n" + strconv.FormatInt(in.body.length, 10) + "\n"))
+	h.Write(in.body.head)
+	return dedup.Fingerprint(hex.EncodeToString(h.Sum(nil)))
+}
+
+func (p *Proxy) run(ctx context.Context, w http.ResponseWriter, r *http.Request, in *admitted, began time.Time) {
+	answer, _, refusal := p.dispatch(ctx, p.outbound(r, in))
+	if refusal != nil {
+		p.refuseEntry(w, in.route, refusal, 0, began)
+		return
+	}
+	p.write(w, in.route, answer, began)
+}
+
+func (p *Proxy) outbound(r *http.Request, in *admitted) *outbound {
+	action := in.action
+	if action == "" {
+		action = ident.ActionID(p.newToken())
+	}
+	header := r.Header.Clone()
+	hop.StripInbound(header)
+	header.Set("Host", r.Host)
+	addForwarded(header, r)
+	return &outbound{
+		call: hop.Call{
+			Action:     action,
+			Workspace:  in.workspace,
+			Route:      in.route,
+			Service:    in.spec.Service,
+			Class:      in.spec.Class,
+			Rank:       rankOf(in.workspace, action),
+			Idempotent: in.spec.Idempotent,
+			Depth:      1,
+			Retries:    in.config.State.Intent.Limits.Retries,
+		},
+		method: r.Method,
+		url:    r.URL,
+		header: header,
+		body:   in.body,
+	}
+}
+
+// rankOf spreads actions over the ranks in the same way at every hop.
+func rankOf(w ident.Workspace, a ident.ActionID) admit.Rank {
+	return admit.Rank(xxhash.Sum64String(string(w) + "\x00" + string(a)))
+}
+
+func addForwarded(h http.Header, r *http.Request) {
+	host, _, ok := strings.Cut(r.RemoteAddr, ":")
+	if ok && strings.Count(r.RemoteAddr, ":") == 1 {
+		h.Set("X-Forwarded-For", host)
+	}
+}
+
+// write passes an answer on to the caller. An answer that is cut short ends
+// with a broken connection, never as a shorter success.
+func (p *Proxy) write(w http.ResponseWriter, name ident.Route, a *answered, began time.Time) {
+	copyHeader(w.Header(), a.header)
+	p.opt.Meter.call("entry", name, strconv.Itoa(a.status), p.opt.Clock.Now().Sub(began))
+	if a.rest == nil {
+		if a.length >= 0 && w.Header().Get("Content-Length") == "" && len(a.whole) > 0 {
+			w.Header().Set("Content-Length", strconv.Itoa(len(a.whole)))
+		}
+		w.WriteHeader(a.status)
+		_, _ = w.Write(a.whole)
+		return
+	}
+	defer a.rest.Close()
+	w.WriteHeader(a.status)
+	err := stream(w, a.rest, a.length)
+	a.finish(err)
+	if err != nil {
+		p.opt.Log.Emit(event.AnswerIncomplete, zap.String("route", string(name)), zap.Error(err))
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (p *Proxy) refuseEntry(w http.ResponseWriter, name ident.Route, r *fault.Refusal, wait time.Duration, began time.Time) {
+	p.opt.Meter.refused("entry", r.Reason)
+	p.opt.Meter.call("entry", name, strconv.Itoa(StatusOf(r.Reason)), p.opt.Clock.Now().Sub(began))
+	WriteProblem(w, r, wait)
+}
--- /dev/null
+++ b/io/proxy/local.go
@@ -0,0 +1,158 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"chicorymast/core/fault"
+	"chicorymast/core/ident"
+	"chicorymast/io/hop"
+	"chicorymast/io/trace"
+
+	"go.opentelemetry.io/otel/attribute"
+)
+
+// UpstreamPath is where the upstream on this VM announces itself.
+const UpstreamPath = "/-/upstream"
+
+// Announcement is what an upstream says of itself; it must be renewed within
+// the lease.
+type Announcement struct {
+	Service    ident.Service  `json:"service"`
+	Upstream   ident.Upstream `json:"upstream"`
+	Address    string         `json:"address"`
+	Slots      int            `json:"slots"`
+	HealthPath string         `json:"health_path,omitempty"`
+	LoadPath   string         `json:"load_path,omitempty"`
+}
+
+// Lease is the answer to an announcement.
+type Lease struct {
+	LeaseMs int64 `json:"lease_ms"`
+}
+
+// Host takes the announcements of the upstream on this VM.
+type Host interface {
+	Announce(a Announcement) (lease time.Duration, err error)
+	Drain()
+	Leave()
+}
+
+// Local returns the handler for the upstream on this VM: its announcements
+// and the calls that it makes to other services.
+func (p *Proxy) Local(h Host) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT "+UpstreamPath, func(w http.ResponseWriter, r *http.Request) { p.announce(w, r, h) })
+	mux.HandleFunc("DELETE "+UpstreamPath, func(w http.ResponseWriter, _ *http.Request) {
+		h.Leave()
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("POST "+UpstreamPath+"/drain", func(w http.ResponseWriter, _ *http.Request) {
+		h.Drain()
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("/", p.serveEgress)
+	return mux
+}
+
+func (p *Proxy) announce(w http.ResponseWriter, r *http.Request, h Host) {
+	const most = 16 << 10
+	var a Announcement
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, most))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&a); err != nil {
+		WriteProblem(w, fault.Refuse(fault.ReasonBadRequest, "announcement: %v", err), 0)
+		return
+	}
+	if refusal := checkAnnouncement(a); refusal != nil {
+		WriteProblem(w, refusal, 0)
+		return
+	}
+	lease, err := h.Announce(a)
+	if err != nil {
+		WriteProblem(w, asRefusal(err), 0)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(Lease{LeaseMs: lease.Milliseconds()})
+}
+
+func checkAnnouncement(a Announcement) *fault.Refusal {
+	ap, err := netip.ParseAddrPort(a.Address)
+	switch {
+	case a.Service == "" || a.Upstream == "":
+		return fault.Refuse(fault.ReasonBadRequest, "announcement: service and upstream are needed")
+	case err != nil || ap.Port() == 0:
+		return fault.Refuse(fault.ReasonBadRequest, "announcement: address %q is not IP:port", a.Address)
+	case a.Slots < 1:
+		return fault.Refuse(fault.ReasonBadRequest, "announcement: slots must be at least 1")
+	}
+	return nil
+}
+
+// serveEgress carries a call that the upstream makes for one of its own. A
+// call that belongs to none enters like any caller's.
+func (p *Proxy) serveEgress(w http.ResponseWriter, r *http.Request) {
+	ctx := trace.Extract(r)
+	parent := p.calls.find(trace.Token(ctx))
+	if parent == nil {
+		p.serveEntry(w, r)
+		return
+	}
+	p.running.Add(1)
+	defer p.running.Add(-1)
+	began := p.opt.Clock.Now()
+	ctx, span := p.opt.Trace.Start(ctx, "egress", attribute.Int("chicorymast.depth", parent.call.Depth+1))
+	defer span.End()
+	ctx, cancel := context.WithDeadline(ctx, parent.deadline)
+	defer cancel()
+	o, refusal := p.childCall(r, parent)
+	if refusal != nil {
+		p.refuseEntry(w, "", refusal, 0, began)
+		return
+	}
+	answer, refusal := p.dispatchChild(ctx, o, parent)
+	if refusal != nil {
+		p.refuseEntry(w, o.call.Route, refusal, 0, began)
+		return
+	}
+	p.write(w, o.call.Route, answer, began)
+}
+
+func (p *Proxy) dispatchChild(ctx context.Context, o *outbound, parent *servedCall) (*answered, *fault.Refusal) {
+	lent := parent.lend(p.opt.Clock.Now())
+	o.call.Retries = lent
+	answer, s, refusal := p.dispatch(ctx, o)
+	parent.settle(p.opt.Clock.Now(), lent, s.unspent, refusal != nil || s.deeper)
+	return answer, refusal
+}
+
+// childCall makes the call of a child: it has the workspace, the rank and
+// the deadline of its parent, and the higher class of the two.
+func (p *Proxy) childCall(r *http.Request, parent *servedCall) (*outbound, *fault.Refusal) {
+	config := p.opt.Board.Config.Read()
+	name, ok := config.Table.Find(r.Method, r.URL.Path)
+	if !ok {
+		return nil, fault.Refuse(fault.ReasonNoRoute, "no route for %s %s", r.Method, r.URL.Path)
+	}
+	spec := config.State.Intent.Routes[name]
+	body, err := readPayload(r, p.opt.Config().Calls.ReplayLimit, config.State.Intent.RouteBodyLimit(spec))
+	if err != nil {
+		return nil, asRefusal(err)
+	}
+	call := parent.call
+	call.Route, call.Service = name, spec.Service
+	call.Idempotent = spec.Idempotent
+	call.Inner = true
+	call.Depth++
+	if spec.Class.Above(call.Class) {
+		call.Class = spec.Class
+	}
+	header := r.Header.Clone()
+	hop.StripInbound(header)
+	header.Set("Host", r.Host)
+	return &outbound{call: call, method: r.Method, url: r.URL, header: header, body: body}, nil
+}
--- /dev/null
+++ b/io/proxy/meter.go
@@ -0,0 +1,52 @@
+package proxy
+
+import (
+	"time"
+
+	"chicorymast/core/fault"
+	"chicorymast/core/ident"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Meter counts what a daemon does with calls.
+type Meter struct {
+	calls    *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	seconds  *prometheus.HistogramVec
+	retries  prometheus.Counter
+	replays  prometheus.Counter
+}
+
+// NewMeter registers the metrics of calls.
+func NewMeter(reg prometheus.Registerer) *Meter {
+	m := &Meter{
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chicorymast_calls_total", Help: "Calls by hop, route and status.",
+		}, []string{"hop", "route", "status"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chicorymast_refusals_total", Help: "Refusals by hop and reason.",
+		}, []string{"hop", "reason"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "chicorymast_call_seconds", Help: "Time of calls by hop, upstream included.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 15),
+		}, []string{"hop"}),
+		retries: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "chicorymast_retries_total", Help: "Calls sent again by this daemon.",
+		}),
+		replays: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "chicorymast_replays_total", Help: "Answers given again from an action's record.",
+		}),
+	}
+	reg.MustRegister(m.calls, m.refusals, m.seconds, m.retries, m.replays)
+	return m
+}
+
+func (m *Meter) call(hop string, route ident.Route, status string, took time.Duration) {
+	m.calls.WithLabelValues(hop, string(route), status).Inc()
+	m.seconds.WithLabelValues(hop).Observe(took.Seconds())
+}
+
+func (m *Meter) refused(hop string, reason fault.Reason) {
+	m.refusals.WithLabelValues(hop, string(reason)).Inc()
+}
--- /dev/null
+++ b/io/trial/content.go
@@ -0,0 +1,75 @@
+package trial
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+
+	"chicorymast/core/ident"
+)
+
+// intent renders the operator's intent of a layout.
+func (f *Fleet) intent() string {
+	var b strings.Builder
+	b.WriteString("[limits]\nretries = 3\ntimeout = 5s\n")
+	for _, s := range f.layout.Services {
+		fmt.Fprintf(&b, "\n[service %s]\nslots = %d\nservers = %d\nservice_time = %s\n", s.Name, s.Slots, s.Servers, s.Mean)
+	}
+	for _, r := range f.layout.Routes {
+		fmt.Fprintf(&b, "\n[route %s]\nmethod = %s\npath = %s\nservice = %s\nclass = %s\nidempotent = %t\ninternal = %t\nopen = %t\n",
+			r.Name, r.Method, r.Path, r.Service, r.Class, r.Idempotent, r.Internal, r.Open)
+	}
+	for _, t := range f.layout.Tenants {
+		fmt.Fprintf(&b, "\n[workspace %s]\ntitle = Trial workspace %s\n", t.Name, t.Name)
+		fmt.Fprintf(&b, "\n[grant %s_calls]\nworkspace = %s\nroutes = %s\nrate = %g\nburst = %g\n",
+			t.Name, t.Name, joinRoutes(t.Routes), t.Rate, t.Burst)
+	}
+	return b.String()
+}
+
+func joinRoutes(routes []ident.Route) string {
+	names := make([]string, len(routes))
+	for i, r := range routes {
+		names[i] = string(r)
+	}
+	return strings.Join(names, ", ")
+}
+
+// loadPlan renders the load of all tenants: through the daemons of the
+// upstreams, or straight at the stand-ins.
+func (f *Fleet) loadPlan(direct bool) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[load]\ntargets = %s\nduration = 15s\ndirect = %t\nseed = 1\n", strings.Join(f.targets(), ", "), direct)
+	for _, t := range f.layout.Tenants {
+		for i, o := range t.Offer {
+			fmt.Fprintf(&b, "\n[stream %s_%d]\nworkspace = %s\nmethod = %s\npath = %s\nrate = %g\nidempotent = %t\n",
+				t.Name, i+1, t.Name, o.Method, o.Path, o.Rate, o.Idempotent)
+			if direct {
+				fmt.Fprintf(&b, "targets = %s\n", strings.Join(f.directTargets(o.Path), ", "))
+				continue
+			}
+			fmt.Fprintf(&b, "key_file = %s\n", filepath.Join(f.Dir, "key-"+string(t.Name)))
+		}
+	}
+	return b.String()
+}
+
+func (f *Fleet) targets() []string {
+	var targets []string
+	for _, d := range f.Daemons {
+		if !d.Control {
+			targets = append(targets, d.Addresses["caller"])
+		}
+	}
+	return targets
+}
+
+func (f *Fleet) directTargets(path string) []string {
+	var targets []string
+	for _, s := range f.StandIns {
+		if strings.HasPrefix(path, "/"+string(s.Service.Name)) {
+			targets = append(targets, s.Address)
+		}
+	}
+	return targets
+}
--- /dev/null
+++ b/io/trial/write.go
@@ -0,0 +1,210 @@
+package trial
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"chicorymast/core/fault"
+	"chicorymast/core/ident"
+)
+
+// Fleet is what was written: the processes and where they listen.
+type Fleet struct {
+	Dir      string
+	Daemons  []*Daemon
+	StandIns []*StandIn
+	layout   Layout
+}
+
+// Daemon is one daemon of a fleet.
+type Daemon struct {
+	VM         ident.VM
+	DataCentre ident.DataCentre
+	Control    bool
+	// Addresses by the name of the listener.
+	Addresses map[string]string
+	StandIn   *StandIn
+}
+
+// StandIn is one stand-in upstream of a fleet.
+type StandIn struct {
+	Service  Service
+	Upstream ident.Upstream
+	Address  string
+	Daemon   *Daemon
+}
+
+const (
+	dirMode  = 0o755
+	fileMode = 0o644
+)
+
+// Write makes the files of a fleet in a folder that may not exist yet. The
+// operator's token is in the file token, its digest is given.
+func Write(dir string, l Layout, tokenDigest string) (f *Fleet, err error) {
+	defer fault.Note(&err, "write trial fleet to %s", dir)
+	if err := os.MkdirAll(dir, dirMode); err != nil {
+		return nil, err
+	}
+	f = &Fleet{Dir: dir, layout: l}
+	f.place()
+	if err := f.assignPorts(); err != nil {
+		return nil, err
+	}
+	files := map[string]string{
+		"intent.ini":  f.intent(),
+		"processes":   f.processes(),
+		"environment": f.environment(),
+		"load.ini":    f.loadPlan(false),
+		"direct.ini":  f.loadPlan(true),
+	}
+	for _, d := range f.Daemons {
+		files[string(d.VM)+".ini"] = f.settings(d, tokenDigest)
+	}
+	for name, text := range files {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), fileMode); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// place spreads control daemons and upstreams over the data centres.
+func (f *Fleet) place() {
+	l := f.layout
+	for i := range l.Controls {
+		dc := l.DataCentres[i%len(l.DataCentres)]
+		f.Daemons = append(f.Daemons, &Daemon{VM: ident.VM(fmt.Sprintf("control-%d", i+1)), DataCentre: dc, Control: true})
+	}
+	for _, s := range l.Services {
+		for i := range s.Servers {
+			name := fmt.Sprintf("%s-%d", s.Name, i+1)
+			d := &Daemon{VM: ident.VM(name), DataCentre: l.DataCentres[i%len(l.DataCentres)]}
+			d.StandIn = &StandIn{Service: s, Upstream: ident.Upstream(name), Daemon: d}
+			f.Daemons = append(f.Daemons, d)
+			f.StandIns = append(f.StandIns, d.StandIn)
+		}
+	}
+}
+
+var listenerNames = []string{"caller", "peer", "control", "local", "admin"}
+
+func (f *Fleet) assignPorts() error {
+	addresses, err := freeAddresses(len(f.Daemons)*len(listenerNames) + len(f.StandIns))
+	if err != nil {
+		return err
+	}
+	next := func() string {
+		a := addresses[0]
+		addresses = addresses[1:]
+		return a
+	}
+	for _, d := range f.Daemons {
+		d.Addresses = map[string]string{}
+		for _, name := range listenerNames {
+			d.Addresses[name] = next()
+		}
+	}
+	for _, s := range f.StandIns {
+		s.Address = next()
+	}
+	return nil
+}
+
+// freeAddresses finds loopback addresses on which nobody listens.
+func freeAddresses(n int) (addresses []string, err error) {
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer ln.Close()
+		addresses = append(addresses, ln.Addr().String())
+	}
+	return addresses, nil
+}
+
+func (f *Fleet) settings(d *Daemon, tokenDigest string) string {
+	var b strings.Builder
+	role := "upstream"
+	if d.Control {
+		role = "control"
+	}
+	fmt.Fprintf(&b, "[daemon]\nvm = %s\ndata_centre = %s\nrole = %s\n", d.VM, d.DataCentre, role)
+	if d.Control {
+		fmt.Fprintf(&b, "data_folder = %s\n", filepath.Join(f.Dir, "data", string(d.VM)))
+	}
+	if f.layout.Mode != "" {
+		fmt.Fprintf(&b, "mode = %s\n", f.layout.Mode)
+	}
+	b.WriteString("\n[listen]\n")
+	for _, name := range listenerNames {
+		fmt.Fprintf(&b, "%s = %s\n", name, d.Addresses[name])
+	}
+	fmt.Fprintf(&b, "\n[control]\nvoters = %s\n", strings.Join(f.voters(), ", "))
+	fmt.Fprintf(&b, "\n[trace]\nexporter = file\nfile = %s\nsample = %g\n", filepath.Join(f.Dir, string(d.VM)+".spans"), f.layout.Sample)
+	fmt.Fprintf(&b, "\n[operator trial]\ntoken_sha256 = %s\nrole = administer\n", tokenDigest)
+	return b.String()
+}
+
+func (f *Fleet) voters() []string {
+	var voters []string
+	for _, d := range f.Daemons {
+		if d.Control {
+			voters = append(voters, string(d.VM)+"="+d.Addresses["control"])
+		}
+	}
+	return voters
+}
+
+// processes lists one process a line: its name and its arguments, with tabs.
+func (f *Fleet) processes() string {
+	var b strings.Builder
+	for _, d := range f.Daemons {
+		fmt.Fprintf(&b, "%s\tdaemon\t--config=%s\n", d.VM, filepath.Join(f.Dir, string(d.VM)+".ini"))
+	}
+	for i, s := range f.StandIns {
+		fmt.Fprintf(&b, "upstream-%s\t%s\n", s.Upstream, strings.Join(f.standInArgs(s, i), "\t"))
+	}
+	return b.String()
+}
+
+func (f *Fleet) standInArgs(s *StandIn, i int) []string {
+	args := []string{
+		"upstream", "--service=" + string(s.Service.Name), "--upstream=" + string(s.Upstream), "--address=" + s.Address,
+		"--daemon=" + s.Daemon.Addresses["local"], fmt.Sprintf("--slots=%d", s.Service.Slots),
+		fmt.Sprintf("--connections=%d", s.Service.Connections), "--mean=" + s.Service.Mean.String(), fmt.Sprintf("--seed=%d", i+1),
+	}
+	for _, c := range s.Service.Calls {
+		args = append(args, "--call="+c)
+	}
+	for _, other := range f.StandIns {
+		if other.Daemon.DataCentre == s.Daemon.DataCentre {
+			args = append(args, fmt.Sprintf("--direct=/%s=%s", other.Service.Name, other.Address))
+		}
+	}
+	return args
+}
+
+// environment is read by the shell that runs the operator's commands.
+func (f *Fleet) environment() string {
+	var servers []string
+	for _, d := range f.Daemons {
+		if d.Control {
+			servers = append(servers, d.Addresses["admin"])
+		}
+	}
+	return fmt.Sprintf("CHICORYMAST_SERVER=%s\nCHICORYMAST_TOKEN_FILE=%s\nTENANTS=%q\nDAEMONS=%d\n",
+		strings.Join(servers, ","), filepath.Join(f.Dir, "token"), f.tenantNames(), len(f.Daemons))
+}
+
+func (f *Fleet) tenantNames() string {
+	var names []string
+	for _, t := range f.layout.Tenants {
+		names = append(names, string(t.Name))
+	}
+	return strings.Join(names, " ")
+}
--- /dev/null
+++ b/io/wire/wire.go
@@ -0,0 +1,278 @@
+// Package wire carries the control messages between daemons: JSON-RPC 2.0
+// over TCP with length-prefixed objects.
+//
+// # Usage
+//
+//	srv := wire.NewServer(log)
+//	wire.Handle(srv, wire.MethodSync, func(ctx context.Context, req wire.SyncRequest) (wire.SyncReply, error) { ... })
+//	go srv.Serve(listener)
+//
+//	pool := wire.NewPool(time.Second)
+//	reply, err := wire.Call[wire.SyncReply](ctx, pool, address, wire.MethodSync, req)
+//
+// A pool keeps one connection to each address. A call that gets no answer in
+// its time closes the connection, so that one that has gone silent is replaced
+// at the next call. Objects above MaxObject bytes end the connection.
+package wire
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"chicorymast/core/fault"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// MaxObject is the largest message in bytes.
+const MaxObject = 64 << 20
+
+// ErrTooLarge is returned for a message above MaxObject.
+var ErrTooLarge = errors.New("message is too large")
+
+// Method names one kind of message.
+type Method string
+
+type codec struct{ jsonrpc2.VarintObjectCodec }
+
+// ReadObject reads one object and refuses one that is too large.
+func (codec) ReadObject(stream *bufio.Reader, v any) error {
+	n, err := binary.ReadUvarint(stream)
+	if err != nil {
+		return err
+	}
+	if n > MaxObject {
+		return ErrTooLarge
+	}
+	return json.NewDecoder(io.LimitReader(stream, int64(n))).Decode(v)
+}
+
+func newStream(conn net.Conn) jsonrpc2.ObjectStream {
+	return jsonrpc2.NewBufferedStream(conn, codec{})
+}
+
+type handler func(ctx context.Context, params json.RawMessage) (any, error)
+
+// Server answers messages.
+type Server struct {
+	methods map[Method]handler
+	mu      sync.Mutex
+	conns   map[*jsonrpc2.Conn]struct{}
+	closed  bool
+	// Received and Sent count bytes on all connections.
+	Received, Sent atomic.Int64
+}
+
+// NewServer returns a server without methods.
+func NewServer() *Server {
+	return &Server{methods: map[Method]handler{}, conns: map[*jsonrpc2.Conn]struct{}{}}
+}
+
+// Handle registers the function that answers a method; do so before Serve.
+func Handle[Q, A any](s *Server, m Method, f func(context.Context, Q) (A, error)) {
+	s.methods[m] = func(ctx context.Context, params json.RawMessage) (any, error) {
+		var q Q
+		if err := json.Unmarshal(params, &q); err != nil {
+			return nil, fmt.Errorf("params of %s: %w", m, err)
+		}
+		return f(ctx, q)
+	}
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(ln net.Listener) error {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return err
+		}
+		s.accept(conn)
+	}
+}
+
+func (s *Server) accept(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = conn.Close()
+		return
+	}
+	h := jsonrpc2.HandlerWithError(s.dispatch).SuppressErrClosed()
+	counted := &countingConn{Conn: conn, in: &s.Received, out: &s.Sent}
+	rpc := jsonrpc2.NewConn(context.Background(), newStream(counted), jsonrpc2.AsyncHandler(h))
+	s.conns[rpc] = struct{}{}
+	go func() {
+		<-rpc.DisconnectNotify()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, rpc)
+	}()
+}
+
+func (s *Server) dispatch(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	h := s.methods[Method(r.Method)]
+	if h == nil || r.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no method " + r.Method}
+	}
+	return h(ctx, *r.Params)
+}
+
+// Close ends all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for c := range s.conns {
+		_ = c.Close()
+	}
+}
+
+type countingConn struct {
+	net.Conn
+	in, out *atomic.Int64
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.in.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.out.Add(int64(n))
+	return n, err
+}
+
+// Pool keeps connections to other daemons.
+type Pool struct {
+	connect time.Duration
+	mu      sync.Mutex
+	conns   map[string]*jsonrpc2.Conn
+	// Received and Sent count bytes on all connections.
+	Received, Sent atomic.Int64
+	// Replaced counts connections closed because they had gone silent.
+	Replaced atomic.Int64
+}
+
+// NewPool returns a pool that takes at most the given time to connect.
+func NewPool(connect time.Duration) *Pool {
+	return &Pool{connect: connect, conns: map[string]*jsonrpc2.Conn{}}
+}
+
+// Call sends a message and waits for its answer until ctx ends.
+func Call[A any](ctx context.Context, p *Pool, address string, m Method, params any) (answer A, err error) {
+	defer fault.Note(&err, "%s to %s", m, address)
+	conn, err := p.conn(ctx, address)
+	if err != nil {
+		return answer, err
+	}
+	err = conn.Call(ctx, string(m), params, &answer)
+	if ctx.Err() == context.DeadlineExceeded {
+		p.Replaced.Add(1)
+		p.drop(address, conn)
+	}
+	if errors.Is(err, jsonrpc2.ErrClosed) {
+		p.drop(address, conn)
+	}
+	return answer, err
+}
+
+// Notify sends a message that has no answer.
+func Notify(ctx context.Context, p *Pool, address string, m Method, params any) (err error) {
+	defer fault.Note(&err, "%s to %s", m, address)
+	conn, err := p.conn(ctx, address)
+	if err != nil {
+		return err
+	}
+	if err = conn.Notify(ctx, string(m), params); err != nil {
+		p.drop(address, conn)
+	}
+	return err
+}
+
+func (p *Pool) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	if c := p.open(address); c != nil {
+		return c, nil
+	}
+	dialer := net.Dialer{Timeout: p.connect}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	counted := &countingConn{Conn: raw, in: &p.Received, out: &p.Sent}
+	c := jsonrpc2.NewConn(context.Background(), newStream(counted), refuseAll{})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if other := p.conns[address]; other != nil && !disconnected(other) {
+		_ = c.Close()
+		return other, nil
+	}
+	p.conns[address] = c
+	return c, nil
+}
+
+func (p *Pool) open(address string) *jsonrpc2.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.conns[address]
+	if c == nil || disconnected(c) {
+		return nil
+	}
+	return c
+}
+
+func disconnected(c *jsonrpc2.Conn) bool {
+	select {
+	case <-c.DisconnectNotify():
+		return true
+	default:
+		return false
+	}
+}
+
+// Drop closes the connection to an address; the next call dials again.
+func (p *Pool) Drop(address string) {
+	if c := p.open(address); c != nil {
+		p.drop(address, c)
+	}
+}
+
+func (p *Pool) drop(address string, c *jsonrpc2.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conns[address] == c {
+		delete(p.conns, address)
+	}
+	_ = c.Close()
+}
+
+// Close ends all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, c := range p.conns {
+		_ = c.Close()
+		delete(p.conns, address)
+	}
+}
+
+// refuseAll answers the calls that come back on a connection we opened.
+type refuseAll struct{}
+
+func (refuseAll) Handle(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	if r.Notif {
+		return
+	}
+	refusal := &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this side only asks"}
+	_ = c.ReplyWithError(ctx, r.ID, refusal)
+}
