raft, ctrl, store: replicate the configuration among control daemons

Cause: the control part was a single copy, so only one daemon published a configuration and make run stopped at 'in force everywhere'.

New sets of control daemons are founded only when all are there with empty folders, so that a wiped one never votes under its old name. Relays report where a revision is in force; status sums them up.

Not proved yet: everything under failure.

--- a/commands/status.go
+++ b/commands/status.go
@@ -24,6 +24,9 @@
 		for _, vm := range s.Behind {
 			fmt.Fprintf(w, "  behind: %s\n", vm)
 		}
+		for _, address := range s.Silent {
+			fmt.Fprintf(w, "  no answer from the relay at %s: its VMs are not counted\n", address)
+		}
 		for _, line := range s.Services {
 			fmt.Fprintf(w, "  service %s: %d upstreams, %d slots\n", line.Service, line.Upstreams, line.Slots)
 		}
--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -32,6 +32,9 @@
 	DataCentre string
 	// VM names one machine and the daemon that runs on it.
 	VM string
+	// Node names one control daemon with one data folder; a VM that comes
+	// back with an empty folder is a new node.
+	Node string
 	// Upstream names one announced server process behind a daemon.
 	Upstream string
 	// ChangeID is the operator's identifier of one change; resending it
--- a/core/intent/check.go
+++ b/core/intent/check.go
@@ -172,4 +172,3 @@
 func sorted[K ~string, V any](m map[K]V) []K {
 	return slices.Sorted(maps.Keys(m))
 }
-
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -156,6 +156,15 @@
 	return d.change
 }
 
+// Get returns the entry of a VM.
+func (d *Directory) Get(vm ident.VM) (Entry, bool) {
+	r := d.records[vm]
+	if r == nil {
+		return Entry{}, false
+	}
+	return r.entry, true
+}
+
 // Entries returns all entries with their ages.
 func (d *Directory) Entries(now time.Time) []Entry {
 	return d.collect(now, func(*record) bool { return true })
--- /dev/null
+++ b/core/raft/replicate.go
@@ -0,0 +1,248 @@
+package raft
+
+import (
+	"encoding/json"
+	"slices"
+
+	"chicorymast/core/ident"
+)
+
+// Propose appends a command at the leader and returns its place in the log.
+func (n *Node) Propose(data json.RawMessage) (effects []Effect, at Index, term Term, err error) {
+	if n.role != roleLeader {
+		return nil, 0, 0, ErrNotLeader
+	}
+	n.appendOwn(EntryCommand, data)
+	n.replicateAll()
+	return n.take(), n.log.last(), n.hard.Term, nil
+}
+
+func (n *Node) appendOwn(kind EntryKind, data json.RawMessage) {
+	e := Entry{Index: n.log.last() + 1, Term: n.hard.Term, Kind: kind, Data: data}
+	n.log.append(e)
+	n.emit(Save{Entries: []Entry{e}})
+	if kind == EntryMembers {
+		n.adopt(e)
+		n.trackPeers()
+	}
+	n.advance()
+}
+
+// heartbeat sends to all, entries or not, and begins a new round.
+func (n *Node) heartbeat() {
+	n.round++
+	n.sentAt[n.round] = n.tick
+	n.replicateAll()
+	n.confirmRounds()
+}
+
+func (n *Node) replicateAll() {
+	for _, p := range n.others() {
+		n.replicate(p.ID)
+	}
+}
+
+func (n *Node) replicate(to ident.Node) {
+	p := n.peers[to]
+	prev := p.next - 1
+	t, held := n.log.term(prev)
+	if !held {
+		n.sendSnapshot(to, p)
+		return
+	}
+	entries := n.log.from(p.next, batchEntries)
+	n.send(Message{
+		Kind: KindAppend, To: to, Index: prev, LogTerm: t, Entries: entries,
+		Commit: n.log.commit, Round: n.round, AgeTicks: n.age(),
+	})
+	p.next += Index(len(entries))
+}
+
+func (n *Node) sendSnapshot(to ident.Node, p *progress) {
+	if n.tick-p.snapshotAt < n.cfg.ElectionTicks {
+		// One is on its way; a heartbeat keeps the follower calm meanwhile.
+		n.send(Message{Kind: KindAppend, To: to, Index: n.log.last(), LogTerm: n.log.lastTerm(), Round: n.round, AgeTicks: n.age()})
+		return
+	}
+	p.snapshotAt = n.tick
+	s := n.snapshot
+	n.send(Message{Kind: KindSnapshot, To: to, Snapshot: &s, Round: n.round})
+}
+
+func (n *Node) handleAppend(m Message) {
+	if n.role != roleFollower || n.leader != m.From {
+		n.becomeFollower(m.Term, m.From)
+	}
+	n.elapsed = 0
+	reply := Message{Kind: KindAppendReply, To: m.From, Round: m.Round, Index: n.log.last()}
+	t, held := n.log.term(m.Index)
+	if m.Index < n.log.snapshot.Index {
+		// All of it is covered by the snapshot and thus committed.
+		reply.Granted, reply.Index = true, n.log.snapshot.Index
+		n.send(reply)
+		return
+	}
+	if !held || t != m.LogTerm {
+		reply.Index = min(n.log.last(), m.Index)
+		if held {
+			reply.Index = m.Index - 1
+		}
+		n.send(reply)
+		return
+	}
+	n.accept(m)
+	reply.Granted, reply.Index = true, m.Index+Index(len(m.Entries))
+	n.send(reply)
+}
+
+func (n *Node) accept(m Message) {
+	added := n.log.merge(m.Entries)
+	if len(added) > 0 {
+		n.emit(Save{Entries: added})
+		n.followMembers(added)
+	}
+	match := m.Index + Index(len(m.Entries))
+	n.commitTo(min(m.Commit, match))
+	if m.Commit <= match && m.AgeTicks >= 0 {
+		n.leaderAge, n.ageAt = m.AgeTicks, n.tick
+	}
+}
+
+// followMembers adopts the newest members entry; one that was cut off falls
+// back to what the log now holds.
+func (n *Node) followMembers(added []Entry) {
+	cut := n.membersAt >= added[0].Index
+	if cut || slices.ContainsFunc(added, func(e Entry) bool { return e.Kind == EntryMembers }) {
+		n.findMembers()
+	}
+}
+
+func (n *Node) commitTo(i Index) {
+	if newly := n.log.upTo(i); len(newly) > 0 {
+		n.emit(Commit{Entries: newly})
+	}
+}
+
+func (n *Node) handleAppendReply(m Message) {
+	p := n.peers[m.From]
+	if n.role != roleLeader || p == nil {
+		return
+	}
+	p.heard = true
+	p.round = max(p.round, m.Round)
+	n.confirmRounds()
+	if !m.Granted {
+		p.next = max(p.match+1, min(p.next, m.Index+1))
+		n.replicate(m.From)
+		return
+	}
+	if m.Index > p.match {
+		p.match = m.Index
+		n.advance()
+	}
+	p.next = max(p.next, p.match+1)
+	if p.next <= n.log.last() {
+		n.replicate(m.From)
+	}
+}
+
+// advance commits what a majority holds, entries of this term only; those of
+// earlier terms are committed along with them.
+func (n *Node) advance() {
+	matches := make([]Index, 0, len(n.members.Voters))
+	for _, p := range n.members.Voters {
+		if p.ID == n.cfg.ID {
+			matches = append(matches, n.log.last())
+			continue
+		}
+		if known := n.peers[p.ID]; known != nil {
+			matches = append(matches, known.match)
+		}
+	}
+	slices.Sort(matches)
+	held := matches[len(matches)-n.majority()]
+	if t, ok := n.log.term(held); ok && t == n.hard.Term {
+		n.commitTo(held)
+	}
+	if n.membersAt <= n.log.commit && !n.isVoter(n.cfg.ID) {
+		// The decided members leave this node out.
+		n.becomeFollower(n.hard.Term, "")
+	}
+}
+
+// confirmRounds finds the newest heartbeat that a majority answered.
+func (n *Node) confirmRounds() {
+	rounds := make([]uint64, 0, len(n.members.Voters))
+	for _, p := range n.members.Voters {
+		if p.ID == n.cfg.ID {
+			rounds = append(rounds, n.round)
+			continue
+		}
+		rounds = append(rounds, n.peers[p.ID].round)
+	}
+	slices.Sort(rounds)
+	confirmed := rounds[len(rounds)-n.majority()]
+	if at, ok := n.sentAt[confirmed]; ok {
+		n.confirmedAt = max(n.confirmedAt, at)
+	}
+	for r := range n.sentAt {
+		if r < confirmed {
+			delete(n.sentAt, r)
+		}
+	}
+}
+
+func (n *Node) handleSnapshot(m Message) {
+	if n.role != roleFollower || n.leader != m.From {
+		n.becomeFollower(m.Term, m.From)
+	}
+	n.elapsed = 0
+	reply := Message{Kind: KindSnapshotReply, To: m.From, Round: m.Round, Granted: true}
+	if m.Snapshot == nil || m.Snapshot.Index <= n.log.commit {
+		reply.Index = n.log.commit
+		n.send(reply)
+		return
+	}
+	s := *m.Snapshot
+	n.snapshot = s
+	n.log.reset(s)
+	n.findMembers()
+	n.emit(Save{Snapshot: &s})
+	n.emit(Install{Snapshot: s})
+	reply.Index = s.Index
+	n.send(reply)
+}
+
+// Compact replaces the log up to a committed index by a snapshot of the
+// state machine and returns what must be made durable.
+func (n *Node) Compact(at Index, data json.RawMessage) []Effect {
+	t, held := n.log.term(at)
+	if !held || at > n.log.commit || at <= n.snapshot.Index {
+		return nil
+	}
+	s := Snapshot{Index: at, Term: t, Members: n.membersUpTo(at), Data: data}
+	n.snapshot = s
+	n.log.compact(s, KeptEntries)
+	n.emit(Save{Snapshot: &s})
+	return n.take()
+}
+
+// membersUpTo returns the members as of a log entry.
+func (n *Node) membersUpTo(at Index) Members {
+	m := n.snapshot.Members
+	for _, e := range n.log.entries {
+		if e.Kind != EntryMembers || e.Index > at || e.Index <= n.snapshot.Index {
+			continue
+		}
+		var next Members
+		if json.Unmarshal(e.Data, &next) == nil {
+			m = next
+		}
+	}
+	return m
+}
+
+// Kept returns the entries that stay in the log beside the newest snapshot.
+func (n *Node) Kept() []Entry {
+	return n.log.from(max(n.log.first(), n.snapshot.Index+1), int(n.log.last()))
+}
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -38,11 +38,13 @@
 
 // Options is what the API needs.
 type Options struct {
-	Config   func() *config.Config
-	Board    *board.Board
-	Clock    timer.Clock
-	Log      *event.Log
-	Pool     *wire.Pool
+	Config func() *config.Config
+	Board  *board.Board
+	Clock  timer.Clock
+	Log    *event.Log
+	Pool   *wire.Pool
+	// Relays are the control addresses of all relays.
+	Relays   func() []string
 	Gatherer prometheus.Gatherer
 }
 
--- a/io/admin/resources.go
+++ b/io/admin/resources.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"context"
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"chicorymast/core/board"
@@ -12,6 +14,7 @@
 	"chicorymast/core/intent"
 	"chicorymast/core/member"
 	"chicorymast/core/state"
+	"chicorymast/io/wire"
 )
 
 // Configuration is the answer of GET /v1/configuration.
@@ -72,8 +75,11 @@
 	Source   ident.VM       `json:"source"`
 	Members  int            `json:"members"`
 	InForce  int            `json:"in_force"`
-	Behind   []ident.VM     `json:"behind"`
-	Services []ServiceLine  `json:"services"`
+	// Behind names some of the VMs where the revision is not in force.
+	Behind []ident.VM `json:"behind"`
+	// Silent lists the relays that did not answer; their VMs are not counted.
+	Silent   []string      `json:"silent"`
+	Services []ServiceLine `json:"services"`
 }
 
 // ServiceLine is one service in a status.
@@ -88,28 +94,48 @@
 	return Configuration{Revision: c.State.Revision, Digest: c.Digest(), Intent: c.State.Intent, Drains: c.State.Drains}, nil
 }
 
-func (a *api) status(*http.Request, ident.Actor) (any, *Problem) {
+func (a *api) status(r *http.Request, _ ident.Actor) (any, *Problem) {
 	c, fresh, members := a.opt.Board.Config.Read(), a.opt.Board.Freshness.Read(), a.opt.Board.Members.Read()
 	s := Status{
 		Revision: c.State.Revision,
 		Digest:   c.Digest(),
 		AgeMs:    fresh.Age(a.opt.Clock.Now()).Milliseconds(),
 		Source:   fresh.Source,
-		Members:  len(members.Entries),
 		Behind:   []ident.VM{},
+		Silent:   []string{},
 		Services: serviceLines(members),
 	}
-	for _, e := range members.Entries {
-		if e.Revision >= c.State.Revision {
-			s.InForce++
-			continue
-		}
-		s.Behind = append(s.Behind, e.VM)
-	}
-	slices.Sort(s.Behind)
+	a.collect(r.Context(), &s)
 	return s, nil
 }
 
+// collect asks every relay where the revision is in force.
+func (a *api) collect(ctx context.Context, s *Status) {
+	const patience = time.Second
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, address := range a.opt.Relays() {
+		wg.Go(func() {
+			q := wire.ReportRequest{Revision: s.Revision}
+			reply, err := wire.Call[wire.ReportReply](ctx, a.opt.Pool, address, wire.MethodReport, q)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				s.Silent = append(s.Silent, address)
+				return
+			}
+			s.Members += reply.Members
+			s.InForce += reply.InForce
+			s.Behind = append(s.Behind, reply.Behind...)
+		})
+	}
+	wg.Wait()
+	slices.Sort(s.Behind)
+	slices.Sort(s.Silent)
+}
+
 func serviceLines(m *board.Members) []ServiceLine {
 	lines := []ServiceLine{}
 	for name, entries := range m.ByService {
--- /dev/null
+++ b/io/ctrl/found.go
@@ -0,0 +1,141 @@
+package ctrl
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"maps"
+	"slices"
+	"time"
+
+	"chicorymast/core/ident"
+	"chicorymast/core/raft"
+	"chicorymast/io/store"
+	"chicorymast/io/wire"
+)
+
+// A new set of control daemons is founded when every one of them is there and
+// has an empty folder: each has written a random token to its folder, and
+// each has seen the tokens of all. A daemon whose token is not the one that
+// the others saw has lost its folder. It must not vote again under its old
+// name, so it waits until operators add it as a new node.
+
+const (
+	foundInterval = 500 * time.Millisecond
+	probeTimeout  = time.Second
+	tokenBytes    = 8
+	// nodeTokenDigits of the token tell a joining node from earlier ones.
+	nodeTokenDigits = 8
+)
+
+func (c *Control) restoreIdentity() error {
+	id, ok, err := c.store.Identity()
+	if err != nil {
+		return err
+	}
+	if !ok || id.Token == "" {
+		raw := make([]byte, tokenBytes)
+		_, _ = rand.Read(raw) // crypto/rand never fails
+		id = store.Identity{Token: hex.EncodeToString(raw)}
+		if err := c.store.SetIdentity(id); err != nil {
+			return err
+		}
+	}
+	c.token, c.identity, c.founders = id.Token, id, id.Founders
+	return nil
+}
+
+func (c *Control) probe(context.Context, wire.ProbeRequest) (reply wire.ProbeReply, err error) {
+	c.wait(func() {
+		reply = wire.ProbeReply{VM: c.opt.VM, Token: c.token, Node: c.identity.Node, Founders: c.founders}
+	})
+	return reply, nil
+}
+
+// found makes one attempt to learn who this node is.
+func (c *Control) found() {
+	known := false
+	c.wait(func() { known = c.identity.Node != "" })
+	if known {
+		return
+	}
+	if c.opt.Join {
+		c.becomeJoiner()
+		return
+	}
+	tokens := map[ident.VM]string{c.opt.VM: c.token}
+	for _, p := range c.opt.Voters {
+		if vmOf(p.ID) == c.opt.VM {
+			continue
+		}
+		reply, err := c.probeOne(p.Address)
+		if err != nil {
+			return // all must be there
+		}
+		if reply.Node != "" {
+			c.compareFounders(reply)
+			return
+		}
+		tokens[reply.VM] = reply.Token
+	}
+	if len(tokens) == len(c.opt.Voters) {
+		c.becomeFounder(tokens)
+	}
+}
+
+func (c *Control) probeOne(address string) (wire.ProbeReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	return wire.Call[wire.ProbeReply](ctx, c.opt.Pool, address, wire.MethodProbe, wire.ProbeRequest{From: c.opt.VM})
+}
+
+// compareFounders follows a node that is set up, if that one has seen this
+// very folder.
+func (c *Control) compareFounders(other wire.ProbeReply) {
+	if other.Founders[c.opt.VM] == c.token {
+		c.becomeFounder(other.Founders)
+		return
+	}
+	c.becomeJoiner()
+}
+
+func (c *Control) becomeFounder(tokens map[ident.VM]string) {
+	c.become(store.Identity{Node: ident.Node(c.opt.VM), Token: c.token, Cluster: clusterOf(tokens), Founders: tokens})
+}
+
+func (c *Control) becomeJoiner() {
+	node := ident.Node(string(c.opt.VM) + "#" + c.token[:nodeTokenDigits])
+	c.become(store.Identity{Node: node, Token: c.token})
+}
+
+func (c *Control) become(id store.Identity) {
+	c.wait(func() {
+		if c.identity.Node != "" {
+			return
+		}
+		if err := c.store.SetIdentity(id); err != nil {
+			return // tried again at the next interval
+		}
+		c.identity, c.founders = id, id.Founders
+		c.startNode()
+	})
+}
+
+func clusterOf(tokens map[ident.VM]string) string {
+	h := sha256.New()
+	for _, vm := range slices.Sorted(maps.Keys(tokens)) {
+		h.Write([]byte(string(vm) + "=" + tokens[vm] + "\n"))
+	}
+	return hex.EncodeToString(h.Sum(nil)[:tokenBytes])
+}
+
+// FirstVoters makes the first members from settings; a node's first name is
+// that of its VM.
+func FirstVoters(addresses map[ident.VM]string) []raft.Peer {
+	var peers []raft.Peer
+	for _, vm := range slices.Sorted(maps.Keys(addresses)) {
+		peers = append(peers, raft.Peer{ID: ident.Node(vm), Address: addresses[vm]})
+	}
+	return peers
+}
--- /dev/null
+++ b/io/ctrl/members.go
@@ -0,0 +1,82 @@
+package ctrl
+
+import (
+	"context"
+	"errors"
+
+	"chicorymast/core/raft"
+	"chicorymast/io/wire"
+)
+
+// members lists or changes the control daemons; a change is begun at the
+// leader only and goes one step at a time.
+func (c *Control) members(_ context.Context, q wire.MembersRequest) (reply wire.MembersReply, err error) {
+	var joiner raft.Peer
+	if q.Op == wire.MembersAdd {
+		probed, err := c.probeOne(q.Address)
+		if err != nil || probed.Node == "" {
+			return wire.MembersReply{Refused: "no control daemon that waits to be added answers at " + q.Address}, nil
+		}
+		joiner = raft.Peer{ID: probed.Node, Address: q.Address}
+	}
+	c.wait(func() { reply = c.changeMembers(q, joiner) })
+	return reply, nil
+}
+
+func (c *Control) changeMembers(q wire.MembersRequest, joiner raft.Peer) wire.MembersReply {
+	if c.node == nil || c.broken {
+		return wire.MembersReply{Refused: "this control daemon is not set up"}
+	}
+	if !c.node.Status().Leading {
+		return wire.MembersReply{Leader: c.leaderAddress()}
+	}
+	var effects []raft.Effect
+	var err error
+	switch q.Op {
+	case wire.MembersAdd:
+		effects, err = c.node.AddLearner(joiner)
+	case wire.MembersRemove:
+		effects, err = c.node.Remove(q.Node)
+	}
+	c.carryOut(effects)
+	reply := c.listMembers()
+	reply.Done = true
+	if err != nil {
+		reply.Refused = err.Error()
+	}
+	return reply
+}
+
+// promoteLearners gives a vote to learners that hold the whole log.
+func (c *Control) promoteLearners() {
+	st := c.node.Status()
+	if !st.Leading {
+		return
+	}
+	for _, p := range st.Members.Learners {
+		effects, err := c.node.Promote(p.ID)
+		c.carryOut(effects)
+		if err == nil || errors.Is(err, raft.ErrBusy) {
+			return
+		}
+	}
+}
+
+func (c *Control) listMembers() wire.MembersReply {
+	st := c.node.Status()
+	line := func(p raft.Peer) wire.Controller {
+		behind := uint64(0)
+		if p.ID != c.identity.Node {
+			behind = uint64(st.Last - min(st.Last, st.Match[p.ID]))
+		}
+		return wire.Controller{Node: p.ID, Address: p.Address, Leading: p.ID == st.Leader, Behind: behind}
+	}
+	var reply wire.MembersReply
+	for _, p := range st.Members.Voters {
+		reply.Voters = append(reply.Voters, line(p))
+	}
+	for _, p := range st.Members.Learners {
+		reply.Learners = append(reply.Learners, line(p))
+	}
+	return reply
+}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"chicorymast/config"
 	"chicorymast/core/board"
 	"chicorymast/core/fault"
+	"chicorymast/core/ident"
 	"chicorymast/core/member"
 	"chicorymast/io/admin"
 	"chicorymast/io/agent"
@@ -115,11 +116,34 @@
 		Relays:       d.relays,
 		FollowConfig: cfg.Daemon.Role != config.RoleControl,
 	})
-	if cfg.Daemon.Role == config.RoleControl {
-		d.control = ctrl.New(cfg.Daemon.VM, d.clock, d.board)
+	if cfg.Daemon.Role != config.RoleControl {
+		return nil
+	}
+	return d.openControl()
+}
+
+func (d *Daemon) openControl() (err error) {
+	cfg := d.Config()
+	addresses := map[ident.VM]string{}
+	for _, v := range cfg.Control.VoterList() {
+		addresses[v.VM] = v.Address
+	}
+	d.control, err = ctrl.Open(ctrl.Options{
+		VM:      cfg.Daemon.VM,
+		Address: cfg.Listen.Control,
+		Folder:  cfg.Daemon.DataFolder,
+		Voters:  ctrl.FirstVoters(addresses),
+		Join:    cfg.Control.Join,
+		Clock:   d.clock,
+		Board:   d.board,
+		Pool:    d.pool,
+		Log:     d.log,
+		Seed:    uint64(d.clock.Now().UnixNano()),
+	})
+	if err == nil {
 		d.control.Register(d.server)
 	}
-	return nil
+	return err
 }
 
 // relays lists where this daemon may synchronise: a control daemon at itself,
@@ -182,7 +206,7 @@
 		{"caller", cfg.Listen.Caller, d.proxy.Entry()},
 		{"peer", cfg.Listen.Peer, d.proxy.Peer()},
 		{"local", cfg.Listen.Local, d.proxy.Local(d.host)},
-		{"admin", cfg.Listen.Admin, admin.New(admin.Options{Config: d.Config, Board: d.board, Clock: d.clock, Log: d.log, Pool: d.pool, Gatherer: d.reg})},
+		{"admin", cfg.Listen.Admin, d.adminHandler()},
 	}
 	for _, h := range handlers {
 		if h.address == "" {
@@ -200,6 +224,18 @@
 	return nil
 }
 
+func (d *Daemon) adminHandler() http.Handler {
+	return admin.New(admin.Options{
+		Config:   d.Config,
+		Board:    d.board,
+		Clock:    d.clock,
+		Log:      d.log,
+		Pool:     d.pool,
+		Relays:   func() []string { return d.Config().Control.JoinAddresses() },
+		Gatherer: d.reg,
+	})
+}
+
 func (d *Daemon) open(name, address string, handler http.Handler) error {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
@@ -242,7 +278,8 @@
 	}
 	d.stops = append(d.stops, d.relay.Start(), d.proxy.Start(), d.clock.Every(hostTick, d.host.tick))
 	if d.control != nil {
-		d.stops = append(d.stops, d.control.Start())
+		d.control.Start()
+		d.stops = append(d.stops, d.control.Stop)
 	}
 	d.board.Life.Write(&board.Life{Phase: board.LifeRunning})
 	d.agent.Start()
--- a/io/proxy/calls.go
+++ b/io/proxy/calls.go
@@ -15,13 +15,13 @@
 	deadline time.Time
 	done     <-chan struct{}
 
-	mu     sync.Mutex
-	budget retry.Budget
+	mu       sync.Mutex
+	budget   retry.Budget
 	children int
 	since    time.Time
 	// away is the time during which at least one child call was under way.
 	away   time.Duration
-	deeper   bool
+	deeper bool
 }
 
 func (s *servedCall) lend(now time.Time) int {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -80,6 +80,7 @@
 func (r *Relay) Register(s *wire.Server) {
 	wire.Handle(s, wire.MethodSync, r.sync)
 	wire.Handle(s, wire.MethodPull, r.pull)
+	wire.Handle(s, wire.MethodReport, r.report)
 }
 
 // Start begins to pull from other relays.
@@ -261,6 +262,32 @@
 	}
 }
 
+// report says on which of its own members a revision is in force.
+func (r *Relay) report(_ context.Context, q wire.ReportRequest) (wire.ReportReply, error) {
+	const named = 100
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reply := wire.ReportReply{Relay: r.opt.VM}
+	for _, e := range r.home.Entries(r.opt.Clock.Now()) {
+		if e.Phase == member.PhaseGone || r.movedAway(e) {
+			continue
+		}
+		reply.Members++
+		if e.Revision >= q.Revision {
+			reply.InForce++
+		} else if len(reply.Behind) < named {
+			reply.Behind = append(reply.Behind, e.VM)
+		}
+	}
+	return reply, nil
+}
+
+// movedAway reports whether a member announces itself to another relay now.
+func (r *Relay) movedAway(e member.Entry) bool {
+	newest, ok := r.all.Get(e.VM)
+	return ok && newest.Version > e.Version
+}
+
 // Counts returns how many members the relay speaks for and how many it knows.
 func (r *Relay) Counts() (home, all int) {
 	r.mu.Lock()
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -88,3 +88,84 @@
 	// Done is set when Result is the final answer.
 	Done bool `json:"done"`
 }
+
+// The methods of the control part.
+const (
+	// MethodRaft carries the agreement's own messages; it has no answer.
+	MethodRaft Method = "raft"
+	// MethodProbe asks a control daemon who it is.
+	MethodProbe Method = "probe"
+	// MethodMembers lists or changes the control daemons.
+	MethodMembers Method = "members"
+	// MethodReport asks a relay where a revision is in force.
+	MethodReport Method = "report"
+)
+
+// ProbeRequest asks a control daemon who it is.
+type ProbeRequest struct {
+	From ident.VM `json:"from"`
+}
+
+// ProbeReply says who a control daemon is.
+type ProbeReply struct {
+	VM ident.VM `json:"vm"`
+	// Token names a data folder from its first use on.
+	Token string `json:"token"`
+	// Node is empty while the daemon has not been set up.
+	Node ident.Node `json:"node,omitempty"`
+	// Founders are the tokens of those set up together, where known.
+	Founders map[ident.VM]string `json:"founders,omitempty"`
+}
+
+// MembersOp is what to do with the control daemons.
+type MembersOp string
+
+// The operations on control daemons.
+const (
+	MembersList   MembersOp = "list"
+	MembersAdd    MembersOp = "add"
+	MembersRemove MembersOp = "remove"
+)
+
+// MembersRequest lists or changes the control daemons.
+type MembersRequest struct {
+	Op MembersOp `json:"op"`
+	// Address is the control address of a daemon to add.
+	Address string `json:"address,omitempty"`
+	// Node is the one to remove.
+	Node ident.Node `json:"node,omitempty"`
+}
+
+// MembersReply lists the control daemons.
+type MembersReply struct {
+	Voters   []Controller `json:"voters"`
+	Learners []Controller `json:"learners,omitempty"`
+	// Refused says why a change was not begun.
+	Refused string `json:"refused,omitempty"`
+	// Leader is the control address to ask instead.
+	Leader string `json:"leader,omitempty"`
+	Done   bool   `json:"done"`
+}
+
+// Controller is one control daemon in a list.
+type Controller struct {
+	Node    ident.Node `json:"node"`
+	Address string     `json:"address"`
+	Leading bool       `json:"leading,omitempty"`
+	// Behind is how many log entries it lacks, as far as the leader knows.
+	Behind uint64 `json:"behind"`
+}
+
+// ReportRequest asks where a revision is in force.
+type ReportRequest struct {
+	Revision ident.Revision `json:"revision"`
+}
+
+// ReportReply counts the daemons that announce themselves to a relay.
+type ReportReply struct {
+	Relay   ident.VM `json:"relay"`
+	Members int      `json:"members"`
+	InForce int      `json:"in_force"`
+	// Behind names some of those where the revision is not in force yet.
+	Behind []ident.VM `json:"behind,omitempty"`
+}
