--- a/commands/client.go
+++ b/commands/client.go
@@ -20,8 +20,8 @@
 
 // clientOptions are the options of every command that asks a daemon.
 type clientOptions struct {
-	Servers   []string `long:"server" env:"CHICORYMAST_SERVER" env-delim:"," description:"administration address of a daemon, as IP:port; give several to have the next one tried" required:"yes"`
-	TokenFile string   `long:"token-file" env:"CHICORYMAST_TOKEN_FILE" description:"file that holds the operator's token" required:"yes"`
+	Servers   []string `long:"server" env:"CHICORYMAST_SERVER" env-delim:"," description:"administration address IP:port; several are tried in turn" required:"true"`
+	TokenFile string   `long:"token-file" env:"CHICORYMAST_TOKEN_FILE" description:"file that holds the operator's token" required:"true"`
 	Output    string   `long:"output" choice:"text" choice:"json" default:"text" description:"form of what is printed"`
 }
 
--- a/commands/confirm.go
+++ b/commands/confirm.go
@@ -15,11 +15,12 @@
 	changeOptions
 	Args struct {
 		Plan string `positional-arg-name:"PLAN" description:"file written by plan --out"`
-	} `positional-args:"yes" required:"yes"`
+	} `positional-args:"yes" required:"true"`
 }
 
 func init() {
-	register("confirm", "put a plan in force", "Puts a plan in force. Of two plans made on one revision exactly one is accepted; the other is told which.", &confirmCommand{})
+	register("confirm", "put a plan in force",
+		"Puts a plan in force. Of two plans made on one revision exactly one is accepted; the other is told which.", &confirmCommand{})
 }
 
 // Execute sends the confirmation.
--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -12,11 +12,12 @@
 )
 
 type daemonCommand struct {
-	Config string `long:"config" short:"c" required:"yes" description:"settings file"`
+	Config string `long:"config" short:"c" required:"true" description:"settings file"`
 }
 
 func init() {
-	register("daemon", "run a daemon", "Runs the daemon beside an upstream, or a control daemon. SIGTERM stops it gracefully, SIGHUP reads the settings again.", &daemonCommand{})
+	register("daemon", "run a daemon",
+		"Runs the daemon beside an upstream, or a control daemon. SIGTERM stops it gracefully, SIGHUP reads the settings again.", &daemonCommand{})
 }
 
 // Execute runs the daemon until a signal ends it.
--- a/commands/drain.go
+++ b/commands/drain.go
@@ -12,7 +12,7 @@
 	Undo bool `long:"undo" description:"let work back"`
 	Args struct {
 		VM ident.VM `positional-arg-name:"VM"`
-	} `positional-args:"yes" required:"yes"`
+	} `positional-args:"yes" required:"true"`
 }
 
 func init() {
--- a/commands/key.go
+++ b/commands/key.go
@@ -24,7 +24,7 @@
 	KeyFile string        `long:"key-file" description:"file for the key; a key that is there already is granted again under its change id"`
 	Args    struct {
 		Workspace ident.Workspace `positional-arg-name:"WORKSPACE"`
-	} `positional-args:"yes" required:"yes"`
+	} `positional-args:"yes" required:"true"`
 }
 
 type keyWithdrawCommand struct {
@@ -32,7 +32,7 @@
 	changeOptions
 	Args struct {
 		Key ident.KeyID `positional-arg-name:"KEY-ID" description:"as printed by key list"`
-	} `positional-args:"yes" required:"yes"`
+	} `positional-args:"yes" required:"true"`
 }
 
 type keyListCommand struct{ clientOptions }
--- a/commands/load.go
+++ b/commands/load.go
@@ -18,7 +18,7 @@
 	Out  string `long:"out" description:"file for the result as JSON"`
 	Args struct {
 		Plan string `positional-arg-name:"PLAN" description:"load plan (INI)"`
-	} `positional-args:"yes" required:"yes"`
+	} `positional-args:"yes" required:"true"`
 }
 
 func init() {
--- a/commands/plan.go
+++ b/commands/plan.go
@@ -15,11 +15,12 @@
 	Out  string `long:"out" description:"file to write the plan to, for confirm"`
 	Args struct {
 		Intent string `positional-arg-name:"INTENT" description:"intent file"`
-	} `positional-args:"yes" required:"yes"`
+	} `positional-args:"yes" required:"true"`
 }
 
 func init() {
-	register("plan", "say what an intent would change", "Prints what would change if the intent were confirmed, for whom, and what a careful operator would ask. Nothing changes.", &planCommand{})
+	register("plan", "say what an intent would change",
+		"Prints what would change if the intent were confirmed, for whom, and what a careful operator would ask. Nothing changes.", &planCommand{})
 }
 
 // Execute asks for the plan and prints it.
--- a/commands/report.go
+++ b/commands/report.go
@@ -10,8 +10,8 @@
 )
 
 type reportCommand struct {
-	Direct  string `long:"direct" required:"yes" description:"result of the load without daemons"`
-	Managed string `long:"managed" required:"yes" description:"result of the load with daemons"`
+	Direct  string `long:"direct" required:"true" description:"result of the load without daemons"`
+	Managed string `long:"managed" required:"true" description:"result of the load with daemons"`
 	Hops    int    `long:"hops" default:"1" description:"depth of the calls"`
 }
 
--- a/commands/token.go
+++ b/commands/token.go
@@ -7,11 +7,12 @@
 )
 
 type tokenCommand struct {
-	File string `long:"file" required:"yes" description:"file for the token"`
+	File string `long:"file" required:"true" description:"file for the token"`
 }
 
 func init() {
-	register("token", "make an operator's token", "Makes an operator's token, writes it to a file and prints the digest for the section [operator NAME] of the daemons' settings.", &tokenCommand{})
+	register("token", "make an operator's token",
+		"Makes an operator's token, writes it to a file and prints the digest for the section [operator NAME] of the daemons' settings.", &tokenCommand{})
 }
 
 // Execute makes the token.
--- a/commands/trial.go
+++ b/commands/trial.go
@@ -15,11 +15,12 @@
 	Mode   string `long:"mode" choice:"managed" choice:"pass_through" default:"managed" description:"mode of the daemons"`
 	Args   struct {
 		Dir string `positional-arg-name:"DIR" description:"new folder for the files"`
-	} `positional-args:"yes" required:"yes"`
+	} `positional-args:"yes" required:"true"`
 }
 
 func init() {
-	register("trial", "write the files of a trial fleet", "Writes settings, intent, load plans and the list of processes of a small fleet on loopback. contrib/fleet.sh starts them.", &trialCommand{})
+	register("trial", "write the files of a trial fleet",
+		"Writes settings, intent, load plans and the list of processes of a small fleet on loopback. contrib/fleet.sh starts them.", &trialCommand{})
 }
 
 // Execute writes the files.
--- a/commands/upstream.go
+++ b/commands/upstream.go
@@ -13,9 +13,9 @@
 )
 
 type upstreamCommand struct {
-	Service     ident.Service  `long:"service" required:"yes" description:"service name"`
-	Upstream    ident.Upstream `long:"upstream" required:"yes" description:"upstream name"`
-	Address     string         `long:"address" required:"yes" description:"IP:port to listen on"`
+	Service     ident.Service  `long:"service" required:"true" description:"service name"`
+	Upstream    ident.Upstream `long:"upstream" required:"true" description:"upstream name"`
+	Address     string         `long:"address" required:"true" description:"IP:port to listen on"`
 	Daemon      string         `long:"daemon" description:"local address of the daemon on this VM"`
 	Slots       int            `long:"slots" default:"20" description:"calls at once"`
 	Connections int            `long:"connections" default:"0" description:"open calls above which it sheds; 0 means never"`
--- a/core/dedup/dedup.go
+++ b/core/dedup/dedup.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	t := dedup.New(dedup.DefaultKeep, dedup.DefaultBytes)
-//	switch v := t.Begin(now, id, print).(type) {
+//	switch v := t.Begin(now, id, fingerprint).(type) {
 //	case dedup.Run:      // the first; run it, then call Finish or Abandon
 //	case dedup.Replay:   // done before; give v.Answer again
 //	case dedup.Join:     // running now; wait for it
@@ -99,14 +99,14 @@
 }
 
 // Begin judges a request.
-func (t *Table) Begin(now time.Time, id ID, print Fingerprint) Verdict {
+func (t *Table) Begin(now time.Time, id ID, fp Fingerprint) Verdict {
 	t.expire(now)
 	r := t.records[id]
 	if r == nil {
-		t.records[id] = &record{phase: phaseRunning, print: print}
+		t.records[id] = &record{phase: phaseRunning, print: fp}
 		return Run{}
 	}
-	if r.print != print {
+	if r.print != fp {
 		return Conflict{}
 	}
 	switch r.phase {
--- a/core/intent/check.go
+++ b/core/intent/check.go
@@ -22,11 +22,7 @@
 // Check verifies that all names resolve and all numbers are possible. It is
 // what Parse runs, for an intent that arrived in another form.
 func Check(name string, in Intent) error {
-	return check(name, in)
-}
-
-func check(file string, in Intent) error {
-	c := checker{file: file, in: in}
+	c := checker{file: name, in: in}
 	steps := []func() error{c.limits, c.services, c.routes, c.overlaps, c.groups, c.grants}
 	for _, step := range steps {
 		if err := step(); err != nil {
--- a/core/intent/parse.go
+++ b/core/intent/parse.go
@@ -24,7 +24,7 @@
 			return Intent{}, err
 		}
 	}
-	if err := check(name, in); err != nil {
+	if err := Check(name, in); err != nil {
 		return Intent{}, err
 	}
 	return in, nil
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -90,7 +90,7 @@
 		n.tickLeader()
 		return n.take()
 	}
-	if n.elapsed >= n.timeout && n.isVoter(n.cfg.ID) {
+	if n.elapsed >= n.timeout && n.mayLead() {
 		n.campaign(rolePreCandidate)
 	}
 	return n.take()
@@ -162,7 +162,7 @@
 	case KindSnapshotReply:
 		n.handleAppendReply(m)
 	case KindElectNow:
-		if n.isVoter(n.cfg.ID) {
+		if n.mayLead() {
 			n.forced = true
 			n.campaign(roleCandidate)
 		}
@@ -239,6 +239,18 @@
 	return slices.ContainsFunc(n.members.Voters, func(p Peer) bool { return p.ID == id })
 }
 
+// mayLead reports whether the node may ask for votes. One that is left out by
+// an undecided change still may: the others may lack that entry and be unable
+// to elect anyone without it.
+func (n *Node) mayLead() bool {
+	if n.isVoter(n.cfg.ID) {
+		return true
+	}
+	decided := n.membersUpTo(n.log.commit)
+	is := func(p Peer) bool { return p.ID == n.cfg.ID }
+	return n.membersAt > n.log.commit && slices.ContainsFunc(decided.Voters, is)
+}
+
 // others returns every other voter and learner.
 func (n *Node) others() []Peer {
 	var out []Peer
--- a/core/schema/schema.go
+++ b/core/schema/schema.go
@@ -17,6 +17,7 @@
 
 import (
 	"fmt"
+	"math"
 	"reflect"
 	"strconv"
 	"strings"
@@ -130,7 +131,7 @@
 
 func assignFloat(field reflect.Value, text string) string {
 	f, err := strconv.ParseFloat(text, 64)
-	if err != nil || f != f {
+	if err != nil || math.IsNaN(f) {
 		return fmt.Sprintf("%q is not a number", text)
 	}
 	field.SetFloat(f)
--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -99,7 +99,7 @@
 		rng:     rand.New(rand.NewPCG(opt.Seed, 3)),
 		queue:   make(chan func(), queueLength),
 		done:    make(chan struct{}),
-		out:     newOutbox(opt.Pool),
+		out:     newOutbox(opt.Pool, opt.Address),
 		state:   state.New(),
 		waiters: map[raft.Index]waiter{},
 	}
--- a/io/ctrl/effects.go
+++ b/io/ctrl/effects.go
@@ -14,10 +14,11 @@
 	"go.uber.org/zap"
 )
 
-func (c *Control) receive(_ context.Context, m raft.Message) (struct{}, error) {
+func (c *Control) receive(_ context.Context, env wire.RaftEnvelope) (struct{}, error) {
+	c.out.learn(env.Message.From, env.Address)
 	c.do(func() {
 		if c.node != nil && !c.broken {
-			c.carryOut(c.node.Step(m))
+			c.carryOut(c.node.Step(env.Message))
 		}
 	})
 	return struct{}{}, nil
@@ -59,15 +60,13 @@
 }
 
 func (c *Control) sendTo(m raft.Message) {
-	if address, ok := c.node.Status().Members.Find(m.To); ok {
-		c.out.send(address, m)
-		return
+	address, ok := c.node.Status().Members.Find(m.To)
+	if !ok {
+		// A joining node answers a leader that it knows from messages only.
+		address = c.out.addressOf(m.To)
 	}
-	// A reply to one that is not in this node's members yet.
-	if m.To == c.node.Status().Leader || m.Kind == raft.KindAppendReply || m.Kind == raft.KindSnapshotReply {
-		if address := c.out.addressOf(m.To); address != "" {
-			c.out.send(address, m)
-		}
+	if address != "" {
+		c.out.send(address, m)
 	}
 }
 
--- a/io/ctrl/outbox.go
+++ b/io/ctrl/outbox.go
@@ -15,6 +15,7 @@
 // agreement sends again.
 type outbox struct {
 	pool   *wire.Pool
+	self   string
 	mu     sync.Mutex
 	queues map[string]chan raft.Message
 	known  map[ident.Node]string
@@ -26,8 +27,8 @@
 	sendTimeout  = time.Second
 )
 
-func newOutbox(pool *wire.Pool) *outbox {
-	return &outbox{pool: pool, queues: map[string]chan raft.Message{}, known: map[ident.Node]string{}, done: make(chan struct{})}
+func newOutbox(pool *wire.Pool, self string) *outbox {
+	return &outbox{pool: pool, self: self, queues: map[string]chan raft.Message{}, known: map[ident.Node]string{}, done: make(chan struct{})}
 }
 
 func (o *outbox) send(address string, m raft.Message) {
@@ -61,7 +62,7 @@
 func (o *outbox) sendOne(address string, m raft.Message) {
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 	defer cancel()
-	_, _ = wire.Call[struct{}](ctx, o.pool, address, wire.MethodRaft, m)
+	_, _ = wire.Call[struct{}](ctx, o.pool, address, wire.MethodRaft, wire.RaftEnvelope{Address: o.self, Message: m})
 }
 
 func (o *outbox) learn(n ident.Node, address string) {
--- a/io/proxy/calls.go
+++ b/io/proxy/calls.go
@@ -13,7 +13,6 @@
 type servedCall struct {
 	call     hop.Call
 	deadline time.Time
-	done     <-chan struct{}
 
 	mu       sync.Mutex
 	budget   retry.Budget
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -56,7 +56,7 @@
 
 // Records is the table of actions.
 type Records interface {
-	Begin(ctx context.Context, id dedup.ID, print dedup.Fingerprint) (dedup.Verdict, error)
+	Begin(ctx context.Context, id dedup.ID, fp dedup.Fingerprint) (dedup.Verdict, error)
 	Finish(id dedup.ID, a dedup.Answer)
 	Abandon(id dedup.ID, notRun bool)
 }
--- a/io/proxy/single.go
+++ b/io/proxy/single.go
@@ -52,10 +52,10 @@
 	return &localRecords{clock: clock, table: dedup.New(dedup.DefaultKeep, dedup.DefaultBytes)}
 }
 
-func (r *localRecords) Begin(_ context.Context, id dedup.ID, print dedup.Fingerprint) (dedup.Verdict, error) {
+func (r *localRecords) Begin(_ context.Context, id dedup.ID, fp dedup.Fingerprint) (dedup.Verdict, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.table.Begin(r.clock.Now(), id, print), nil
+	return r.table.Begin(r.clock.Now(), id, fp), nil
 }
 
 func (r *localRecords) Finish(id dedup.ID, a dedup.Answer) {
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -200,7 +200,7 @@
 	if s.failed {
 		return ErrFailed
 	}
-	if err = s.replace(snap, hard, kept); err != nil {
+	if err = s.rewrite(snap, hard, kept); err != nil {
 		s.fail(err)
 		return err
 	}
@@ -208,7 +208,7 @@
 	return nil
 }
 
-func (s *Store) replace(snap raft.Snapshot, hard raft.Hard, kept []raft.Entry) error {
+func (s *Store) rewrite(snap raft.Snapshot, hard raft.Hard, kept []raft.Entry) error {
 	text, err := json.Marshal(snap)
 	if err != nil {
 		return err
--- /dev/null
+++ b/io/store/store_test.go
@@ -0,0 +1,199 @@
+package store
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"chicorymast/core/raft"
+	"chicorymast/io/event"
+
+	"gotest.tools/v3/assert"
+)
+
+func open(t testing.TB, dir string) (*Store, raft.Restored) {
+	t.Helper()
+	s, r, err := Open(dir, event.Discard())
+	assert.NilError(t, err)
+	return s, r
+}
+
+func entry(i int) raft.Entry {
+	return raft.Entry{Index: raft.Index(i), Term: 1, Kind: raft.EntryCommand, Data: json.RawMessage(fmt.Sprintf(`"c%d"`, i))}
+}
+
+func fill(t testing.TB, s *Store, from, to int) {
+	t.Helper()
+	for i := from; i <= to; i++ {
+		assert.NilError(t, s.Save(raft.Save{Entries: []raft.Entry{entry(i)}}))
+	}
+}
+
+func assertEntries(t testing.TB, r raft.Restored, from, to int) {
+	t.Helper()
+	assert.Equal(t, len(r.Entries), to-from+1)
+	for i, e := range r.Entries {
+		assert.Equal(t, e.Index, raft.Index(from+i))
+		assert.Equal(t, string(e.Data), string(entry(from+i).Data))
+	}
+}
+
+func TestReopenFindsWhatWasSaved(t *testing.T) {
+	dir := t.TempDir()
+	s, r := open(t, dir)
+	assert.Equal(t, len(r.Entries), 0)
+	assert.NilError(t, s.Save(raft.Save{Hard: &raft.Hard{Term: 7, Vote: "b"}}))
+	fill(t, s, 1, 5)
+	s.Close()
+	s, r = open(t, dir)
+	defer s.Close()
+	assert.DeepEqual(t, r.Hard, raft.Hard{Term: 7, Vote: "b"})
+	assertEntries(t, r, 1, 5)
+}
+
+func TestEntriesReplaceTheConflictingTail(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := open(t, dir)
+	fill(t, s, 1, 5)
+	changed := entry(3)
+	changed.Term = 2
+	assert.NilError(t, s.Save(raft.Save{Entries: []raft.Entry{changed}}))
+	s.Close()
+	s, r := open(t, dir)
+	defer s.Close()
+	assert.Equal(t, len(r.Entries), 3)
+	assert.Equal(t, r.Entries[2].Term, raft.Term(2))
+}
+
+// Whatever length the last record has on the disk, what came before it is
+// found, and writing goes on.
+func TestTornTailIsCutAtEveryLength(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := open(t, dir)
+	fill(t, s, 1, 3)
+	s.Close()
+	whole, err := os.ReadFile(filepath.Join(dir, nameLog))
+	assert.NilError(t, err)
+	last := len(Frame([]byte(mustJSON(t, batch{Entries: []raft.Entry{entry(3)}}))))
+	for cut := 1; cut < last; cut += 7 {
+		torn := t.TempDir()
+		assert.NilError(t, os.WriteFile(filepath.Join(torn, nameLog), whole[:len(whole)-cut], fileMode))
+		s, r := open(t, torn)
+		assertEntries(t, r, 1, 2)
+		fill(t, s, 3, 4)
+		s.Close()
+		s, r = open(t, torn)
+		assertEntries(t, r, 1, 4)
+		s.Close()
+	}
+}
+
+func mustJSON(t testing.TB, v any) string {
+	t.Helper()
+	data, err := json.Marshal(v)
+	assert.NilError(t, err)
+	return string(data)
+}
+
+// A flipped bit anywhere before the last record must be noticed, also in a
+// length, which would make the rest look like a torn tail.
+func TestDamageBeforeTheEndIsRefused(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := open(t, dir)
+	fill(t, s, 1, 3)
+	s.Close()
+	whole, err := os.ReadFile(filepath.Join(dir, nameLog))
+	assert.NilError(t, err)
+	last := len(Frame([]byte(mustJSON(t, batch{Entries: []raft.Entry{entry(3)}}))))
+	for at := range len(whole) - last {
+		damaged := append([]byte(nil), whole...)
+		damaged[at] ^= 0x10
+		_, err := Scan(damaged, func([]byte) error { return nil })
+		assert.ErrorIs(t, err, ErrCorrupt, "byte %d", at)
+	}
+	damaged := append([]byte(nil), whole...)
+	damaged[2] ^= 0x01
+	assert.NilError(t, os.WriteFile(filepath.Join(dir, nameLog), damaged, fileMode))
+	_, _, err = Open(dir, event.Discard())
+	assert.ErrorIs(t, err, ErrCorrupt)
+}
+
+func TestFolderIsLocked(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := open(t, dir)
+	defer s.Close()
+	_, _, err := Open(dir, event.Discard())
+	assert.ErrorIs(t, err, ErrLocked)
+}
+
+func TestReplaceKeepsSnapshotAndTail(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := open(t, dir)
+	fill(t, s, 1, 10)
+	snap := raft.Snapshot{Index: 8, Term: 1, Data: json.RawMessage(`"state"`)}
+	assert.NilError(t, s.Replace(snap, raft.Hard{Term: 1}, []raft.Entry{entry(9), entry(10)}))
+	fill(t, s, 11, 12)
+	s.Close()
+	s, r := open(t, dir)
+	defer s.Close()
+	assert.Equal(t, r.Snapshot.Index, raft.Index(8))
+	assertEntries(t, r, 9, 12)
+}
+
+// A crash after the new snapshot but before the new log leaves the old log.
+func TestOldLogBesideNewSnapshot(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := open(t, dir)
+	fill(t, s, 1, 10)
+	s.Close()
+	text := mustJSON(t, raft.Snapshot{Index: 8, Term: 1, Data: json.RawMessage(`"state"`)})
+	assert.NilError(t, writeSynced(filepath.Join(dir, nameSnapshot), Frame([]byte(text))))
+	s, r := open(t, dir)
+	defer s.Close()
+	assertEntries(t, r, 9, 10)
+}
+
+func TestFailedWriteStopsAcknowledgement(t *testing.T) {
+	s, _ := open(t, t.TempDir())
+	fill(t, s, 1, 1)
+	assert.NilError(t, s.file.Close()) // the next write fails as on a lost disk
+	assert.Assert(t, s.Save(raft.Save{Entries: []raft.Entry{entry(2)}}) != nil)
+	assert.ErrorIs(t, s.Save(raft.Save{Entries: []raft.Entry{entry(2)}}), ErrFailed)
+	assert.ErrorIs(t, s.Replace(raft.Snapshot{Index: 1}, raft.Hard{}, nil), ErrFailed)
+}
+
+func TestIdentityStays(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := open(t, dir)
+	_, ok, err := s.Identity()
+	assert.NilError(t, err)
+	assert.Assert(t, !ok)
+	want := Identity{Node: "control-1", Token: "t", Cluster: "c"}
+	assert.NilError(t, s.SetIdentity(want))
+	s.Close()
+	s, _ = open(t, dir)
+	defer s.Close()
+	got, ok, err := s.Identity()
+	assert.NilError(t, err)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, got, want)
+}
+
+func FuzzScan(f *testing.F) {
+	f.Add([]byte{})
+	f.Add(Frame([]byte(`{"hard":{"term":3}}`)))
+	f.Add(append(Frame([]byte(`{"entries":[]}`)), 1, 2, 3))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		good, err := Scan(data, func([]byte) error { return nil })
+		assert.Assert(t, good >= 0 && good <= len(data))
+		if err != nil {
+			return
+		}
+		// What was accepted is accepted again, to the same length.
+		again, err := Scan(data[:good], func([]byte) error { return nil })
+		assert.NilError(t, err)
+		assert.Equal(t, again, good)
+	})
+}
--- a/io/stub/stub.go
+++ b/io/stub/stub.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -130,7 +131,9 @@
 	if err := srv.Shutdown(stopCtx); err != nil {
 		return err
 	}
-	<-done
+	if err := <-done; !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
 	return nil
 }
 
@@ -152,10 +155,10 @@
 		return
 	}
 	defer func() { <-s.slots }()
-	s.run(w, r, f)
+	s.work(w, r, f)
 }
 
-func (s *Stub) run(w http.ResponseWriter, r *http.Request, f Faults) {
+func (s *Stub) work(w http.ResponseWriter, r *http.Request, f Faults) {
 	s.note(r)
 	if !sleep(r.Context(), s.serviceTime(f)) {
 		return
--- a/io/trial/layout.go
+++ b/io/trial/layout.go
@@ -77,13 +77,15 @@
 	Idempotent bool
 }
 
+var layouts = map[string]func() Layout{"small": Small}
+
 // ByName returns a layout.
 func ByName(name string) (Layout, error) {
-	switch name {
-	case "small":
-		return Small(), nil
+	build, ok := layouts[name]
+	if !ok {
+		return Layout{}, ErrLayout
 	}
-	return Layout{}, ErrLayout
+	return build(), nil
 }
 
 // Small is two data centres, three services of two upstreams each in a chain
--- a/io/trial/write.go
+++ b/io/trial/write.go
@@ -116,12 +116,18 @@
 
 // freeAddresses finds loopback addresses on which nobody listens.
 func freeAddresses(n int) (addresses []string, err error) {
+	var open []net.Listener
+	defer func() {
+		for _, ln := range open {
+			_ = ln.Close()
+		}
+	}()
 	for range n {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return nil, err
 		}
-		defer ln.Close()
+		open = append(open, ln)
 		addresses = append(addresses, ln.Addr().String())
 	}
 	return addresses, nil
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -5,6 +5,7 @@
 
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
+	"chicorymast/core/raft"
 	"chicorymast/core/state"
 )
 
@@ -101,6 +102,12 @@
 	MethodReport Method = "report"
 )
 
+// RaftEnvelope carries a message of the agreement and where to answer.
+type RaftEnvelope struct {
+	Address string       `json:"address"`
+	Message raft.Message `json:"message"`
+}
+
 // ProbeRequest asks a control daemon who it is.
 type ProbeRequest struct {
 	From ident.VM `json:"from"`
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -179,10 +179,10 @@
 	err = conn.Call(ctx, string(m), params, &answer)
 	if ctx.Err() == context.DeadlineExceeded {
 		p.Replaced.Add(1)
-		p.drop(address, conn)
+		p.discard(address, conn)
 	}
 	if errors.Is(err, jsonrpc2.ErrClosed) {
-		p.drop(address, conn)
+		p.discard(address, conn)
 	}
 	return answer, err
 }
@@ -195,7 +195,7 @@
 		return err
 	}
 	if err = conn.Notify(ctx, string(m), params); err != nil {
-		p.drop(address, conn)
+		p.discard(address, conn)
 	}
 	return err
 }
@@ -243,11 +243,11 @@
 // Drop closes the connection to an address; the next call dials again.
 func (p *Pool) Drop(address string) {
 	if c := p.open(address); c != nil {
-		p.drop(address, c)
+		p.discard(address, c)
 	}
 }
 
-func (p *Pool) drop(address string, c *jsonrpc2.Conn) {
+func (p *Pool) discard(address string, c *jsonrpc2.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conns[address] == c {
