quota, ration: divide each rate and burst over data centres and daemons

Cause: every daemon charged its own full bucket, so n daemons let n times the rate through.

Change: each data centre owns a share of every grant and one of its VMs, by rendezvous, hands tokens to the daemons; shares are lent between data centres for 4 s by demand. Kept, leased and lent tokens together never exceed the burst.

Found by the random test and mended: a delayed request or answer let a daemon spend two leases at once (requests are numbered now); a state handed on twice lost the wait after a crash.

--- a/core/board/daemon.go
+++ b/core/board/daemon.go
@@ -18,6 +18,8 @@
 	Freshness *Section[Freshness]
 	// Members is written by the membership controller.
 	Members *Section[Members]
+	// Contact is written by the membership controller.
+	Contact *Section[Contact]
 	// Served is written by the upstream's local controller.
 	Served *Section[Served]
 	// Life is written by the daemon itself.
@@ -30,6 +32,7 @@
 		Config:    NewSection(NewConfig(state.New(), nil)),
 		Freshness: NewSection(&Freshness{}),
 		Members:   NewSection(&Members{}),
+		Contact:   NewSection(&Contact{}),
 		Served:    NewSection(&Served{}),
 		Life:      NewSection(&Life{Phase: LifeStarting}),
 	}
@@ -122,18 +125,35 @@
 	return now.Sub(f.AsOf)
 }
 
+// Contact is when a relay last took this VM's announcement: the time at
+// which the announcement was sent.
+type Contact struct{ At time.Time }
+
 // Members is what this VM knows of the others.
 type Members struct {
 	// Entries are all daemons, this one included.
 	Entries []member.Entry
 	// ByService lists those that serve each service.
 	ByService map[ident.Service][]member.Entry
+	// ByVM finds the entry of a VM.
+	ByVM map[ident.VM]member.Entry
+	// ByDataCentre lists the VMs of each data centre that take part.
+	ByDataCentre map[ident.DataCentre][]ident.VM
 }
 
 // NewMembers indexes entries by service.
 func NewMembers(entries []member.Entry) *Members {
-	m := &Members{Entries: entries, ByService: map[ident.Service][]member.Entry{}}
+	m := &Members{
+		Entries:      entries,
+		ByService:    map[ident.Service][]member.Entry{},
+		ByVM:         make(map[ident.VM]member.Entry, len(entries)),
+		ByDataCentre: map[ident.DataCentre][]ident.VM{},
+	}
 	for _, e := range entries {
+		m.ByVM[e.VM] = e
+		if e.Phase == member.PhaseUp {
+			m.ByDataCentre[e.DataCentre] = append(m.ByDataCentre[e.DataCentre], e.VM)
+		}
 		if e.Served != nil && e.Serves(e.Served.Service) {
 			m.ByService[e.Served.Service] = append(m.ByService[e.Served.Service], e)
 		}
--- a/core/intent/check.go
+++ b/core/intent/check.go
@@ -15,6 +15,7 @@
 const (
 	MaxRetries = 16
 	MaxRate    = 10_000_000 // calls per second
+	MaxWeight  = 1000
 )
 
 var methods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
@@ -23,7 +24,7 @@
 // what Parse runs, for an intent that arrived in another form.
 func Check(name string, in Intent) error {
 	c := checker{file: name, in: in}
-	steps := []func() error{c.limits, c.services, c.routes, c.overlaps, c.groups, c.grants}
+	steps := []func() error{c.limits, c.dataCentres, c.workspaces, c.services, c.routes, c.overlaps, c.groups, c.grants}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return err
@@ -56,6 +57,28 @@
 	return nil
 }
 
+func (c checker) dataCentres() error {
+	for _, name := range sorted(c.in.DataCentres) {
+		if w := c.in.DataCentres[name].Weight; !(w > 0 && w <= MaxWeight) {
+			return c.fail("data_centre", string(name), "weight", "%v is not above 0 and at most %d", w, MaxWeight)
+		}
+	}
+	if len(c.in.DataCentres) == 0 && len(c.in.Grants) > 0 {
+		return c.fail("data_centre", "", "", "grants need at least one [data_centre NAME]: rates are divided among them")
+	}
+	return nil
+}
+
+func (c checker) workspaces() error {
+	for _, name := range sorted(c.in.Workspaces) {
+		home := c.in.Workspaces[name].Home
+		if _, ok := c.in.DataCentres[home]; home != "" && !ok {
+			return c.fail("workspace", string(name), "home", "no data centre %q", home)
+		}
+	}
+	return nil
+}
+
 func (c checker) services() error {
 	for _, name := range sorted(c.in.Services) {
 		s := c.in.Services[name]
--- a/core/intent/intent.go
+++ b/core/intent/intent.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"chicorymast/core/ident"
+	"chicorymast/core/rendez"
 )
 
 // Defaults of the limits section.
@@ -32,6 +33,8 @@
 	Routes     map[ident.Route]RouteSpec         `json:"routes"`
 	Groups     map[ident.Group]GroupSpec         `json:"groups"`
 	Grants     map[ident.Grant]GrantSpec         `json:"grants"`
+	// DataCentres divide every grant among them.
+	DataCentres map[ident.DataCentre]DataCentreSpec `json:"data_centres"`
 }
 
 // Limits holds what applies to every route that does not say otherwise.
@@ -44,6 +47,14 @@
 // WorkspaceSpec is one tenant.
 type WorkspaceSpec struct {
 	Title string `ini:"title" json:"title"`
+	// Home is the data centre that keeps the records of its actions.
+	Home ident.DataCentre `ini:"home" json:"home,omitempty"`
+}
+
+// DataCentreSpec is one data centre. Weight is its part of every rate and
+// burst, relative to the others'.
+type DataCentreSpec struct {
+	Weight float64 `ini:"weight" json:"weight"`
 }
 
 // ServiceSpec is one service. Slots and Servers are what the operator expects
@@ -92,6 +103,8 @@
 		Routes:     map[ident.Route]RouteSpec{},
 		Groups:     map[ident.Group]GroupSpec{},
 		Grants:     map[ident.Grant]GrantSpec{},
+
+		DataCentres: map[ident.DataCentre]DataCentreSpec{},
 	}
 }
 
@@ -108,6 +121,52 @@
 	return routes
 }
 
+// Share returns the part of every rate and burst that is a data centre's
+// own, from 0 to 1. The shares of all data centres add up to 1.
+func (in Intent) Share(dc ident.DataCentre) float64 {
+	total := 0.0
+	for _, name := range sorted(in.DataCentres) {
+		total += in.DataCentres[name].Weight
+	}
+	if total == 0 {
+		return 0
+	}
+	return in.DataCentres[dc].Weight / total
+}
+
+// smallBurst is how many calls of burst each data centre needs for a grant to
+// be divided among them.
+const smallBurst = 4
+
+// GrantHome returns the one data centre that holds a grant whose burst is too
+// small to be divided.
+func (in Intent) GrantHome(name ident.Grant) (home ident.DataCentre, single bool) {
+	burst := float64(in.Grants[name].Burst)
+	if burst >= float64(smallBurst*len(in.DataCentres)) && len(in.DataCentres) > 0 {
+		return "", false
+	}
+	vms := make([]ident.VM, 0, len(in.DataCentres))
+	for dc := range in.DataCentres {
+		vms = append(vms, ident.VM(dc))
+	}
+	first, _ := rendez.First("grant/"+string(name), vms)
+	return ident.DataCentre(first), true
+}
+
+// RecordHome returns the data centre that keeps the records of a workspace's
+// actions.
+func (in Intent) RecordHome(w ident.Workspace) ident.DataCentre {
+	if home := in.Workspaces[w].Home; home != "" {
+		return home
+	}
+	vms := make([]ident.VM, 0, len(in.DataCentres))
+	for dc := range in.DataCentres {
+		vms = append(vms, ident.VM(dc))
+	}
+	first, _ := rendez.First("workspace/"+string(w), vms)
+	return ident.DataCentre(first)
+}
+
 // RouteTimeout returns how long a call of the route may take.
 func (in Intent) RouteTimeout(r RouteSpec) time.Duration {
 	if r.Timeout > 0 {
--- a/core/intent/parse.go
+++ b/core/intent/parse.go
@@ -40,6 +40,8 @@
 		return &schema.Error{File: file, Section: sec.Name(), Problem: "want [KIND NAME], NAME in snake_case"}
 	}
 	switch kind {
+	case "data_centre":
+		return decodeInto(file, sec, in.DataCentres, ident.DataCentre(label), DataCentreSpec{Weight: 1})
 	case "workspace":
 		return decodeInto(file, sec, in.Workspaces, ident.Workspace(label), WorkspaceSpec{})
 	case "service":
--- a/core/intent/patch.go
+++ b/core/intent/patch.go
@@ -16,6 +16,8 @@
 	Routes     map[ident.Route]*RouteSpec         `json:"routes,omitempty"`
 	Groups     map[ident.Group]*GroupSpec         `json:"groups,omitempty"`
 	Grants     map[ident.Grant]*GrantSpec         `json:"grants,omitempty"`
+
+	DataCentres map[ident.DataCentre]*DataCentreSpec `json:"data_centres,omitempty"`
 }
 
 // Diff returns the patch that turns one intent into another.
@@ -26,6 +28,8 @@
 		Routes:     diffMaps(have.Routes, want.Routes),
 		Groups:     diffMaps(have.Groups, want.Groups),
 		Grants:     diffMaps(have.Grants, want.Grants),
+
+		DataCentres: diffMaps(have.DataCentres, want.DataCentres),
 	}
 	if have.Limits != want.Limits {
 		p.Limits = &want.Limits
@@ -35,7 +39,7 @@
 
 // Empty reports whether the patch changes nothing.
 func (p Patch) Empty() bool {
-	return p.Limits == nil && len(p.Workspaces)+len(p.Services)+len(p.Routes)+len(p.Groups)+len(p.Grants) == 0
+	return p.Limits == nil && len(p.Workspaces)+len(p.Services)+len(p.Routes)+len(p.Groups)+len(p.Grants)+len(p.DataCentres) == 0
 }
 
 // Apply returns a patched copy; maps that do not change are shared.
@@ -48,6 +52,7 @@
 	in.Routes = patchMap(in.Routes, p.Routes)
 	in.Groups = patchMap(in.Groups, p.Groups)
 	in.Grants = patchMap(in.Grants, p.Grants)
+	in.DataCentres = patchMap(in.DataCentres, p.DataCentres)
 	return in
 }
 
--- a/core/intent/plan.go
+++ b/core/intent/plan.go
@@ -31,6 +31,7 @@
 // Compare lists what turns one intent into another, in a stable order.
 func Compare(have, want Intent) []Change {
 	changes := compareLimits(have.Limits, want.Limits)
+	changes = append(changes, compareMaps("data_centre", have.DataCentres, want.DataCentres)...)
 	changes = append(changes, compareMaps("workspace", have.Workspaces, want.Workspaces)...)
 	changes = append(changes, compareMaps("service", have.Services, want.Services)...)
 	changes = append(changes, compareMaps("route", have.Routes, want.Routes)...)
--- /dev/null
+++ b/core/quota/holder.go
@@ -0,0 +1,104 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// fetchTime is for how long of its demand a daemon wants to hold tokens.
+const fetchTime = 200 * time.Millisecond
+
+// Holder is a daemon's part of a grant: the tokens that it may spend.
+type Holder struct {
+	tokens float64
+	until  time.Time
+	demand meter
+	// used is what was spent since the owner was asked last.
+	used float64
+	// denied is until when asking again is of no use.
+	denied time.Time
+	// number is that of the newest request.
+	number uint64
+}
+
+// Take spends one token, if there is one.
+func (h *Holder) Take(now time.Time) bool {
+	h.demand.add(now, 1)
+	return h.Retry(now)
+}
+
+// Retry spends one token for a call that was counted already.
+func (h *Holder) Retry(now time.Time) bool {
+	h.expire(now)
+	if h.tokens < 1 {
+		return false
+	}
+	h.tokens--
+	h.used++
+	return true
+}
+
+// Denied returns how long it is of no use to ask.
+func (h *Holder) Denied(now time.Time) time.Duration {
+	return max(0, h.denied.Sub(now))
+}
+
+// Ask returns what to ask the owner for when some calls wait for a token
+// each. All that is held is handed back with it.
+func (h *Holder) Ask(now time.Time, waiting int) Want {
+	h.expire(now)
+	h.number = max(h.number+1, uint64(now.UnixMicro()))
+	w := Want{Number: h.number, Spend: float64(waiting), Ahead: h.ahead(now), Used: h.used + float64(waiting), Unspent: h.tokens}
+	h.tokens, h.used = 0, 0
+	return w
+}
+
+// ahead is how many tokens to have for later calls.
+func (h *Holder) ahead(now time.Time) float64 {
+	return math.Floor(h.demand.rate(now) * fetchTime.Seconds())
+}
+
+// Low reports whether it is time to fetch ahead of the demand.
+func (h *Holder) Low(now time.Time) bool {
+	h.expire(now)
+	return h.ahead(now) >= 1 && h.tokens < h.ahead(now)/2 && !now.Before(h.denied)
+}
+
+// Ending reports whether tokens are held that should be handed back before
+// they lapse.
+func (h *Holder) Ending(now time.Time) bool {
+	h.expire(now)
+	return h.tokens > 0 && h.until.Sub(now) < LeaseTime/2
+}
+
+// Receive takes the answer to a request that was sent at a time. It returns
+// how many of the calls that waited may go on.
+func (h *Holder) Receive(now, asked time.Time, l Lease) (served int) {
+	h.expire(now)
+	if l.Number != h.number {
+		return 0 // an answer to an earlier request
+	}
+	if l.WaitMs > 0 {
+		const longest = 50 * time.Millisecond
+		h.denied = now.Add(min(time.Duration(l.WaitMs)*time.Millisecond, longest))
+		return 0
+	}
+	if until := asked.Add(shorten(l.TimeMs)); until.After(now) && l.Tokens > 0 {
+		h.tokens, h.until = l.Tokens, until
+	}
+	if now.Sub(asked) > shorten(SpendTime.Milliseconds()) {
+		return 0
+	}
+	return int(l.Spend)
+}
+
+// shorten takes the margin for clocks off a span in milliseconds.
+func shorten(ms int64) time.Duration {
+	return time.Duration(float64(ms) * (1 - holderMargin) * float64(time.Millisecond))
+}
+
+func (h *Holder) expire(now time.Time) {
+	if now.After(h.until) {
+		h.tokens = 0
+	}
+}
--- /dev/null
+++ b/core/quota/owner.go
@@ -0,0 +1,367 @@
+package quota
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"chicorymast/core/ident"
+)
+
+const (
+	// LeaseTime is how long a daemon may spend the tokens it was given.
+	LeaseTime = time.Second
+	// SpendTime is how long tokens for calls that wait may take to be spent;
+	// an answer that comes later is of no use for them.
+	SpendTime = 50 * time.Millisecond
+	// LoanTime is how long one data centre may use another's share.
+	LoanTime = 4 * time.Second
+	// holderMargin of a lease's time is kept back by who received it, for
+	// clocks that do not run alike.
+	holderMargin = 0.1
+	// demandTime is over how long demand is averaged.
+	demandTime = time.Second
+	// headroom is how much above its demand an owner wants to hold.
+	headroom = 1.25
+	// epsilon is what counts as nothing among shares.
+	epsilon = 1e-9
+)
+
+// Lease is what a daemon receives.
+type Lease struct {
+	// Number is that of the request.
+	Number uint64 `json:"number"`
+	// Spend are tokens for calls that wait; they count only if they arrive
+	// within SpendTime.
+	Spend float64 `json:"spend"`
+	// Tokens are for later calls; TimeMs is how long they may be spent.
+	Tokens float64 `json:"tokens"`
+	TimeMs int64   `json:"time_ms"`
+	// WaitMs says when to ask again if there are no tokens.
+	WaitMs int64 `json:"wait_ms"`
+}
+
+// Loan is a share of a grant that one data centre lends to another, with the
+// tokens that lay in it.
+type Loan struct {
+	Share  float64 `json:"share"`
+	Tokens float64 `json:"tokens"`
+	TimeMs int64   `json:"time_ms"`
+}
+
+// Owner holds one data centre's share of a grant and divides it among the
+// daemons there. The shares of all data centres add up to one; a share is
+// lent for a time and comes back by itself.
+type Owner struct {
+	rate, burst float64
+	// base is the data centre's own share, from 0 to 1.
+	base float64
+	// tokens are kept here; those leased are in out.
+	tokens   float64
+	at       time.Time
+	lent     []loan
+	borrowed []loan
+	out      map[ident.VM]held
+	// seen is the newest request of each daemon.
+	seen map[ident.VM]uint64
+	// spending are tokens on their way to calls that wait, oldest first.
+	spending []held
+	demand   meter
+	// idleUntil is the end of the wait after a takeover.
+	idleUntil time.Time
+}
+
+type loan struct {
+	with  ident.DataCentre
+	share float64
+	until time.Time
+}
+
+type held struct {
+	tokens float64
+	until  time.Time
+}
+
+// NewOwner returns an owner whose bucket is empty at a time by which all that
+// any earlier owner gave has ended. It gives nothing before; when the time has
+// passed, tokens have accrued since.
+func NewOwner(idleUntil time.Time, rate ident.Rate, burst ident.Burst, base float64) *Owner {
+	return &Owner{
+		rate: float64(rate), burst: float64(burst), base: base, at: idleUntil,
+		out: map[ident.VM]held{}, seen: map[ident.VM]uint64{}, idleUntil: idleUntil,
+	}
+}
+
+// Adjust follows a change of the configuration.
+func (o *Owner) Adjust(now time.Time, rate ident.Rate, burst ident.Burst, base float64) {
+	if o.rate == float64(rate) && o.burst == float64(burst) && o.base == base {
+		return
+	}
+	o.advance(now)
+	o.rate, o.burst, o.base = float64(rate), float64(burst), base
+	o.cap()
+}
+
+// Want is what a daemon asks for: tokens for calls that wait, and tokens to
+// have for later ones. Used is how many it has spent since it asked last.
+type Want struct {
+	// Number grows with each request of a daemon. A request says that all
+	// leases before it have ended, so it must not be taken after a later one.
+	Number uint64  `json:"number"`
+	Spend  float64 `json:"spend"`
+	Ahead  float64 `json:"ahead"`
+	Used   float64 `json:"used"`
+	// Unspent is handed back.
+	Unspent float64 `json:"unspent"`
+}
+
+// Lease gives tokens to a daemon and takes back what it has not spent.
+func (o *Owner) Lease(now time.Time, to ident.VM, w Want) Lease {
+	l := o.lease(now, to, w)
+	l.Number = w.Number
+	return l
+}
+
+func (o *Owner) lease(now time.Time, to ident.VM, w Want) Lease {
+	o.advance(now)
+	if w.Number <= o.seen[to] {
+		return Lease{WaitMs: 1}
+	}
+	o.seen[to] = w.Number
+	o.takeBack(to, w.Unspent)
+	o.demand.add(now, w.Used)
+	if now.Before(o.idleUntil) {
+		return Lease{WaitMs: ceilMs(o.idleUntil.Sub(now))}
+	}
+	if w.Spend+w.Ahead < 1 {
+		return Lease{}
+	}
+	spend := math.Floor(min(w.Spend, o.tokens))
+	if spend < 1 && w.Spend >= 1 {
+		return Lease{WaitMs: o.waitMs()}
+	}
+	o.tokens -= spend
+	if spend > 0 {
+		o.spending = append(o.spending, held{tokens: spend, until: now.Add(SpendTime)})
+	}
+	l := Lease{Spend: spend}
+	until := o.leaseEnd(now)
+	// Most of what is left stays for the other daemons.
+	if ahead := math.Floor(min(w.Ahead, o.tokens/4)); ahead >= 1 && until.After(now) {
+		o.tokens -= ahead
+		o.out[to] = held{tokens: ahead, until: until}
+		l.Tokens, l.TimeMs = ahead, until.Sub(now).Milliseconds()
+	}
+	return l
+}
+
+// leaseEnd keeps leases from outliving a borrowed share that backs them.
+func (o *Owner) leaseEnd(now time.Time) time.Time {
+	end := now.Add(LeaseTime)
+	for _, b := range o.borrowed {
+		if b.until.Before(end) {
+			end = b.until
+		}
+	}
+	return end
+}
+
+func (o *Owner) takeBack(from ident.VM, unspent float64) {
+	had, ok := o.out[from]
+	if !ok {
+		return
+	}
+	back := min(max(unspent, 0), had.tokens)
+	delete(o.out, from)
+	o.tokens += back
+	o.cap()
+}
+
+func (o *Owner) waitMs() int64 {
+	fill := o.Share() * o.rate
+	if fill <= 0 {
+		return LoanTime.Milliseconds()
+	}
+	missing := max(0, 1-o.tokens)
+	return max(1, int64(math.Ceil(missing/fill*1000)))
+}
+
+// Lend gives a part of the share to another data centre: at most what is
+// asked for and what the demand here leaves.
+func (o *Owner) Lend(now time.Time, to ident.DataCentre, want float64) Loan {
+	o.advance(now)
+	if now.Before(o.idleUntil) {
+		return Loan{}
+	}
+	own := o.ownShare()
+	spare := min(want, own, o.Share()-o.needed(now))
+	if spare <= epsilon || own <= 0 {
+		return Loan{}
+	}
+	tokens := o.tokens * spare / o.Share()
+	o.tokens -= tokens
+	o.lent = append(o.lent, loan{with: to, share: spare, until: now.Add(LoanTime)})
+	o.cap()
+	return Loan{Share: spare, Tokens: tokens, TimeMs: LoanTime.Milliseconds()}
+}
+
+// Borrow takes a loan that was asked for at a time.
+func (o *Owner) Borrow(now, asked time.Time, from ident.DataCentre, l Loan) {
+	o.advance(now)
+	until := asked.Add(shorten(l.TimeMs))
+	if l.Share <= 0 || !until.After(now) {
+		return
+	}
+	o.borrowed = append(o.borrowed, loan{with: from, share: l.Share, until: until})
+	o.tokens += l.Tokens
+	o.cap()
+}
+
+// Wants returns the share that the demand asks for beyond what is held,
+// counting loans that end within half a loan's time as ended.
+func (o *Owner) Wants(now time.Time) float64 {
+	o.advance(now)
+	lasting := o.ownShare()
+	for _, b := range o.borrowed {
+		if b.until.Sub(now) > LoanTime/2 {
+			lasting += b.share
+		}
+	}
+	return max(0, o.needed(now)-lasting)
+}
+
+// Share returns the share that is held at the moment.
+func (o *Owner) Share() float64 {
+	share := o.ownShare()
+	for _, b := range o.borrowed {
+		share += b.share
+	}
+	return share
+}
+
+// Outstanding returns the tokens that daemons hold.
+func (o *Owner) Outstanding() float64 {
+	sum := 0.0
+	for _, h := range o.out {
+		sum += h.tokens
+	}
+	for _, h := range o.spending {
+		sum += h.tokens
+	}
+	return sum
+}
+
+// Full reports whether the bucket holds all that it can.
+func (o *Owner) Full(now time.Time) bool {
+	o.advance(now)
+	return o.tokens >= o.Share()*o.burst-epsilon
+}
+
+// FillTime returns how long an empty bucket takes to fill.
+func (o *Owner) FillTime() time.Duration {
+	return time.Duration(o.burst / o.rate * float64(time.Second))
+}
+
+// Idle reports whether nothing was asked for lately and nothing is lent.
+func (o *Owner) Idle(now time.Time) bool {
+	o.advance(now)
+	return o.demand.rate(now) < epsilon && len(o.lent)+len(o.borrowed)+len(o.out)+len(o.spending) == 0
+}
+
+func (o *Owner) ownShare() float64 {
+	share := o.base
+	for _, l := range o.lent {
+		share -= l.share
+	}
+	return max(0, share)
+}
+
+// needed is the share of the whole rate that the demand here amounts to.
+func (o *Owner) needed(now time.Time) float64 {
+	return min(1, headroom*o.demand.rate(now)/o.rate)
+}
+
+// advance lets time pass: tokens accrue, loans and leases end, each at its
+// own moment.
+func (o *Owner) advance(now time.Time) {
+	for {
+		end, found := o.nextEnd()
+		if !found || end.After(now) {
+			break
+		}
+		o.accrue(end)
+		o.endAt(end)
+		o.cap()
+	}
+	o.accrue(now)
+}
+
+func (o *Owner) nextEnd() (end time.Time, found bool) {
+	note := func(t time.Time) {
+		if !found || t.Before(end) {
+			end, found = t, true
+		}
+	}
+	for _, l := range slices.Concat(o.lent, o.borrowed) {
+		note(l.until)
+	}
+	for _, h := range o.out {
+		note(h.until)
+	}
+	if len(o.spending) > 0 {
+		note(o.spending[0].until)
+	}
+	return end, found
+}
+
+func (o *Owner) endAt(t time.Time) {
+	over := func(l loan) bool { return !l.until.After(t) }
+	o.lent = slices.DeleteFunc(o.lent, over)
+	o.borrowed = slices.DeleteFunc(o.borrowed, over)
+	o.spending = slices.DeleteFunc(o.spending, func(h held) bool { return !h.until.After(t) })
+	maps.DeleteFunc(o.out, func(_ ident.VM, h held) bool { return !h.until.After(t) })
+}
+
+func (o *Owner) accrue(now time.Time) {
+	if now.After(o.at) {
+		o.tokens += o.Share() * o.rate * now.Sub(o.at).Seconds()
+		o.at = now
+	}
+	o.cap()
+}
+
+// cap holds kept and leased tokens together within the share of the burst.
+func (o *Owner) cap() {
+	o.tokens = max(0, min(o.tokens, o.Share()*o.burst-o.Outstanding()))
+}
+
+func ceilMs(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
+
+// meter averages what is asked for over time.
+type meter struct {
+	sum float64
+	at  time.Time
+}
+
+func (m *meter) add(now time.Time, n float64) {
+	m.decay(now)
+	m.sum += n
+}
+
+// rate returns tokens per second.
+func (m *meter) rate(now time.Time) float64 {
+	m.decay(now)
+	return m.sum / demandTime.Seconds()
+}
+
+func (m *meter) decay(now time.Time) {
+	if !m.at.IsZero() && now.After(m.at) {
+		m.sum *= math.Exp(-now.Sub(m.at).Seconds() / demandTime.Seconds())
+	}
+	if now.After(m.at) {
+		m.at = now
+	}
+}
--- /dev/null
+++ b/core/quota/quota_test.go
@@ -0,0 +1,236 @@
+package quota
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"chicorymast/core/ident"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the random tests; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	flag.Parse()
+	m.Run()
+}
+
+var epoch = time.Unix(1_000_000, 0)
+
+// TestDemandBelowTheRateIsServed spreads calls at 80% of a data centre's part
+// of a grant over daemons and counts those that find no token.
+func TestDemandBelowTheRateIsServed(t *testing.T) {
+	for _, daemons := range []int{1, 3, 20} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			const rate, burst, share, load = 30.0, 30.0, 0.5, 0.8
+			rng := rand.New(rand.NewPCG(1, 2))
+			owner := NewOwner(epoch.Add(-time.Minute), rate, burst, share)
+			holders := make([]Holder, daemons)
+			now := epoch
+			missed, calls := 0, 0
+			for next := epoch; now.Before(epoch.Add(2 * time.Minute)); now = now.Add(10 * time.Millisecond) {
+				for i := range holders {
+					h := &holders[i]
+					if h.Ending(now) {
+						h.Receive(now, now, owner.Lease(now, vm(i), h.Ask(now, 0)))
+					}
+				}
+				for ; next.Before(now); next = next.Add(time.Duration(rng.ExpFloat64() / (rate * share * load) * float64(time.Second))) {
+					calls++
+					if !callOnce(now, owner, holders, rng.IntN(daemons)) {
+						missed++
+					}
+				}
+			}
+			t.Logf("%d of %d calls found no token", missed, calls)
+			assert.Assert(t, float64(missed) <= 0.001*float64(calls), "%d of %d", missed, calls)
+		})
+	}
+}
+
+func vm(i int) ident.VM { return ident.VM(fmt.Sprintf("vm-%d", i)) }
+
+func callOnce(now time.Time, o *Owner, holders []Holder, i int) bool {
+	h := &holders[i]
+	if h.Take(now) {
+		return true
+	}
+	return h.Receive(now, now, o.Lease(now, vm(i), h.Ask(now, 1))) == 1
+}
+
+// gauge is one bucket over all VMs: what the whole grant allows.
+type gauge struct {
+	rate, burst, tokens float64
+	at                  time.Time
+}
+
+func (g *gauge) spend(now time.Time, n int) (ok bool) {
+	g.tokens = min(g.burst, g.tokens+g.rate*now.Sub(g.at).Seconds())
+	g.at = now
+	g.tokens -= float64(n)
+	const rounding = 1e-6
+	return g.tokens >= -rounding
+}
+
+// world is a few data centres whose messages take their time or are lost, and
+// whose daemons' clocks run differently.
+type world struct {
+	t       *rapid.T
+	now     time.Time
+	rate    ident.Rate
+	burst   ident.Burst
+	owners  []*Owner
+	holders [][]*Holder
+	skew    [][]float64
+	later   []event
+	gauge   gauge
+}
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		t: t, now: epoch,
+		rate:  ident.Rate(rapid.SampledFrom([]float64{5, 50, 400}).Draw(t, "rate")),
+		burst: ident.Burst(rapid.SampledFrom([]float64{8, 40, 300}).Draw(t, "burst")),
+	}
+	w.gauge = gauge{rate: float64(w.rate), burst: float64(w.burst), tokens: float64(w.burst), at: epoch}
+	n := rapid.IntRange(1, 3).Draw(t, "data centres")
+	for range n {
+		w.owners = append(w.owners, NewOwner(epoch.Add(-time.Hour), w.rate, w.burst, 1/float64(n)))
+		holders, skew := []*Holder{}, []float64{}
+		for range rapid.IntRange(1, 3).Draw(t, "daemons") {
+			holders = append(holders, &Holder{})
+			skew = append(skew, rapid.SampledFrom([]float64{0.97, 1, 1.03}).Draw(t, "skew"))
+		}
+		w.holders, w.skew = append(w.holders, holders), append(w.skew, skew)
+	}
+	return w
+}
+
+// clock is what a daemon's own clock shows.
+func (w *world) clock(dc, vm int) time.Time {
+	return epoch.Add(time.Duration(float64(w.now.Sub(epoch)) * w.skew[dc][vm]))
+}
+
+func (w *world) delay() time.Duration {
+	return time.Duration(rapid.SampledFrom([]int{0, 1, 5, 60, 400}).Draw(w.t, "delay")) * time.Millisecond
+}
+
+func (w *world) lost() bool { return rapid.IntRange(0, 9).Draw(w.t, "lost") == 0 }
+
+func (w *world) after(d time.Duration, do func()) {
+	w.later = append(w.later, event{at: w.now.Add(d), do: do})
+}
+
+// advance carries out what becomes due, in order of time.
+func (w *world) advance(d time.Duration) {
+	end := w.now.Add(d)
+	for {
+		first := -1
+		for i, e := range w.later {
+			if !e.at.After(end) && (first < 0 || e.at.Before(w.later[first].at)) {
+				first = i
+			}
+		}
+		if first < 0 {
+			break
+		}
+		e := w.later[first]
+		w.later = append(w.later[:first], w.later[first+1:]...)
+		if e.at.After(w.now) {
+			w.now = e.at
+		}
+		e.do()
+	}
+	w.now = end
+}
+
+func (w *world) spend(n int) {
+	if !w.gauge.spend(w.now, n) {
+		w.t.Fatalf("more than rate %v and burst %v over all VMs: %v tokens too many", w.rate, w.burst, -w.gauge.tokens)
+	}
+}
+
+func (w *world) ask(dc, vm, waiting int) {
+	h := w.holders[dc][vm]
+	asked := w.clock(dc, vm)
+	want := h.Ask(asked, waiting)
+	if w.lost() {
+		return
+	}
+	w.after(w.delay(), func() {
+		l := w.owners[dc].Lease(w.now, ident.VM(fmt.Sprintf("%d-%d", dc, vm)), want)
+		if w.lost() {
+			return
+		}
+		w.after(w.delay(), func() { w.spend(h.Receive(w.clock(dc, vm), asked, l)) })
+	})
+}
+
+func (w *world) borrow(to, from int) {
+	asked := w.now
+	want := rapid.Float64Range(0, 1).Draw(w.t, "share")
+	w.after(w.delay(), func() {
+		l := w.owners[from].Lend(w.now, ident.DataCentre(fmt.Sprint(to)), want)
+		if w.lost() {
+			return
+		}
+		w.after(w.delay(), func() { w.owners[to].Borrow(w.now, asked, ident.DataCentre(fmt.Sprint(from)), l) })
+	})
+}
+
+func (w *world) replaceOwner(dc int) {
+	base := 1 / float64(len(w.owners))
+	if rapid.Bool().Draw(w.t, "crash") {
+		w.owners[dc] = NewOwner(w.now.Add(LoanTime), w.rate, w.burst, base)
+		return
+	}
+	s := w.owners[dc].Yield(w.now)
+	w.owners[dc] = NewOwner(w.now.Add(time.Hour), w.rate, w.burst, base) // gives nothing on the way
+	w.advance(w.delay())
+	w.owners[dc] = Resume(w.now, w.rate, w.burst, base, s)
+}
+
+// TestNeverAboveRateAndBurst lets daemons, owners, loans, crashes and
+// takeovers happen at random; whatever happens, one bucket over all VMs must
+// be able to pay for every call that went on.
+func TestNeverAboveRateAndBurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		for range rapid.IntRange(20, 300).Draw(t, "steps") {
+			dc := rapid.IntRange(0, len(w.owners)-1).Draw(t, "dc")
+			vm := rapid.IntRange(0, len(w.holders[dc])-1).Draw(t, "vm")
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0, 1:
+				w.advance(time.Duration(rapid.SampledFrom([]int{1, 20, 200, 1500}).Draw(t, "ms")) * time.Millisecond)
+			case 2, 3, 4, 5:
+				if w.holders[dc][vm].Take(w.clock(dc, vm)) {
+					w.spend(1)
+				} else {
+					w.ask(dc, vm, rapid.IntRange(1, 20).Draw(t, "waiting"))
+				}
+			case 6, 7:
+				w.ask(dc, vm, 0)
+			case 8:
+				if from := rapid.IntRange(0, len(w.owners)-1).Draw(t, "from"); from != dc {
+					w.borrow(dc, from)
+				}
+			case 9:
+				if rapid.IntRange(0, 5).Draw(t, "replace") == 0 {
+					w.replaceOwner(dc)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/core/quota/state.go
@@ -0,0 +1,77 @@
+package quota
+
+import (
+	"maps"
+	"time"
+
+	"chicorymast/core/ident"
+)
+
+// State is what one owner hands to the next. Times are spans from now.
+type State struct {
+	Tokens   float64             `json:"tokens"`
+	Lent     []Span              `json:"lent,omitempty"`
+	Borrowed []Span              `json:"borrowed,omitempty"`
+	Out      map[ident.VM]Span   `json:"out,omitempty"`
+	Seen     map[ident.VM]uint64 `json:"seen,omitempty"`
+	Spending []Span              `json:"spending,omitempty"`
+	// IdleMs is for how long nothing may be given yet.
+	IdleMs int64 `json:"idle_ms,omitempty"`
+}
+
+// Span is an amount that ends after a while.
+type Span struct {
+	With   ident.DataCentre `json:"with,omitempty"`
+	Amount float64          `json:"amount"`
+	LeftMs int64            `json:"left_ms"`
+}
+
+// Yield ends this owner and returns its state.
+func (o *Owner) Yield(now time.Time) State {
+	o.advance(now)
+	s := State{Tokens: o.tokens, Lent: spans(now, o.lent), Borrowed: spans(now, o.borrowed), Out: map[ident.VM]Span{}, Seen: maps.Clone(o.seen)}
+	s.IdleMs = max(0, ceilMs(o.idleUntil.Sub(now)))
+	for vm, h := range o.out {
+		s.Out[vm] = Span{Amount: h.tokens, LeftMs: ceilMs(h.until.Sub(now))}
+	}
+	for _, h := range o.spending {
+		// The next owner counts them as kept back for as long as they may take.
+		s.Spending = append(s.Spending, Span{Amount: h.tokens, LeftMs: ceilMs(h.until.Sub(now))})
+	}
+	o.tokens = 0
+	o.base = 0
+	return s
+}
+
+// Resume returns an owner that goes on from another one's state. Borrowed
+// shares are counted from now, which is later than they were yielded, so
+// they lose the margin for the way again.
+func Resume(now time.Time, rate ident.Rate, burst ident.Burst, base float64, s State) *Owner {
+	o := NewOwner(now.Add(time.Duration(s.IdleMs)*time.Millisecond), rate, burst, base)
+	o.tokens = s.Tokens
+	for _, l := range s.Lent {
+		o.lent = append(o.lent, loan{with: l.With, share: l.Amount, until: now.Add(time.Duration(l.LeftMs) * time.Millisecond)})
+	}
+	for _, b := range s.Borrowed {
+		o.borrowed = append(o.borrowed, loan{with: b.With, share: b.Amount, until: now.Add(shorten(b.LeftMs))})
+	}
+	for vm, h := range s.Out {
+		o.out[vm] = held{tokens: h.Amount, until: now.Add(time.Duration(h.LeftMs) * time.Millisecond)}
+	}
+	for _, h := range s.Spending {
+		o.spending = append(o.spending, held{tokens: h.Amount, until: now.Add(time.Duration(h.LeftMs) * time.Millisecond)})
+	}
+	for vm, number := range s.Seen {
+		o.seen[vm] = number
+	}
+	o.cap()
+	return o
+}
+
+func spans(now time.Time, loans []loan) []Span {
+	out := make([]Span, 0, len(loans))
+	for _, l := range loans {
+		out = append(out, Span{With: l.with, Amount: l.share, LeftMs: l.until.Sub(now).Milliseconds()})
+	}
+	return out
+}
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -123,6 +123,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	stopWatch := a.interruptOnChange(callCtx, cancel)
+	sent := a.opt.Clock.Now()
 	reply, err := wire.Call[wire.SyncReply](callCtx, a.opt.Pool, a.relay, wire.MethodSync, a.request(wait))
 	interrupted := stopWatch()
 	if ctx.Err() != nil || (err != nil && interrupted) {
@@ -133,6 +134,7 @@
 		a.pause(ctx)
 		return
 	}
+	a.opt.Board.Contact.Write(&board.Contact{At: sent})
 	a.take(reply)
 }
 
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"chicorymast/io/ctrl"
 	"chicorymast/io/event"
 	"chicorymast/io/proxy"
+	"chicorymast/io/ration"
 	"chicorymast/io/relay"
 	"chicorymast/io/timer"
 	"chicorymast/io/trace"
@@ -53,6 +54,7 @@
 	relay   *relay.Relay
 	agent   *agent.Agent
 	control *ctrl.Control
+	ration  *ration.Ration
 	proxy   *proxy.Proxy
 	tracer  *trace.Tracer
 	host    *host
@@ -116,6 +118,10 @@
 		Relays:       d.relays,
 		FollowConfig: cfg.Daemon.Role != config.RoleControl,
 	})
+	d.ration = ration.New(ration.Options{
+		VM: cfg.Daemon.VM, DataCentre: cfg.Daemon.DataCentre, Clock: d.clock, Board: d.board, Pool: d.pool,
+	})
+	d.ration.Register(d.server)
 	if cfg.Daemon.Role != config.RoleControl {
 		return nil
 	}
@@ -190,7 +196,7 @@
 		Trace:   d.tracer,
 		Meter:   proxy.NewMeter(d.reg),
 		Seed:    uint64(d.clock.Now().UnixNano()),
-		Quota:   proxy.NewLocalQuota(d.clock),
+		Quota:   d.ration,
 		Records: proxy.NewLocalRecords(d.clock),
 	})
 }
@@ -276,7 +282,7 @@
 	for _, l := range d.listeners {
 		go d.serve(l)
 	}
-	d.stops = append(d.stops, d.relay.Start(), d.proxy.Start(), d.clock.Every(hostTick, d.host.tick))
+	d.stops = append(d.stops, d.relay.Start(), d.ration.Start(), d.proxy.Start(), d.clock.Every(hostTick, d.host.tick))
 	if d.control != nil {
 		d.control.Start()
 		d.stops = append(d.stops, d.control.Stop)
--- /dev/null
+++ b/io/ration/borrow.go
@@ -0,0 +1,65 @@
+package ration
+
+import (
+	"context"
+	"time"
+
+	"chicorymast/core/ident"
+	"chicorymast/core/quota"
+	"chicorymast/core/rendez"
+	"chicorymast/io/wire"
+)
+
+// borrowAll asks other data centres for shares of the grants that are short
+// here.
+func (r *Ration) borrowAll(now time.Time) {
+	r.ownMu.Lock()
+	defer r.ownMu.Unlock()
+	for g, o := range r.owners {
+		if o.borrowing || !r.mayOwn(now, g) {
+			continue
+		}
+		if want := o.core.Wants(now); want > 0 {
+			o.borrowing = true
+			go r.borrow(g, o, want)
+		}
+	}
+}
+
+func (r *Ration) borrow(g ident.Grant, o *owned, want float64) {
+	defer func() {
+		r.ownMu.Lock()
+		defer r.ownMu.Unlock()
+		o.borrowing = false
+	}()
+	in := r.opt.Board.Config.Read().State.Intent
+	for dc := range in.DataCentres {
+		if dc == r.opt.DataCentre {
+			continue
+		}
+		asked := r.opt.Clock.Now()
+		l, err := r.askLoan(g, dc, want)
+		if err != nil || l.Share <= 0 {
+			continue
+		}
+		r.ownMu.Lock()
+		o.core.Borrow(r.opt.Clock.Now(), asked, dc, l)
+		r.ownMu.Unlock()
+		if want -= l.Share; want <= 0 {
+			return
+		}
+	}
+}
+
+func (r *Ration) askLoan(g ident.Grant, dc ident.DataCentre, want float64) (quota.Loan, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	members := r.opt.Board.Members.Read()
+	vm, ok := rendez.First(ownerKey(g), members.ByDataCentre[dc])
+	if !ok {
+		return quota.Loan{}, nil
+	}
+	q := wire.QuotaLendRequest{DataCentre: r.opt.DataCentre, Grant: g, Want: want}
+	reply, err := wire.Call[wire.QuotaLendReply](ctx, r.opt.Pool, members.ByVM[vm].Addresses.Control, wire.MethodQuotaLend, q)
+	return reply.Loan, err
+}
--- a/io/trial/content.go
+++ b/io/trial/content.go
@@ -12,6 +12,9 @@
 func (f *Fleet) intent() string {
 	var b strings.Builder
 	b.WriteString("[limits]\nretries = 3\ntimeout = 5s\n")
+	for _, dc := range f.layout.DataCentres {
+		fmt.Fprintf(&b, "\n[data_centre %s]\nweight = 1\n", dc)
+	}
 	for _, s := range f.layout.Services {
 		fmt.Fprintf(&b, "\n[service %s]\nslots = %d\nservers = %d\nservice_time = %s\n", s.Name, s.Slots, s.Servers, s.Mean)
 	}
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -5,6 +5,7 @@
 
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
+	"chicorymast/core/quota"
 	"chicorymast/core/raft"
 	"chicorymast/core/state"
 )
@@ -176,3 +177,50 @@
 	// Behind names some of those where the revision is not in force yet.
 	Behind []ident.VM `json:"behind,omitempty"`
 }
+
+// The methods that divide rates.
+const (
+	// MethodQuotaLease asks a grant's owner for tokens.
+	MethodQuotaLease Method = "quota_lease"
+	// MethodQuotaLend asks another data centre for a share.
+	MethodQuotaLend Method = "quota_lend"
+	// MethodQuotaYield hands a grant's state to its new owner.
+	MethodQuotaYield Method = "quota_yield"
+)
+
+// QuotaLeaseRequest asks for tokens and hands back unspent ones.
+type QuotaLeaseRequest struct {
+	VM    ident.VM    `json:"vm"`
+	Grant ident.Grant `json:"grant"`
+	Want  quota.Want  `json:"want"`
+}
+
+// QuotaLeaseReply gives tokens; Owner is false when the asked VM does not own
+// the grant.
+type QuotaLeaseReply struct {
+	Owner bool        `json:"owner"`
+	Lease quota.Lease `json:"lease"`
+}
+
+// QuotaLendRequest asks for a share of a grant.
+type QuotaLendRequest struct {
+	DataCentre ident.DataCentre `json:"data_centre"`
+	Grant      ident.Grant      `json:"grant"`
+	Want       float64          `json:"want"`
+}
+
+// QuotaLendReply is what is lent; a share of zero is a refusal.
+type QuotaLendReply struct {
+	Loan quota.Loan `json:"loan"`
+}
+
+// QuotaYieldRequest comes from the new owner of a grant.
+type QuotaYieldRequest struct {
+	VM    ident.VM    `json:"vm"`
+	Grant ident.Grant `json:"grant"`
+}
+
+// QuotaYieldReply holds the state of the owner before, if it has one.
+type QuotaYieldReply struct {
+	State *quota.State `json:"state,omitempty"`
+}
