record, dedup: claim actions at a majority of replicas; stand-in relays

Cause: an action's record lived on the daemon where it entered, so a caller's retry at another daemon, or after a restart, ran it again. A data centre whose relay was lost had no way to keep its members.

Change: 16 groups of up to 5 daemons in each data centre keep records in memory; the leader assigns them through the log, one member at a time. An action runs when a majority holds its claim; a replica that restarted, or is new, answers only after it copied the records of a majority. Any VM stands in as relay, by rendezvous, when none that is named answers.

Conclusion: two quorum round trips for work that must not run twice, nothing for the rest.

--- a/config/calls.go
+++ b/config/calls.go
@@ -23,7 +23,7 @@
 func defaultCalls() Calls {
 	return Calls{
 		ReplayLimit:     64 << 10,
-		AnswerLimit:     1 << 20,
+		AnswerLimit:     64 << 10,
 		ProgressTimeout: 10 * time.Second,
 		ConnectTimeout:  time.Second,
 		HeaderLimit:     32 << 10,
--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -40,6 +40,7 @@
 	ReasonActionConflict   Reason = "action_conflict"
 	ReasonActionRunning    Reason = "action_running"
 	ReasonActionUnknown    Reason = "outcome_unknown"
+	ReasonActionDone       Reason = "action_done"
 	ReasonOverRate         Reason = "over_rate"
 	ReasonBodyTooLarge     Reason = "body_too_large"
 	ReasonBadRequest       Reason = "bad_request"
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -54,6 +54,8 @@
 	Addresses  Addresses        `json:"addresses"`
 	Served     *Served          `json:"served,omitempty"`
 	Phase      Phase            `json:"phase"`
+	// Relay is set while other daemons announce themselves to this one.
+	Relay bool `json:"relay,omitempty"`
 	// Version orders the announcements of one VM; it starts at the VM's start
 	// time, so that a restarted daemon is newer than its earlier life.
 	Version uint64 `json:"version"`
@@ -156,6 +158,16 @@
 	return d.change
 }
 
+// AnyOther reports whether a VM other than the given one takes part.
+func (d *Directory) AnyOther(self ident.VM) bool {
+	for vm, r := range d.records {
+		if vm != self && r.entry.Phase != PhaseGone {
+			return true
+		}
+	}
+	return false
+}
+
 // Get returns the entry of a VM.
 func (d *Directory) Get(vm ident.VM) (Entry, bool) {
 	r := d.records[vm]
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -57,6 +57,17 @@
 	Draining bool     `json:"draining"`
 }
 
+// AssignGroup sets the replicas that keep the records of actions in a data
+// centre. The leader proposes it, one member changed at a time.
+type AssignGroup struct {
+	Head
+	DataCentre ident.DataCentre `json:"data_centre"`
+	Index      int              `json:"index"`
+	// After is the epoch that the change was made on.
+	After   ident.Revision `json:"after"`
+	Members []ident.VM     `json:"members"`
+}
+
 // Kind names the form of an encoded command.
 type Kind string
 
@@ -66,6 +77,7 @@
 	KindGrantKey    Kind = "grant_key"
 	KindWithdrawKey Kind = "withdraw_key"
 	KindSetDrain    Kind = "set_drain"
+	KindAssignGroup Kind = "assign_group"
 )
 
 // ErrCommand is wrapped by every error about an unreadable command.
@@ -87,6 +99,8 @@
 		return KindWithdrawKey
 	case SetDrain:
 		return KindSetDrain
+	case AssignGroup:
+		return KindAssignGroup
 	}
 	return ""
 }
@@ -115,6 +129,8 @@
 		return decodeBody[WithdrawKey](env.Body)
 	case KindSetDrain:
 		return decodeBody[SetDrain](env.Body)
+	case KindAssignGroup:
+		return decodeBody[AssignGroup](env.Body)
 	}
 	return nil, fmt.Errorf("%w: kind %q", ErrCommand, env.Kind)
 }
--- /dev/null
+++ b/core/state/group.go
@@ -0,0 +1,60 @@
+package state
+
+import (
+	"slices"
+
+	"chicorymast/core/ident"
+)
+
+// GroupsPerDataCentre is over how many groups of replicas the records of
+// actions are spread in each data centre.
+const GroupsPerDataCentre = 16
+
+// Group is the replicas of one part of the actions' records.
+type Group struct {
+	// Epoch is the revision at which the members were set.
+	Epoch   ident.Revision `json:"epoch"`
+	Members []ident.VM     `json:"members"`
+	// Before are the members of the epoch before.
+	Before []ident.VM `json:"before,omitempty"`
+}
+
+// Has reports whether a VM is a member.
+func (g Group) Has(vm ident.VM) bool {
+	return slices.Contains(g.Members, vm)
+}
+
+// assignGroup accepts a first assignment, or one that adds, removes or
+// replaces a single member of the epoch that it was made on.
+func (s *State) assignGroup(c AssignGroup) Result {
+	groups := s.Groups[c.DataCentre]
+	if c.Index < 0 || c.Index >= GroupsPerDataCentre || len(c.Members) == 0 {
+		return Result{Outcome: OutcomeInvalid, Detail: "no such group of replicas"}
+	}
+	if len(groups) == 0 {
+		groups = make([]Group, GroupsPerDataCentre)
+	}
+	have := groups[c.Index]
+	if have.Epoch != c.After {
+		return Result{Outcome: OutcomeConflict, Detail: "the group was changed meanwhile"}
+	}
+	if len(have.Members) > 0 && (missing(have.Members, c.Members) > 1 || missing(c.Members, have.Members) > 1) {
+		return Result{Outcome: OutcomeInvalid, Detail: "only one replica can be changed at a time"}
+	}
+	r := s.accept()
+	groups = slices.Clone(groups)
+	groups[c.Index] = Group{Epoch: s.Revision, Members: slices.Clone(c.Members), Before: have.Members}
+	s.Groups[c.DataCentre] = groups
+	return r
+}
+
+// missing counts the VMs of a that are not in b.
+func missing(a, b []ident.VM) int {
+	n := 0
+	for _, vm := range a {
+		if !slices.Contains(b, vm) {
+			n++
+		}
+	}
+	return n
+}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -68,6 +68,8 @@
 	Intent   intent.Intent           `json:"intent"`
 	Keys     map[ident.KeyDigest]Key `json:"keys"`
 	Drains   map[ident.VM]bool       `json:"drains"`
+	// Groups are the replicas of actions' records in each data centre.
+	Groups map[ident.DataCentre][]Group `json:"groups"`
 	// ConfirmedBy is the change that last replaced the intent, at ConfirmedAt.
 	ConfirmedBy ident.ChangeID            `json:"confirmed_by"`
 	ConfirmedAt ident.Revision            `json:"confirmed_at"`
@@ -81,6 +83,7 @@
 		Intent:  intent.Empty(),
 		Keys:    map[ident.KeyDigest]Key{},
 		Drains:  map[ident.VM]bool{},
+		Groups:  map[ident.DataCentre][]Group{},
 		Results: map[ident.ChangeID]Result{},
 	}
 }
@@ -90,6 +93,7 @@
 	c := *s
 	c.Keys = maps.Clone(s.Keys)
 	c.Drains = maps.Clone(s.Drains)
+	c.Groups = maps.Clone(s.Groups)
 	c.Results = maps.Clone(s.Results)
 	c.Trail = slices.Clone(s.Trail)
 	return &c
@@ -101,6 +105,7 @@
 	c := *s
 	c.Keys = maps.Clone(s.Keys)
 	c.Drains = maps.Clone(s.Drains)
+	c.Groups = maps.Clone(s.Groups)
 	c.Results = map[ident.ChangeID]Result{}
 	c.Trail = nil
 	return &c
@@ -145,6 +150,8 @@
 		return s.withdrawKey(c)
 	case SetDrain:
 		return s.setDrain(c)
+	case AssignGroup:
+		return s.assignGroup(c)
 	}
 	return Result{Outcome: OutcomeInvalid, Detail: "unknown command"}
 }
@@ -238,7 +245,8 @@
 		Intent   intent.Intent
 		Keys     map[ident.KeyDigest]Key
 		Drains   map[ident.VM]bool
-	}{s.Revision, s.Intent, s.Keys, s.Drains})
+		Groups   map[ident.DataCentre][]Group
+	}{s.Revision, s.Intent, s.Keys, s.Drains, s.Groups})
 	if err != nil {
 		return ""
 	}
@@ -271,6 +279,9 @@
 	case SetDrain:
 		c.Head = Head{}
 		return c
+	case AssignGroup:
+		c.Head = Head{}
+		return c
 	}
 	return c
 }
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -38,6 +38,12 @@
 	staleAfter = 2 * time.Second
 	// retryPause stands between two attempts that fail.
 	retryPause = 200 * time.Millisecond
+	// preferredPause stands between two attempts to go back to the first relay.
+	preferredPause   = 5 * time.Second
+	preferredTimeout = 500 * time.Millisecond
+	// staleTurnsMost bounds how the time between changes grows while every
+	// relay is stale: a data centre that is cut off gains nothing by changing.
+	staleTurnsMost = 4
 	// keptSteps is how many commands are kept to be passed on as deltas.
 	keptSteps = 1024
 )
@@ -53,6 +59,8 @@
 	Log        *event.Log
 	// Relays lists the control addresses of relays, the preferred one first.
 	Relays func() []string
+	// Acting reports whether this daemon is a relay for others.
+	Acting func() bool
 	// FollowConfig is false on control daemons, which hold the log themselves.
 	FollowConfig bool
 }
@@ -68,6 +76,10 @@
 	turn    int
 	// sourceSince is when the present relay was chosen.
 	sourceSince time.Time
+	// preferredAt is when the preferred relay was tried last.
+	preferredAt time.Time
+	// staleTurns counts relays left because they were stale.
+	staleTurns int
 
 	mu      sync.Mutex
 	version uint64
@@ -80,6 +92,7 @@
 	served member.Served
 	phase  member.Phase
 	relay  string
+	acting bool
 }
 
 // New returns an agent that is not in touch yet.
@@ -115,6 +128,7 @@
 }
 
 func (a *Agent) round(ctx context.Context) {
+	a.tryPreferred(ctx)
 	a.chooseRelay()
 	wait := syncWait
 	if a.mark.Epoch == "" {
@@ -190,6 +204,27 @@
 
 func (a *Agent) nextRelay() {
 	a.turn++
+	a.preferredAt = a.opt.Clock.Now()
+}
+
+// tryPreferred goes back to the first relay of the list when it answers again
+// with a configuration that is no older.
+func (a *Agent) tryPreferred(ctx context.Context) {
+	now := a.opt.Clock.Now()
+	relays := a.opt.Relays()
+	if len(relays) == 0 || relays[a.turn%len(relays)] == relays[0] || now.Sub(a.preferredAt) < preferredPause {
+		return
+	}
+	a.preferredAt = now
+	ctx, cancel := context.WithTimeout(ctx, preferredTimeout)
+	defer cancel()
+	q := a.request(0)
+	q.Directory = wire.Mark{}
+	reply, err := wire.Call[wire.SyncReply](ctx, a.opt.Pool, relays[0], wire.MethodSync, q)
+	fresh := time.Duration(reply.AgeMs)*time.Millisecond <= max(staleAfter, a.opt.Board.Freshness.Read().Age(now))
+	if err == nil && fresh {
+		a.turn = 0
+	}
 }
 
 func (a *Agent) request(wait time.Duration) wire.SyncRequest {
@@ -215,7 +250,8 @@
 	if a.opt.Board.Life.Read().Phase == board.LifeStopping {
 		e.Phase = member.PhaseDraining
 	}
-	content := entryContent{phase: e.Phase, relay: a.relay}
+	e.Relay = a.opt.Acting()
+	content := entryContent{phase: e.Phase, relay: a.relay, acting: e.Relay}
 	if s := a.opt.Board.Served.Read(); s.Present() {
 		served := s.Served
 		if s.Drained {
@@ -329,7 +365,12 @@
 	}
 	stale := a.opt.Board.Freshness.Read().Age(now) > staleAfter
 	a.noteStale(stale)
-	if stale && now.Sub(a.sourceSince) > staleAfter {
+	if !stale {
+		a.staleTurns = 0
+		return
+	}
+	if now.Sub(a.sourceSince) > staleAfter<<a.staleTurns {
+		a.staleTurns = min(a.staleTurns+1, staleTurnsMost)
 		a.nextRelay()
 	}
 }
--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -83,6 +83,7 @@
 	applied  raft.Index
 	waiters  map[raft.Index]waiter
 	broken   bool
+	keeper   keeper
 }
 
 // waiter is a proposal whose entry is not decided yet.
@@ -102,6 +103,7 @@
 		out:     newOutbox(opt.Pool, opt.Address),
 		state:   state.New(),
 		waiters: map[raft.Index]waiter{},
+		keeper:  newKeeper(),
 	}
 	if c.store, c.restored, err = store.Open(opt.Folder, opt.Log); err != nil {
 		return nil, err
@@ -208,6 +210,7 @@
 	c.carryOut(c.node.Tick())
 	c.refresh(now)
 	c.promoteLearners()
+	c.keepGroups(now)
 }
 
 // refresh publishes how recently a majority confirmed what is applied here.
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +32,7 @@
 	"chicorymast/io/event"
 	"chicorymast/io/proxy"
 	"chicorymast/io/ration"
+	"chicorymast/io/record"
 	"chicorymast/io/relay"
 	"chicorymast/io/timer"
 	"chicorymast/io/trace"
@@ -55,6 +57,7 @@
 	agent   *agent.Agent
 	control *ctrl.Control
 	ration  *ration.Ration
+	records *record.Records
 	proxy   *proxy.Proxy
 	tracer  *trace.Tracer
 	host    *host
@@ -105,6 +108,7 @@
 	cfg := d.Config()
 	d.relay = relay.New(relay.Options{
 		VM: cfg.Daemon.VM, Clock: d.clock, Board: d.board, Pool: d.pool, Others: d.otherRelays,
+		Always: slices.Contains(cfg.Control.JoinAddresses(), cfg.Listen.Control),
 	})
 	d.relay.Register(d.server)
 	d.agent = agent.New(agent.Options{
@@ -116,12 +120,17 @@
 		Pool:         d.pool,
 		Log:          d.log,
 		Relays:       d.relays,
+		Acting:       d.relay.Acting,
 		FollowConfig: cfg.Daemon.Role != config.RoleControl,
 	})
 	d.ration = ration.New(ration.Options{
 		VM: cfg.Daemon.VM, DataCentre: cfg.Daemon.DataCentre, Clock: d.clock, Board: d.board, Pool: d.pool,
 	})
 	d.ration.Register(d.server)
+	d.records = record.New(record.Options{
+		VM: cfg.Daemon.VM, Clock: d.clock, Board: d.board, Pool: d.pool, Seed: uint64(d.clock.Now().UnixNano()),
+	})
+	d.records.Register(d.server)
 	if cfg.Daemon.Role != config.RoleControl {
 		return nil
 	}
@@ -152,41 +161,6 @@
 	return err
 }
 
-// relays lists where this daemon may synchronise: a control daemon at itself,
-// the others at those of the own data centre first.
-func (d *Daemon) relays() []string {
-	cfg := d.Config()
-	if cfg.Daemon.Role == config.RoleControl {
-		return []string{cfg.Listen.Control}
-	}
-	near := map[string]bool{}
-	for _, e := range d.board.Members.Read().Entries {
-		if e.DataCentre == cfg.Daemon.DataCentre {
-			near[e.Addresses.Control] = true
-		}
-	}
-	var first, rest []string
-	for _, address := range cfg.Control.JoinAddresses() {
-		if near[address] {
-			first = append(first, address)
-			continue
-		}
-		rest = append(rest, address)
-	}
-	return append(first, rest...)
-}
-
-func (d *Daemon) otherRelays() []string {
-	cfg := d.Config()
-	var others []string
-	for _, address := range cfg.Control.JoinAddresses() {
-		if address != cfg.Listen.Control {
-			others = append(others, address)
-		}
-	}
-	return others
-}
-
 func (d *Daemon) buildProxy() {
 	d.proxy = proxy.New(proxy.Options{
 		Config:  d.Config,
@@ -197,7 +171,7 @@
 		Meter:   proxy.NewMeter(d.reg),
 		Seed:    uint64(d.clock.Now().UnixNano()),
 		Quota:   d.ration,
-		Records: proxy.NewLocalRecords(d.clock),
+		Records: d.records,
 	})
 }
 
@@ -237,7 +211,7 @@
 		Clock:    d.clock,
 		Log:      d.log,
 		Pool:     d.pool,
-		Relays:   func() []string { return d.Config().Control.JoinAddresses() },
+		Relays:   d.allRelays,
 		Gatherer: d.reg,
 	})
 }
@@ -282,7 +256,7 @@
 	for _, l := range d.listeners {
 		go d.serve(l)
 	}
-	d.stops = append(d.stops, d.relay.Start(), d.ration.Start(), d.proxy.Start(), d.clock.Every(hostTick, d.host.tick))
+	d.stops = append(d.stops, d.relay.Start(), d.ration.Start(), d.records.Start(), d.proxy.Start(), d.clock.Every(hostTick, d.host.tick))
 	if d.control != nil {
 		d.control.Start()
 		d.stops = append(d.stops, d.control.Stop)
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -17,6 +17,7 @@
 	"chicorymast/core/intent"
 	"chicorymast/io/event"
 	"chicorymast/io/hop"
+	"chicorymast/io/record"
 	"chicorymast/io/trace"
 
 	"github.com/cespare/xxhash/v2"
@@ -185,28 +186,34 @@
 // runOnce runs an action that must not run twice.
 func (p *Proxy) runOnce(ctx context.Context, w http.ResponseWriter, r *http.Request, in *admitted, began time.Time) {
 	id := dedup.ID{Workspace: in.workspace, Action: in.action}
-	verdict, err := p.opt.Records.Begin(ctx, id, fingerprint(r, in))
-	if err != nil {
-		p.refuseEntry(w, in.route, asRefusal(err), 0, began)
-		return
-	}
-	switch v := verdict.(type) {
+	run := p.opt.Records.Begin(ctx, id, fingerprint(r, in), remaining(ctx, p.opt.Clock.Now()))
+	switch v := run.Verdict.(type) {
 	case dedup.Run:
-		p.runFirst(ctx, w, r, in, id, began)
+		p.runFirst(ctx, w, r, in, run, began)
 	case dedup.Replay:
 		p.replay(w, in, v.Answer, began)
+	default:
+		p.refuseEntry(w, in.route, refuseVerdict(v), 0, began)
+	}
+}
+
+// refuseVerdict says why an action is not run by this request.
+func refuseVerdict(v dedup.Verdict) *fault.Refusal {
+	switch v.(type) {
 	case dedup.Join:
-		p.refuseEntry(w, in.route, fault.Failed(fault.ReasonActionRunning, "the action is still running; ask again"), 0, began)
+		return fault.Failed(fault.ReasonActionRunning, "the action is still running; ask again")
 	case dedup.Conflict:
-		p.refuseEntry(w, in.route, fault.Refuse(fault.ReasonActionConflict, "this %s was used for another request", hop.HeaderAction), 0, began)
-	case dedup.Unknown:
-		p.refuseEntry(w, in.route, fault.Failed(fault.ReasonActionUnknown, "an earlier run of this action may have happened; it is not run again"), 0, began)
+		return fault.Refuse(fault.ReasonActionConflict, "this %s was used for another request", hop.HeaderAction)
+	case dedup.Unreachable:
+		return fault.Refuse(fault.ReasonRecordLost, "no majority of the action's replicas answers, so it can't be run safely")
+	default:
+		return fault.Failed(fault.ReasonActionUnknown, "an earlier run of this action may have happened; it is not run again")
 	}
 }
 
-func (p *Proxy) runFirst(ctx context.Context, w http.ResponseWriter, r *http.Request, in *admitted, id dedup.ID, began time.Time) {
+func (p *Proxy) runFirst(ctx context.Context, w http.ResponseWriter, r *http.Request, in *admitted, run *record.Running, began time.Time) {
 	if refusal, wait := p.charge(ctx, in); refusal != nil {
-		p.opt.Records.Abandon(id, true)
+		p.opt.Records.End(run, "", dedup.Answer{})
 		p.refuseEntry(w, in.route, refusal, wait, began)
 		return
 	}
@@ -215,33 +222,40 @@
 	defer cancel()
 	answer, _, refusal := p.dispatch(ctx, p.outbound(r, in))
 	if refusal != nil {
-		p.opt.Records.Abandon(id, refusal.NotRun)
-		if !refusal.NotRun {
-			p.opt.Log.Emit(event.ActionUnknown, zap.String("route", string(in.route)), zap.String("reason", string(refusal.Reason)))
-		}
+		p.endRefused(run, in, refusal)
 		p.refuseEntry(w, in.route, refusal, 0, began)
 		return
 	}
-	p.keep(id, answer)
+	p.keep(run, answer)
 	p.write(w, in.route, answer, began)
 }
 
-// keep records the outcome of an action before its caller sees it.
-func (p *Proxy) keep(id dedup.ID, a *answered) {
-	if a.header.Get(hop.HeaderNotRun) == "true" {
-		p.opt.Records.Abandon(id, true)
+func (p *Proxy) endRefused(run *record.Running, in *admitted, r *fault.Refusal) {
+	if r.NotRun {
+		p.opt.Records.End(run, "", dedup.Answer{})
 		return
 	}
-	if a.rest != nil {
-		p.opt.Records.Abandon(id, false)
+	p.opt.Records.End(run, dedup.PhaseUnknown, dedup.Answer{})
+	p.opt.Log.Emit(event.ActionUnknown, zap.String("route", string(in.route)), zap.String("reason", string(r.Reason)))
+}
+
+// keep records the outcome of an action before its caller sees it.
+func (p *Proxy) keep(run *record.Running, a *answered) {
+	if a.header.Get(hop.HeaderNotRun) == "true" {
+		p.opt.Records.End(run, "", dedup.Answer{})
 		return
 	}
 	h := http.Header{}
 	copyHeader(h, a.header)
-	p.opt.Records.Finish(id, dedup.Answer{Status: a.status, Header: h, Body: a.whole})
+	p.opt.Records.End(run, dedup.PhaseDone, dedup.Answer{Kept: a.rest == nil, Status: a.status, Header: h, Body: a.whole})
 }
 
 func (p *Proxy) replay(w http.ResponseWriter, in *admitted, a dedup.Answer, began time.Time) {
+	if !a.Kept {
+		refusal := fault.Failed(fault.ReasonActionDone, "the action was run; its answer was too large to be kept")
+		p.refuseEntry(w, in.route, refusal, 0, began)
+		return
+	}
 	p.opt.Meter.replays.Inc()
 	header := http.Header(a.Header).Clone()
 	header.Set(hop.HeaderReplay, "true")
--- a/io/proxy/problem.go
+++ b/io/proxy/problem.go
@@ -22,6 +22,7 @@
 	fault.ReasonActionConflict:   http.StatusConflict,
 	fault.ReasonActionRunning:    http.StatusConflict,
 	fault.ReasonActionUnknown:    http.StatusConflict,
+	fault.ReasonActionDone:       http.StatusConflict,
 	fault.ReasonBodyTooLarge:     http.StatusRequestEntityTooLarge,
 	fault.ReasonOverRate:         http.StatusTooManyRequests,
 	fault.ReasonOverload:         http.StatusServiceUnavailable,
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -28,6 +28,7 @@
 	"chicorymast/core/dedup"
 	"chicorymast/core/ident"
 	"chicorymast/io/event"
+	"chicorymast/io/record"
 	"chicorymast/io/timer"
 	"chicorymast/io/trace"
 )
@@ -54,11 +55,10 @@
 	Charge(ctx context.Context, grant ident.Grant, rate ident.Rate, burst ident.Burst) (wait time.Duration, err error)
 }
 
-// Records is the table of actions.
+// Records claims actions that must not run twice.
 type Records interface {
-	Begin(ctx context.Context, id dedup.ID, fp dedup.Fingerprint) (dedup.Verdict, error)
-	Finish(id dedup.ID, a dedup.Answer)
-	Abandon(id dedup.ID, notRun bool)
+	Begin(ctx context.Context, id dedup.ID, fp dedup.Fingerprint, timeout time.Duration) *record.Running
+	End(run *record.Running, phase dedup.Phase, a dedup.Answer)
 }
 
 // Proxy handles calls.
--- /dev/null
+++ b/io/record/record.go
@@ -0,0 +1,274 @@
+// Package record keeps the records of actions at groups of replicas, which
+// are daemons with nothing but memory, and claims actions there.
+//
+// # Usage
+//
+//	r := record.New(record.Options{...})
+//	r.Register(server)
+//	stop := r.Start()
+//	run, verdict := r.Begin(ctx, id, fingerprint, timeout)
+//	r.End(run, dedup.PhaseDone, answer)
+//
+// The groups are part of the configuration. A replica that has restarted, or
+// is new in its group, waits until no claim from before can still be under
+// way and copies the records of a majority before it answers. Claims that do
+// not reach a majority are refused as not run.
+package record
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"chicorymast/core/board"
+	"chicorymast/core/dedup"
+	"chicorymast/core/ident"
+	"chicorymast/core/state"
+	"chicorymast/io/timer"
+	"chicorymast/io/wire"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Options is what the records need.
+type Options struct {
+	VM    ident.VM
+	Clock timer.Clock
+	Board *board.Board
+	Pool  *wire.Pool
+	Seed  uint64
+}
+
+// Records is one daemon's part: replica of some groups, and the way to all.
+type Records struct {
+	opt Options
+
+	rngMu sync.Mutex
+	rng   *rand.Rand
+
+	mu       sync.Mutex
+	replicas map[place]*replica
+	// started is when this daemon started; origin is the newest revision of
+	// which an earlier life of it may have been a part.
+	started   time.Time
+	origin    ident.Revision
+	hasOrigin bool
+}
+
+// place is a group's name without its epoch.
+type place struct {
+	dc    ident.DataCentre
+	index int
+}
+
+const (
+	// claimTime bounds how long a claim collects replies.
+	claimTime = 500 * time.Millisecond
+	// endTime bounds how long the end of a run waits for a majority.
+	endTime = 200 * time.Millisecond
+	// quietTime is how long a replica that restarted waits: claims that it
+	// acknowledged before are decided by then.
+	quietTime = 2 * claimTime
+	tickTime  = 200 * time.Millisecond
+	// graceTime is added to a run's time before it counts as unknown.
+	graceTime = 2 * time.Second
+)
+
+// New returns the records of a daemon that has just started.
+func New(opt Options) *Records {
+	return &Records{
+		opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 11)),
+		replicas: map[place]*replica{}, started: opt.Clock.Now(),
+	}
+}
+
+// Register adds the methods of the records.
+func (r *Records) Register(s *wire.Server) {
+	wire.Handle(s, wire.MethodRecordBegin, r.serveBegin)
+	wire.Handle(s, wire.MethodRecordEnd, r.serveEnd)
+	wire.Handle(s, wire.MethodRecordCopy, r.serveCopy)
+}
+
+// Start follows the configuration.
+func (r *Records) Start() (stop func()) {
+	return r.opt.Clock.Every(tickTime, r.follow)
+}
+
+// Running is one run of an action that this daemon has claimed.
+type Running struct {
+	group   state.Group
+	name    wire.RecordGroup
+	claim   dedup.Claim
+	Verdict dedup.Verdict
+}
+
+// Begin claims an action and returns what to do with it. A run that is under
+// way elsewhere is waited for until ctx ends.
+func (r *Records) Begin(ctx context.Context, id dedup.ID, fp dedup.Fingerprint, timeout time.Duration) *Running {
+	const firstPause, longestPause = 20 * time.Millisecond, 500 * time.Millisecond
+	const lostTries = 3
+	lost := 0
+	for pause := firstPause; ; pause = min(2*pause, longestPause) {
+		run := r.claim(ctx, id, fp, timeout)
+		switch run.Verdict.(type) {
+		case dedup.Join:
+		case dedup.Unreachable:
+			lost++
+		default:
+			return run
+		}
+		if lost >= lostTries || !r.sleep(ctx, pause) {
+			return run
+		}
+	}
+}
+
+// sleep waits a random time up to d, so that two who claim at once part.
+func (r *Records) sleep(ctx context.Context, d time.Duration) bool {
+	r.rngMu.Lock()
+	d = time.Duration(r.rng.Int64N(int64(d))) + time.Millisecond
+	r.rngMu.Unlock()
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *Records) claim(ctx context.Context, id dedup.ID, fp dedup.Fingerprint, timeout time.Duration) *Running {
+	group, name, ok := r.groupOf(id)
+	run := &Running{group: group, name: name, Verdict: dedup.Unreachable{}}
+	run.claim = dedup.Claim{ID: id, Fingerprint: fp, Runner: r.newRunner(), TimeMs: (timeout + graceTime).Milliseconds()}
+	if !ok {
+		return run
+	}
+	run.Verdict = r.collect(ctx, run)
+	if _, won := run.Verdict.(dedup.Run); !won {
+		go r.release(run)
+	}
+	return run
+}
+
+func (r *Records) newRunner() dedup.Runner {
+	r.rngMu.Lock()
+	defer r.rngMu.Unlock()
+	return dedup.Runner(string(r.opt.VM) + "/" + strconv.FormatUint(r.rng.Uint64(), 36))
+}
+
+// groupOf finds the replicas of an action.
+func (r *Records) groupOf(id dedup.ID) (state.Group, wire.RecordGroup, bool) {
+	st := r.opt.Board.Config.Read().State
+	dc := st.Intent.RecordHome(id.Workspace)
+	groups := st.Groups[dc]
+	if len(groups) == 0 {
+		return state.Group{}, wire.RecordGroup{}, false
+	}
+	index := int(xxhash.Sum64String(string(id.Workspace)+"\x00"+string(id.Action)) % uint64(len(groups)))
+	g := groups[index]
+	return g, wire.RecordGroup{DataCentre: dc, Index: index, Epoch: g.Epoch}, len(g.Members) > 0
+}
+
+// collect asks all replicas at once and returns as soon as the verdict is
+// certain.
+func (r *Records) collect(ctx context.Context, run *Running) dedup.Verdict {
+	ctx, cancel := context.WithTimeout(ctx, claimTime)
+	defer cancel()
+	q := wire.RecordBeginRequest{Group: run.name, Claim: run.claim}
+	replies := make(chan wire.RecordBeginReply, len(run.group.Members))
+	for _, vm := range run.group.Members {
+		go func() { replies <- ask(ctx, r, vm, wire.MethodRecordBegin, q, r.serveBegin) }()
+	}
+	vote := dedup.NewVote(len(run.group.Members), run.claim.Fingerprint)
+	for range run.group.Members {
+		select {
+		case reply := <-replies:
+			if reply.Ready {
+				vote.Add(reply.Reply)
+			}
+			if v := vote.Decision(false); v != nil {
+				return v
+			}
+		case <-ctx.Done():
+			return vote.Decision(true)
+		}
+	}
+	return vote.Decision(true)
+}
+
+// ask calls a replica, or this daemon itself.
+func ask[Q, A any](ctx context.Context, r *Records, vm ident.VM, m wire.Method, q Q, own func(context.Context, Q) (A, error)) (answer A) {
+	if vm == r.opt.VM {
+		answer, _ = own(ctx, q)
+		return answer
+	}
+	e, ok := r.opt.Board.Members.Read().ByVM[vm]
+	if !ok {
+		return answer
+	}
+	answer, err := wire.Call[A](ctx, r.opt.Pool, e.Addresses.Control, m, q)
+	if err != nil {
+		var none A
+		return none
+	}
+	return answer
+}
+
+// release takes a claim back that did not win.
+func (r *Records) release(run *Running) {
+	r.tell(run, "", dedup.Answer{}, len(run.group.Members))
+}
+
+// End records the outcome of a run at a majority, if one answers in time. An
+// empty phase says that the action was not run.
+func (r *Records) End(run *Running, phase dedup.Phase, a dedup.Answer) {
+	r.tell(run, phase, a, len(run.group.Members)/2+1)
+}
+
+// tell sends an end to all replicas and waits for some of them.
+func (r *Records) tell(run *Running, phase dedup.Phase, a dedup.Answer, wait int) {
+	q := wire.RecordEndRequest{
+		Group: run.name, ID: run.claim.ID, Fingerprint: run.claim.Fingerprint, Runner: run.claim.Runner, Phase: phase, Answer: a,
+	}
+	acks := make(chan bool, len(run.group.Members))
+	for _, vm := range run.group.Members {
+		go func() { acks <- r.tellOne(vm, q) }()
+	}
+	timeout := time.NewTimer(endTime)
+	defer timeout.Stop()
+	for range run.group.Members {
+		select {
+		case ok := <-acks:
+			if ok {
+				wait--
+			}
+			if wait <= 0 {
+				return
+			}
+		case <-timeout.C:
+			return
+		}
+	}
+}
+
+// tellOne repeats an end until the replica has it or the run would count as
+// unknown there anyway.
+func (r *Records) tellOne(vm ident.VM, q wire.RecordEndRequest) bool {
+	const tries = 5
+	for range tries {
+		ctx, cancel := context.WithTimeout(context.Background(), claimTime)
+		reply := ask(ctx, r, vm, wire.MethodRecordEnd, q, r.serveEnd)
+		cancel()
+		if reply.Ready {
+			return true
+		}
+		if !r.sleep(context.Background(), tickTime) {
+			return false
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/io/record/replica.go
@@ -0,0 +1,179 @@
+package record
+
+import (
+	"context"
+	"time"
+
+	"chicorymast/core/dedup"
+	"chicorymast/core/ident"
+	"chicorymast/core/state"
+	"chicorymast/io/wire"
+)
+
+// replica is this daemon's copy of one group's records.
+type replica struct {
+	group state.Group
+	table *dedup.Table
+	// ready is set when the replica may answer.
+	ready bool
+	// since is when recovery began.
+	since   time.Time
+	copying bool
+	// restarted is set when an earlier life of this daemon may have
+	// acknowledged records of this group.
+	restarted bool
+}
+
+// follow takes part in the groups that the configuration names.
+func (r *Records) follow(now time.Time) {
+	if !r.findOrigin() {
+		return
+	}
+	st := r.opt.Board.Config.Read().State
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for dc, groups := range st.Groups {
+		for i, g := range groups {
+			r.followGroup(now, place{dc, i}, g)
+		}
+	}
+}
+
+// findOrigin waits for a configuration that was confirmed after the start.
+// Whatever this daemon acknowledged in an earlier life was in a group of that
+// revision or of an earlier one.
+func (r *Records) findOrigin() bool {
+	fresh := r.opt.Board.Freshness.Read().AsOf
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.hasOrigin && fresh.After(r.started) {
+		r.hasOrigin = true
+		r.origin = r.opt.Board.Config.Read().State.Revision
+	}
+	return r.hasOrigin
+}
+
+func (r *Records) followGroup(now time.Time, p place, g state.Group) {
+	have := r.replicas[p]
+	if !g.Has(r.opt.VM) {
+		delete(r.replicas, p)
+		return
+	}
+	if have == nil {
+		have = &replica{table: dedup.NewTable(dedup.DefaultKeep, dedup.DefaultBytes), since: now, restarted: g.Epoch <= r.origin}
+		have.ready = len(g.Before) == 0 && !have.restarted
+		r.replicas[p] = have
+	}
+	have.group = g
+	if !have.ready && !have.copying {
+		r.recover(now, p, have)
+	}
+}
+
+// recover copies the records of a majority: of the other members after a
+// restart, of the members before when this one is new.
+func (r *Records) recover(now time.Time, p place, have *replica) {
+	if have.restarted && now.Sub(have.since) < quietTime {
+		return
+	}
+	from, need := have.group.Before, len(have.group.Before)/2+1
+	if have.restarted {
+		from, need = have.group.Members, len(have.group.Members)/2+1
+	}
+	if have.restarted && len(have.group.Members) == 1 {
+		// Nobody else holds what was lost: wait until it is worth nothing.
+		have.ready = now.Sub(have.since) > dedup.DefaultKeep
+		return
+	}
+	have.copying = true
+	go r.copyFrom(p, have, from, need)
+}
+
+func (r *Records) copyFrom(p place, have *replica, from []ident.VM, need int) {
+	r.mu.Lock()
+	epoch := have.group.Epoch
+	r.mu.Unlock()
+	q := wire.RecordCopyRequest{Group: wire.RecordGroup{DataCentre: p.dc, Index: p.index, Epoch: epoch}}
+	ctx, cancel := context.WithTimeout(context.Background(), claimTime)
+	defer cancel()
+	var copies []wire.RecordCopyReply
+	for _, vm := range from {
+		if vm == r.opt.VM {
+			continue
+		}
+		if reply := ask(ctx, r, vm, wire.MethodRecordCopy, q, r.serveCopy); reply.Ready {
+			copies = append(copies, reply)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	have.copying = false
+	if len(copies) < need || have.group.Epoch != epoch || r.replicas[p] != have {
+		return
+	}
+	for _, c := range copies {
+		have.table.Load(r.opt.Clock.Now(), c.Records)
+	}
+	have.ready = true
+}
+
+// find returns the replica of a group if it is ready at just that epoch.
+func (r *Records) find(g wire.RecordGroup) *replica {
+	have := r.replicas[place{g.DataCentre, g.Index}]
+	if have == nil || !have.ready || have.group.Epoch != g.Epoch {
+		return nil
+	}
+	return have
+}
+
+func (r *Records) serveBegin(_ context.Context, q wire.RecordBeginRequest) (wire.RecordBeginReply, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	have := r.find(q.Group)
+	if have == nil {
+		return wire.RecordBeginReply{}, nil
+	}
+	return wire.RecordBeginReply{Ready: true, Reply: have.table.Begin(r.opt.Clock.Now(), q.Claim)}, nil
+}
+
+// serveEnd takes the end of a run whatever the epoch: an outcome stays true.
+func (r *Records) serveEnd(_ context.Context, q wire.RecordEndRequest) (wire.RecordEndReply, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	have := r.replicas[place{q.Group.DataCentre, q.Group.Index}]
+	if have == nil || !have.ready {
+		return wire.RecordEndReply{}, nil
+	}
+	if q.Phase == "" {
+		have.table.Release(q.ID, q.Runner)
+		return wire.RecordEndReply{Ready: true}, nil
+	}
+	have.table.End(r.opt.Clock.Now(), q.ID, q.Fingerprint, q.Runner, q.Phase, q.Answer)
+	return wire.RecordEndReply{Ready: true}, nil
+}
+
+// serveCopy gives all records to a replica of the same epoch. This replica
+// acknowledges nothing of an earlier epoch any more.
+func (r *Records) serveCopy(_ context.Context, q wire.RecordCopyRequest) (wire.RecordCopyReply, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	have := r.replicas[place{q.Group.DataCentre, q.Group.Index}]
+	if have == nil || !have.ready || have.group.Epoch < q.Group.Epoch {
+		return wire.RecordCopyReply{}, nil
+	}
+	return wire.RecordCopyReply{Ready: true, Records: have.table.Copy(r.opt.Clock.Now())}, nil
+}
+
+// Ready counts the groups in which this daemon is a replica, and those of
+// them in which it answers.
+func (r *Records) Ready() (ready, all int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, have := range r.replicas {
+		all++
+		if have.ready {
+			ready++
+		}
+	}
+	return ready, all
+}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -41,6 +41,8 @@
 	Clock timer.Clock
 	Board *board.Board
 	Pool  *wire.Pool
+	// Always makes the relay pull even when no other daemon has chosen it.
+	Always bool
 	// Others are the control addresses of the other relays.
 	Others func() []string
 }
@@ -55,6 +57,7 @@
 	all     *member.Directory
 	mirrors map[string]*mirror
 	changed chan struct{}
+	acting  bool
 }
 
 // mirror is what another relay vouches for.
@@ -87,6 +90,9 @@
 func (r *Relay) Start() (stop func()) {
 	return r.opt.Clock.Every(pullInterval, func(now time.Time) {
 		r.expire(now)
+		if !r.opt.Always && !r.Acting() {
+			return
+		}
 		for _, address := range r.opt.Others() {
 			r.startPull(address)
 		}
@@ -105,6 +111,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.home.Announce(now, e)
+	r.acting = r.acting || e.VM != r.opt.VM
 	if r.all.Announce(now, e) {
 		r.wake()
 	}
@@ -203,6 +210,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.home.Expire(now)
+	r.acting = r.home.AnyOther(r.opt.VM)
 	if r.all.Expire(now) > 0 {
 		r.wake()
 	}
@@ -288,6 +296,13 @@
 	return ok && newest.Version > e.Version
 }
 
+// Acting reports whether other daemons announce themselves to this one.
+func (r *Relay) Acting() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.acting
+}
+
 // Counts returns how many members the relay speaks for and how many it knows.
 func (r *Relay) Counts() (home, all int) {
 	r.mu.Lock()
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"chicorymast/core/dedup"
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
 	"chicorymast/core/quota"
@@ -224,3 +225,59 @@
 type QuotaYieldReply struct {
 	State *quota.State `json:"state,omitempty"`
 }
+
+// The methods of actions' records.
+const (
+	// MethodRecordBegin claims an action at a replica.
+	MethodRecordBegin Method = "record_begin"
+	// MethodRecordEnd reports the end of a run, or takes a claim back.
+	MethodRecordEnd Method = "record_end"
+	// MethodRecordCopy brings all records to a replica that recovers.
+	MethodRecordCopy Method = "record_copy"
+)
+
+// RecordGroup names a group of replicas at one epoch.
+type RecordGroup struct {
+	DataCentre ident.DataCentre `json:"data_centre"`
+	Index      int              `json:"index"`
+	Epoch      ident.Revision   `json:"epoch"`
+}
+
+// RecordBeginRequest claims an action.
+type RecordBeginRequest struct {
+	Group RecordGroup `json:"group"`
+	Claim dedup.Claim `json:"claim"`
+}
+
+// RecordBeginReply is a replica's answer; it counts only when Ready is set.
+type RecordBeginReply struct {
+	Ready bool        `json:"ready"`
+	Reply dedup.Reply `json:"reply"`
+}
+
+// RecordEndRequest reports the end of a run. An empty phase takes back a
+// claim of an action that has not run.
+type RecordEndRequest struct {
+	Group       RecordGroup       `json:"group"`
+	ID          dedup.ID          `json:"id"`
+	Fingerprint dedup.Fingerprint `json:"fingerprint"`
+	Runner      dedup.Runner      `json:"runner"`
+	Phase       dedup.Phase       `json:"phase,omitempty"`
+	Answer      dedup.Answer      `json:"answer"`
+}
+
+// RecordEndReply says whether the replica has it.
+type RecordEndReply struct {
+	Ready bool `json:"ready"`
+}
+
+// RecordCopyRequest asks for all records of a group.
+type RecordCopyRequest struct {
+	Group RecordGroup `json:"group"`
+}
+
+// RecordCopyReply holds the records of a replica that is ready.
+type RecordCopyReply struct {
+	Ready   bool           `json:"ready"`
+	Records []dedup.Record `json:"records,omitempty"`
+}
