admin, proxy, record: say when no configuration is confirmed yet

Claims were refused for up to 200 ms after a change of their group, and groups grew to even sizes for no gain.

Change: until its first confirmed configuration a daemon refuses calls as not run (configuration_stale) and reads as not_ready; the command line then tries the next server; status says it. Replicas look at the configuration as soon as a newer epoch is named, and groups stay odd.

--- a/commands/client.go
+++ b/commands/client.go
@@ -79,7 +79,7 @@
 	for _, server := range o.Servers {
 		answer, err = callOne[T](server, token, method, path, body)
 		var refused problemError
-		if err == nil || errors.As(err, &refused) {
+		if err == nil || (errors.As(err, &refused) && refused.Reason != "not_ready") {
 			return answer, err
 		}
 	}
--- a/commands/status.go
+++ b/commands/status.go
@@ -20,6 +20,10 @@
 		return err
 	}
 	return c.print(s, func(w io.Writer) {
+		if !s.Ready {
+			fmt.Fprintln(w, "this daemon has no confirmed configuration yet")
+			return
+		}
 		fmt.Fprintf(w, "revision %d in force on %d of %d VMs, confirmed by %s %d ms ago\n", s.Revision, s.InForce, s.Members, s.Source, s.AgeMs)
 		for _, vm := range s.Behind {
 			fmt.Fprintf(w, "  behind: %s\n", vm)
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -33,6 +33,9 @@
 	"go.uber.org/zap"
 )
 
+// reasonNotReady tells a client to ask another daemon.
+const reasonNotReady = "not_ready"
+
 // bodyLimit is the largest request in bytes.
 const bodyLimit = 16 << 20
 
@@ -128,6 +131,10 @@
 			return
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, bodyLimit)
+		if p := a.notReady(r); p != nil {
+			write(w, p)
+			return
+		}
 		answer, p := do(a, r, who)
 		if p != nil {
 			write(w, p)
@@ -138,6 +145,16 @@
 	}
 }
 
+// notReady refuses to read the configuration while this daemon has not heard
+// of any confirmed configuration since its start.
+func (a *api) notReady(r *http.Request) *Problem {
+	reads := r.Method == http.MethodGet || r.URL.Path == "/v1/plans"
+	if !reads || r.URL.Path == "/v1/status" || !a.opt.Board.Freshness.Read().AsOf.IsZero() {
+		return nil
+	}
+	return problem(http.StatusServiceUnavailable, reasonNotReady, "this daemon has just started and has no confirmed configuration yet; ask another one")
+}
+
 func (a *api) operator(r *http.Request) (ident.Actor, config.OperatorRole, bool) {
 	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
 	if !strings.EqualFold(scheme, "bearer") || token == "" {
--- a/io/admin/resources.go
+++ b/io/admin/resources.go
@@ -69,6 +69,8 @@
 
 // Status is the answer of GET /v1/status.
 type Status struct {
+	// Ready is set once this daemon has had a confirmed configuration.
+	Ready    bool           `json:"ready"`
 	Revision ident.Revision `json:"revision"`
 	Digest   string         `json:"digest"`
 	AgeMs    int64          `json:"age_ms"`
@@ -97,6 +99,7 @@
 func (a *api) status(r *http.Request, _ ident.Actor) (any, *Problem) {
 	c, fresh, members := a.opt.Board.Config.Read(), a.opt.Board.Freshness.Read(), a.opt.Board.Members.Read()
 	s := Status{
+		Ready:    !fresh.AsOf.IsZero(),
 		Revision: c.State.Revision,
 		Digest:   c.Digest(),
 		AgeMs:    fresh.Age(a.opt.Clock.Now()).Milliseconds(),
--- a/io/ctrl/groups.go
+++ b/io/ctrl/groups.go
@@ -84,7 +84,7 @@
 func (c *Control) nextMembers(now time.Time, key string, g state.Group, live []ident.VM) ([]ident.VM, bool) {
 	order := rendez.Order("records/"+key, live)
 	if len(g.Members) == 0 {
-		return order[:min(oddBelow(len(order)), groupSize)], true
+		return order[:groupTarget(len(order))], true
 	}
 	spare := slices.DeleteFunc(slices.Clone(order), func(vm ident.VM) bool { return g.Has(vm) })
 	if len(spare) == 0 {
@@ -97,13 +97,18 @@
 			return next, true
 		}
 	}
-	if len(next) < min(groupSize, len(order)) {
+	if len(next) < groupTarget(len(order)) {
 		return append(next, spare[0]), true
 	}
 	return nil, false
 }
 
-func oddBelow(n int) int {
+// groupTarget is the size of a group among n VMs; an even size would need a
+// larger majority and bear no more losses.
+func groupTarget(n int) int {
+	if n >= groupSize {
+		return groupSize
+	}
 	if n%2 == 0 {
 		return max(1, n-1)
 	}
--- a/io/daemon/fleet_test.go
+++ b/io/daemon/fleet_test.go
@@ -183,6 +183,11 @@
 		for _, line := range s.Services {
 			upstreams += line.Upstreams
 		}
+		for vm, r := range f.daemons {
+			if r.daemon.board.Freshness.Read().AsOf.IsZero() {
+				return string(vm) + " has no confirmed configuration"
+			}
+		}
 		if err != nil || s.Members != len(f.files.Daemons) || upstreams != len(f.files.StandIns) {
 			return fmt.Sprintf("%d of %d daemons, %d of %d upstreams: %v", s.Members, len(f.files.Daemons), upstreams, len(f.files.StandIns), err)
 		}
--- a/io/proof/proof_test.go
+++ b/io/proof/proof_test.go
@@ -160,6 +160,11 @@
 	f.t.Helper()
 	eventually(f.t, func() string {
 		s, err := f.status("control-1")
+		for _, d := range f.files.Daemons {
+			if other, err := f.status(d.VM); d.Control && (err != nil || !other.Ready) {
+				return fmt.Sprintf("%s is not ready: %v", d.VM, err)
+			}
+		}
 		if err != nil || s.Members != n {
 			return fmt.Sprintf("%d of %d members: %v", s.Members, n, err)
 		}
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -73,6 +73,9 @@
 	if p.opt.Board.Life.Read().Phase == board.LifeStopping {
 		return nil, fault.Refuse(fault.ReasonDraining, "this daemon is stopping; call another one")
 	}
+	if p.opt.Board.Freshness.Read().AsOf.IsZero() {
+		return nil, fault.Refuse(fault.ReasonStaleConfig, "this daemon has just started and has no configuration yet")
+	}
 	in := &admitted{config: p.opt.Board.Config.Read()}
 	name, ok := in.config.Table.Find(r.Method, r.URL.Path)
 	in.route, in.spec = name, in.config.State.Intent.Routes[name]
--- a/io/record/record.go
+++ b/io/record/record.go
@@ -108,7 +108,7 @@
 // way elsewhere is waited for until ctx ends.
 func (r *Records) Begin(ctx context.Context, id dedup.ID, fp dedup.Fingerprint, timeout time.Duration) *Running {
 	const firstPause, longestPause = 20 * time.Millisecond, 500 * time.Millisecond
-	const lostTries = 3
+	const lostTries = 6
 	lost := 0
 	for pause := firstPause; ; pause = min(2*pause, longestPause) {
 		run := r.claim(ctx, id, fp, timeout)
--- a/io/record/replica.go
+++ b/io/record/replica.go
@@ -117,9 +117,18 @@
 	have.ready = true
 }
 
-// find returns the replica of a group if it is ready at just that epoch.
+// find returns the replica of a group if it is ready at just that epoch. A
+// newer epoch makes it look at the configuration at once.
 func (r *Records) find(g wire.RecordGroup) *replica {
-	have := r.replicas[place{g.DataCentre, g.Index}]
+	p := place{g.DataCentre, g.Index}
+	have := r.replicas[p]
+	if have == nil || have.group.Epoch < g.Epoch {
+		groups := r.opt.Board.Config.Read().State.Groups[g.DataCentre]
+		if r.hasOrigin && g.Index < len(groups) {
+			r.followGroup(r.opt.Clock.Now(), p, groups[g.Index])
+		}
+		have = r.replicas[p]
+	}
 	if have == nil || !have.ready || have.group.Epoch != g.Epoch {
 		return nil
 	}
