--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,85 @@
+package config
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	"chicorymast/core/schema"
+
+	"gotest.tools/v3/assert"
+)
+
+func example(t testing.TB) string {
+	t.Helper()
+	data, err := os.ReadFile("../contrib/daemon.ini")
+	assert.NilError(t, err)
+	return string(data)
+}
+
+func mustReject(t testing.TB, text, section, key string) {
+	t.Helper()
+	_, err := Parse("daemon.ini", []byte(text))
+	var bad *schema.Error
+	assert.Assert(t, errors.As(err, &bad), "%v", err)
+	assert.Equal(t, bad.File, "daemon.ini")
+	assert.Equal(t, bad.Section, section)
+	assert.Equal(t, bad.Key, key)
+}
+
+func TestExampleIsValidAndShowsTheDefaults(t *testing.T) {
+	cfg, err := Parse("daemon.ini", []byte(example(t)))
+	assert.NilError(t, err)
+	want := Default()
+	assert.DeepEqual(t, cfg.Calls, want.Calls)
+	assert.DeepEqual(t, cfg.Admission, want.Admission)
+	assert.DeepEqual(t, cfg.CutOff, want.CutOff)
+	assert.DeepEqual(t, cfg.Log, want.Log)
+	assert.DeepEqual(t, cfg.Trace, want.Trace)
+	assert.Equal(t, cfg.Daemon.ShutdownTimeout, want.Daemon.ShutdownTimeout)
+}
+
+func TestBadSettingsAreNamed(t *testing.T) {
+	good := example(t)
+	for name, c := range map[string]struct{ from, to, section, key string }{
+		"unknown key":         {"role = upstream", "rolle = upstream", "daemon", "rolle"},
+		"unknown section":     {"[log]", "[logs]", "logs", ""},
+		"key twice":           {"role = upstream", "role = upstream\nrole = control", "daemon", "role"},
+		"bad duration":        {"connect_timeout = 1s", "connect_timeout = soon", "calls", "connect_timeout"},
+		"bad number":          {"connections = 4096", "connections = many", "calls", "connections"},
+		"bad flag":            {"join = false", "join = perhaps", "control", "join"},
+		"missing VM":          {"vm = katalog-1", "", "daemon", "vm"},
+		"control, no folder":  {"role = upstream", "role = control", "daemon", "data_folder"},
+		"not IP:port":         {"caller = 127.0.0.1:8080", "caller = localhost:8080", "listen", "caller"},
+		"duplicate address":   {"peer = 127.0.0.1:8081", "peer = 127.0.0.1:8080", "listen", "peer"},
+		"plaintext elsewhere": {"peer = 127.0.0.1:8081", "peer = 192.0.2.1:8081", "listen", "peer"},
+		"local not loopback":  {"local = 127.0.0.1:8083", "local = 192.0.2.1:8083", "listen", "local"},
+		"voter twice":         {"control-2=127.0.0.1:9182", "control-1=127.0.0.1:9182", "control", "voters"},
+		"grace too short":     {"paid_grace = 10s", "paid_grace = 1s", "cut_off", "paid_grace"},
+		"bad role":            {"role = view", "role = king", "operator anna", "role"},
+		"bad digest":          {"token_sha256 = 00", "token_sha256 = zz", "operator anna", "token_sha256"},
+		"sample":              {"sample = 0.01", "sample = 7", "trace", "sample"},
+		"before a section":    {"; Settings", "stray = 1\n; Settings", "", "stray"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Assert(t, strings.Contains(good, c.from))
+			mustReject(t, strings.Replace(good, c.from, c.to, 1), c.section, c.key)
+		})
+	}
+}
+
+func TestUnreadableFileIsNamed(t *testing.T) {
+	_, err := Load("no-such-file.ini")
+	var bad *schema.Error
+	assert.Assert(t, errors.As(err, &bad))
+	assert.Equal(t, bad.File, "no-such-file.ini")
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(example(f))
+	f.Add("[daemon\nvm=")
+	f.Fuzz(func(_ *testing.T, text string) {
+		_, _ = Parse("fuzz.ini", []byte(text)) // must not panic
+	})
+}
--- /dev/null
+++ b/core/admit/admit_test.go
@@ -0,0 +1,204 @@
+package admit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"chicorymast/core/fault"
+	"chicorymast/core/ident"
+
+	"gotest.tools/v3/assert"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func request(n int, c ident.Class) Request {
+	return Request{Ticket: Ticket(n), Workspace: "mlyn", Class: c, Rank: Rank(n), Deadline: epoch.Add(time.Hour)}
+}
+
+func started(effects []Effect) (tickets []Ticket) {
+	for _, e := range effects {
+		if s, ok := e.(Start); ok {
+			tickets = append(tickets, s.Ticket)
+		}
+	}
+	return tickets
+}
+
+func refused(effects []Effect) (tickets []Ticket) {
+	for _, e := range effects {
+		if r, ok := e.(Refuse); ok {
+			tickets = append(tickets, r.Ticket)
+		}
+	}
+	return tickets
+}
+
+func mustStart(t testing.TB, effects []Effect, want ...Ticket) {
+	t.Helper()
+	assert.DeepEqual(t, started(effects), want)
+}
+
+func mustRefuse(t testing.TB, effects []Effect, want ...Ticket) {
+	t.Helper()
+	assert.DeepEqual(t, refused(effects), want)
+}
+
+// fullGate has one slot, taken by ticket 0, and room for three that wait.
+func fullGate(t testing.TB) *Gate {
+	t.Helper()
+	g := New(Config{Slots: 1, Queue: 3})
+	mustStart(t, g.Arrive(epoch, request(0, ident.ClassNormal)), 0)
+	return g
+}
+
+func TestOrderOfService(t *testing.T) {
+	g := fullGate(t)
+	inner := request(3, ident.ClassNormal)
+	inner.Inner = true
+	for _, r := range []Request{request(1, ident.ClassLow), request(2, ident.ClassNormal), inner} {
+		assert.Equal(t, len(g.Arrive(epoch, r)), 0)
+	}
+	last := Ticket(0)
+	for _, want := range []Ticket{3, 2, 1} {
+		mustStart(t, g.Finish(epoch, last, Sample{}), want)
+		last = want
+	}
+}
+
+func TestWorkspacesTakeTurns(t *testing.T) {
+	g := New(Config{Slots: 1, Queue: 100})
+	g.Arrive(epoch, request(0, ident.ClassNormal))
+	for i := 1; i <= 10; i++ {
+		g.Arrive(epoch, request(i, ident.ClassNormal))
+	}
+	small := request(50, ident.ClassNormal)
+	small.Workspace = "skauti"
+	g.Arrive(epoch, small)
+	mustStart(t, g.Finish(epoch, 0, Sample{}), 1)
+	mustStart(t, g.Finish(epoch, 1, Sample{}), 50)
+}
+
+// A full queue sheds the least important call; a critical one goes only when
+// nothing else is left.
+func TestCriticalIsShedLast(t *testing.T) {
+	g := fullGate(t)
+	g.Arrive(epoch, request(1, ident.ClassLow))
+	g.Arrive(epoch, request(2, ident.ClassNormal))
+	g.Arrive(epoch, request(3, ident.ClassHigh))
+	mustRefuse(t, g.Arrive(epoch, request(4, ident.ClassCritical)), 1)
+	mustRefuse(t, g.Arrive(epoch, request(5, ident.ClassCritical)), 2)
+	mustRefuse(t, g.Arrive(epoch, request(6, ident.ClassLow)), 6)
+	mustRefuse(t, g.Arrive(epoch, request(7, ident.ClassCritical)), 3)
+	mustRefuse(t, g.Arrive(epoch, request(8, ident.ClassCritical)), 8)
+}
+
+func TestLongestQueueIsShedFirst(t *testing.T) {
+	g := fullGate(t)
+	for i := 1; i <= 3; i++ {
+		g.Arrive(epoch, request(i, ident.ClassNormal))
+	}
+	small := request(200, ident.ClassNormal)
+	small.Workspace = "skauti"
+	mustRefuse(t, g.Arrive(epoch, small), 3)
+}
+
+func TestSameRankIsShedAtEveryGate(t *testing.T) {
+	// Two gates with other work in them shed the same of two actions.
+	for name, first := range map[string]int{"one": 1, "other": 2} {
+		t.Run(name, func(t *testing.T) {
+			g := New(Config{Slots: 1, Queue: 1})
+			g.Arrive(epoch, request(0, ident.ClassNormal))
+			second := 3 - first
+			effects := append(g.Arrive(epoch, request(first, ident.ClassNormal)), g.Arrive(epoch, request(second, ident.ClassNormal))...)
+			mustRefuse(t, effects, 2)
+		})
+	}
+}
+
+func TestDeadlines(t *testing.T) {
+	t.Run("a call that can't finish in time is refused at once", func(t *testing.T) {
+		g := New(Config{Slots: 1, Queue: 3})
+		mustStart(t, g.Arrive(epoch, request(0, ident.ClassNormal)), 0)
+		g.Finish(epoch, 0, Sample{Own: 100 * time.Millisecond})
+		late := request(1, ident.ClassNormal)
+		late.Deadline = epoch.Add(50 * time.Millisecond)
+		effects := g.Arrive(epoch, late)
+		mustRefuse(t, effects, 1)
+		assert.Equal(t, effects[0].(Refuse).Reason, fault.ReasonDeadline)
+	})
+	t.Run("a call whose time ends in the queue is refused", func(t *testing.T) {
+		g := fullGate(t)
+		late := request(1, ident.ClassNormal)
+		late.Deadline = epoch.Add(50 * time.Millisecond)
+		assert.Equal(t, len(g.Arrive(epoch, late)), 0)
+		mustRefuse(t, g.Tick(epoch.Add(51*time.Millisecond)), 1)
+		assert.Equal(t, g.Load(epoch).Waiting, 0)
+	})
+}
+
+func TestCancelledCallLeavesTheQueue(t *testing.T) {
+	g := fullGate(t)
+	g.Arrive(epoch, request(1, ident.ClassNormal))
+	assert.Assert(t, g.Cancel(1))
+	assert.Assert(t, !g.Cancel(1))
+	mustStart(t, g.Finish(epoch, 0, Sample{}))
+}
+
+func TestLevelTellsWhatIsShed(t *testing.T) {
+	g := New(Config{Slots: 1, Queue: 1})
+	g.Arrive(epoch, request(0, ident.ClassNormal))
+	assert.Equal(t, g.Load(epoch).Level, LevelOpen)
+	g.Arrive(epoch, request(1, ident.ClassLow))
+	g.Arrive(epoch, request(2, ident.ClassNormal))
+	assert.Equal(t, g.Load(epoch).Level, Lane(ident.ClassLow, false))
+	assert.Equal(t, g.Load(epoch.Add(time.Second)).Level, LevelOpen)
+}
+
+func TestLimitFollowsLatency(t *testing.T) {
+	g := New(Config{Slots: 20, Queue: 1000})
+	now, next := epoch, 0
+	running := []Ticket{}
+	spin := func(own time.Duration, shed bool, rounds int) {
+		for range rounds {
+			for len(running) < g.Load(now).Limit {
+				g.Arrive(now, request(next, ident.ClassNormal))
+				running = append(running, Ticket(next))
+				next++
+			}
+			now = now.Add(own)
+			for _, ticket := range running {
+				g.Finish(now, ticket, Sample{Own: own, Shed: shed})
+			}
+			running = running[:0]
+		}
+	}
+	spin(20*time.Millisecond, false, 50)
+	assert.Equal(t, g.Load(now).Limit, 20)
+	spin(200*time.Millisecond, false, 10)
+	slow := g.Load(now).Limit
+	assert.Assert(t, slow < 20 && slow >= 10, "%d", slow)
+	spin(20*time.Millisecond, true, 200)
+	assert.Equal(t, g.Load(now).Limit, 1)
+	spin(20*time.Millisecond, false, 400)
+	assert.Equal(t, g.Load(now).Limit, 20, "never above the slots, and back to them")
+}
+
+func BenchmarkGate(b *testing.B) {
+	for _, waiting := range []int{0, 100} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			g := New(Config{Slots: 50, Queue: 1000})
+			n := 0
+			for ; n < 50+waiting; n++ {
+				g.Arrive(epoch, request(n, ident.ClassNormal))
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				g.Arrive(epoch, request(n, ident.ClassNormal))
+				n++
+				g.Finish(epoch, Ticket(i), Sample{Own: time.Millisecond})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/dedup/dedup_test.go
@@ -0,0 +1,276 @@
+package dedup
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the random tests; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	flag.Parse()
+	m.Run()
+}
+
+var (
+	epoch = time.Unix(1_000_000, 0)
+	order = ID{Workspace: "mlyn", Action: "order-1"}
+)
+
+func claim(runner Runner) Claim {
+	return Claim{ID: order, Fingerprint: "f", Runner: runner, TimeMs: 1000}
+}
+
+func mustHold(t testing.TB, r Reply, phase Phase) {
+	t.Helper()
+	assert.Assert(t, !r.Granted)
+	assert.Equal(t, r.Held.Phase, phase)
+}
+
+func TestTable(t *testing.T) {
+	begin := func(t *testing.T) *Table {
+		table := NewTable(time.Minute, 100)
+		assert.Assert(t, table.Begin(epoch, claim("a")).Granted)
+		return table
+	}
+	t.Run("the same runner is granted again", func(t *testing.T) {
+		assert.Assert(t, begin(t).Begin(epoch, claim("a")).Granted)
+	})
+	t.Run("another runner is not", func(t *testing.T) {
+		mustHold(t, begin(t).Begin(epoch, claim("b")), PhaseRunning)
+	})
+	t.Run("a run without an end becomes unknown", func(t *testing.T) {
+		mustHold(t, begin(t).Begin(epoch.Add(time.Second), claim("b")), PhaseUnknown)
+	})
+	t.Run("a claim taken back leaves nothing", func(t *testing.T) {
+		table := begin(t)
+		table.Release(order, "other")
+		mustHold(t, table.Begin(epoch, claim("b")), PhaseRunning)
+		table.Release(order, "a")
+		assert.Assert(t, table.Begin(epoch, claim("b")).Granted)
+	})
+	t.Run("an end is kept, then forgotten", func(t *testing.T) {
+		table := begin(t)
+		table.End(epoch, order, "f", "a", PhaseDone, Answer{Kept: true, Body: []byte("ok")})
+		mustHold(t, table.Begin(epoch.Add(59*time.Second), claim("b")), PhaseDone)
+		assert.Assert(t, table.Begin(epoch.Add(time.Minute), claim("b")).Granted)
+		assert.Equal(t, table.Len(), 1)
+	})
+	t.Run("done is final", func(t *testing.T) {
+		table := begin(t)
+		table.End(epoch, order, "f", "a", PhaseDone, Answer{Kept: true})
+		table.End(epoch, order, "f", "a", PhaseUnknown, Answer{})
+		mustHold(t, table.Begin(epoch, claim("b")), PhaseDone)
+	})
+	t.Run("old answers give way, that they are done stays", func(t *testing.T) {
+		table := begin(t)
+		table.End(epoch, order, "f", "a", PhaseDone, Answer{Kept: true, Body: make([]byte, 80)})
+		table.End(epoch, ID{Action: "2"}, "f", "b", PhaseDone, Answer{Kept: true, Body: make([]byte, 80)})
+		r := table.Begin(epoch, claim("c"))
+		mustHold(t, r, PhaseDone)
+		assert.Assert(t, !r.Held.Answer.Kept)
+	})
+}
+
+func TestVote(t *testing.T) {
+	held := func(p Phase, fp Fingerprint) Reply { return Reply{Held: &Record{Phase: p, Fingerprint: fp}} }
+	granted := Reply{Granted: true}
+	for name, c := range map[string]struct {
+		replies []Reply
+		want    Verdict
+	}{
+		"majority":           {[]Reply{granted, granted}, Run{}},
+		"one of three":       {[]Reply{granted}, Unreachable{}},
+		"nobody":             {nil, Unreachable{}},
+		"another is running": {[]Reply{granted, held(PhaseRunning, "f")}, Join{}},
+		"done":               {[]Reply{granted, held(PhaseDone, "f")}, Replay{}},
+		"done beats unknown": {[]Reply{held(PhaseUnknown, "f"), held(PhaseDone, "f")}, Replay{}},
+		"unknown":            {[]Reply{granted, held(PhaseUnknown, "f")}, Unknown{}},
+		"other content":      {[]Reply{held(PhaseDone, "g")}, Conflict{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := NewVote(3, "f")
+			for _, r := range c.replies {
+				v.Add(r)
+			}
+			assert.Equal(t, fmt.Sprintf("%T", v.Decision(true)), fmt.Sprintf("%T", c.want))
+		})
+	}
+}
+
+// group is replicas without a network. A replica that restarts forgets all
+// and answers again after a quiet time and copies from a majority.
+type group struct {
+	t       *rapid.T
+	now     time.Time
+	tables  []*Table
+	ready   []bool
+	since   []time.Time
+	later   []event
+	runs    []Runner
+	claimed int
+}
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+const (
+	claimTime = 500 * time.Millisecond
+	quietTime = 2 * claimTime
+)
+
+func newGroup(t *rapid.T) *group {
+	g := &group{t: t, now: epoch}
+	n := rapid.SampledFrom([]int{1, 3, 5}).Draw(t, "replicas")
+	for range n {
+		g.tables = append(g.tables, NewTable(time.Hour, 1000))
+	}
+	g.ready, g.since = make([]bool, n), make([]time.Time, n)
+	for i := range g.ready {
+		g.ready[i] = true
+	}
+	return g
+}
+
+func (g *group) after(do func()) {
+	d := time.Duration(rapid.SampledFrom([]int{0, 1, 100, 499, 700, 5000}).Draw(g.t, "delay")) * time.Millisecond
+	g.later = append(g.later, event{g.now.Add(d), do})
+}
+
+func (g *group) advance(d time.Duration) {
+	end := g.now.Add(d)
+	for {
+		first := -1
+		for i, e := range g.later {
+			if !e.at.After(end) && (first < 0 || e.at.Before(g.later[first].at)) {
+				first = i
+			}
+		}
+		if first < 0 {
+			break
+		}
+		e := g.later[first]
+		g.later = append(g.later[:first], g.later[first+1:]...)
+		if e.at.After(g.now) {
+			g.now = e.at
+		}
+		e.do()
+	}
+	g.now = end
+}
+
+// claim sends a claim to all; replies count only within the claim time.
+func (g *group) claim() {
+	g.claimed++
+	runner := Runner(fmt.Sprint("r", g.claimed))
+	vote, began, decided := NewVote(len(g.tables), "f"), g.now, false
+	for i := range g.tables {
+		if rapid.IntRange(0, 5).Draw(g.t, "lost") == 0 {
+			continue
+		}
+		g.after(func() {
+			if !g.ready[i] {
+				return
+			}
+			reply := g.tables[i].Begin(g.now, claim(runner))
+			g.after(func() {
+				if decided || g.now.Sub(began) > claimTime {
+					return
+				}
+				vote.Add(reply)
+				if _, run := vote.Decision(false).(Run); run {
+					decided = true
+					g.run(runner)
+				}
+			})
+		})
+	}
+	g.later = append(g.later, event{g.now.Add(claimTime), func() {
+		if !decided {
+			decided = true
+			g.tell(func(t *Table) { t.Release(order, runner) })
+		}
+	}})
+}
+
+func (g *group) run(runner Runner) {
+	g.runs = append(g.runs, runner)
+	if len(g.runs) > 1 {
+		g.t.Fatalf("the action was run by %v", g.runs)
+	}
+	switch rapid.IntRange(0, 2).Draw(g.t, "end") {
+	case 0: // the runner is lost and tells nobody
+	case 1:
+		g.tell(func(t *Table) { t.End(g.now, order, "f", runner, PhaseDone, Answer{}) })
+	case 2: // it has not run, so another may
+		g.runs = nil
+		g.tell(func(t *Table) { t.Release(order, runner) })
+	}
+}
+
+func (g *group) tell(do func(*Table)) {
+	for i := range g.tables {
+		if rapid.IntRange(0, 5).Draw(g.t, "lost") > 0 {
+			g.after(func() {
+				if g.ready[i] {
+					do(g.tables[i])
+				}
+			})
+		}
+	}
+}
+
+func (g *group) restart(i int) {
+	g.tables[i], g.ready[i], g.since[i] = NewTable(time.Hour, 1000), false, g.now
+}
+
+// recover copies from the others if a majority of the group, without this
+// replica, is ready.
+func (g *group) recover(i int) {
+	if g.ready[i] || g.now.Sub(g.since[i]) < quietTime {
+		return
+	}
+	var from []*Table
+	for j, table := range g.tables {
+		if j != i && g.ready[j] {
+			from = append(from, table)
+		}
+	}
+	if len(from) < len(g.tables)/2+1 {
+		return
+	}
+	for _, table := range from[:len(g.tables)/2+1] {
+		g.tables[i].Load(g.now, table.Copy(g.now))
+	}
+	g.ready[i] = true
+}
+
+// TestNeverRunTwice lets runners claim one action again and again while
+// messages are late or lost and replicas restart without memory.
+func TestNeverRunTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newGroup(t)
+		for range rapid.IntRange(10, 120).Draw(t, "steps") {
+			i := rapid.IntRange(0, len(g.tables)-1).Draw(t, "replica")
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0, 1:
+				g.advance(time.Duration(rapid.SampledFrom([]int{1, 100, 600, 3000}).Draw(t, "ms")) * time.Millisecond)
+			case 2, 3:
+				g.claim()
+			case 4:
+				g.restart(i)
+			case 5, 6:
+				g.recover(i)
+			}
+		}
+	})
+}
--- a/core/dedup/table.go
+++ b/core/dedup/table.go
@@ -110,11 +110,11 @@
 // doubtful, so the action counts as unknown.
 func (t *Table) Load(now time.Time, records []Record) {
 	for _, in := range records {
-		t.load(now, in)
+		t.add(now, in)
 	}
 }
 
-func (t *Table) load(now time.Time, in Record) {
+func (t *Table) add(now time.Time, in Record) {
 	until := now.Add(time.Duration(in.LeftMs) * time.Millisecond)
 	have := t.records[in.ID]
 	if have == nil {
--- /dev/null
+++ b/core/intent/intent_test.go
@@ -0,0 +1,122 @@
+package intent
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	"chicorymast/core/ident"
+	"chicorymast/core/schema"
+
+	"gotest.tools/v3/assert"
+)
+
+func example(t testing.TB) string {
+	t.Helper()
+	data, err := os.ReadFile("../../contrib/intent.ini")
+	assert.NilError(t, err)
+	return string(data)
+}
+
+func mustParse(t testing.TB, text string) Intent {
+	t.Helper()
+	in, err := Parse("intent.ini", []byte(text))
+	assert.NilError(t, err)
+	return in
+}
+
+func TestExampleIsValid(t *testing.T) {
+	in := mustParse(t, example(t))
+	assert.Equal(t, len(in.Routes), 2)
+	assert.DeepEqual(t, in.GrantRoutes(in.Grants["mlyn_shop"]), []ident.Route{"katalog_browse", "order_place"})
+}
+
+func TestBadIntentsAreNamed(t *testing.T) {
+	good := example(t)
+	for name, c := range map[string]struct{ from, to, section, key string }{
+		"unknown key":        {"rate = 50", "rat = 50", "grant mlyn_shop", "rat"},
+		"unknown kind":       {"[service katalog]", "[servis katalog]", "servis katalog", ""},
+		"no name":            {"[service katalog]", "[service]", "service", ""},
+		"rate zero":          {"rate = 50", "rate = 0", "grant mlyn_shop", "rate"},
+		"rate NaN":           {"rate = 50", "rate = NaN", "grant mlyn_shop", "rate"},
+		"burst zero":         {"burst = 100", "burst = 0", "grant mlyn_shop", "burst"},
+		"unknown workspace":  {"workspace = mlyn", "workspace = mlin", "grant mlyn_shop", "workspace"},
+		"unknown group":      {"groups = shop", "groups = shops", "grant mlyn_shop", "groups"},
+		"unknown route":      {"routes = katalog_browse, order_place", "routes = katalog", "group shop", "routes"},
+		"unknown service":    {"service = objednavky", "service = objednavka", "route order_place", "service"},
+		"unknown home":       {"home = kosice-1", "home = praha", "workspace mlyn", "home"},
+		"bad class":          {"class = critical", "class = paid", "route order_place", "class"},
+		"bad method":         {"method = POST", "method = post", "route order_place", "method"},
+		"bad path":           {"path = /objednavky", "path = objednavky", "route order_place", "path"},
+		"open and internal":  {"open = false\ninternal = false", "open = true\ninternal = true", "route katalog_browse", "open"},
+		"too many retries":   {"retries = 3", "retries = 99", "limits", "retries"},
+		"weight zero":        {"weight = 1", "weight = 0", "data_centre kosice-1", "weight"},
+		"same calls":         {"method = POST\npath = /objednavky", "method = GET\npath = /katalog/{other}", "route order_place", "path"},
+		"body limit is zero": {"body_limit = 33554432", "body_limit = 0", "limits", "body_limit"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Assert(t, strings.Contains(good, c.from), c.from)
+			_, err := Parse("intent.ini", []byte(strings.Replace(good, c.from, c.to, 1)))
+			var bad *schema.Error
+			assert.Assert(t, errors.As(err, &bad), "%v", err)
+			assert.Equal(t, bad.Section, c.section)
+			assert.Equal(t, bad.Key, c.key)
+		})
+	}
+}
+
+func TestDiffAppliedGivesTheOther(t *testing.T) {
+	a := mustParse(t, example(t))
+	b := mustParse(t, strings.Replace(strings.Replace(example(t), "rate = 50", "rate = 60", 1), "retries = 3", "retries = 1", 1))
+	assert.DeepEqual(t, Diff(a, b).Apply(a), b)
+	assert.Assert(t, Diff(a, a).Empty())
+	assert.DeepEqual(t, Diff(a, Empty()).Apply(a), Empty())
+	assert.Equal(t, len(Diff(a, b).Grants), 1, "a patch holds only what changes")
+}
+
+func TestPlanSaysWhomItConcerns(t *testing.T) {
+	a := mustParse(t, example(t))
+	b := mustParse(t, strings.Replace(example(t), "rate = 50", "rate = 60", 1))
+	changes := Compare(a, b)
+	assert.Equal(t, len(changes), 1)
+	assert.Equal(t, changes[0].Detail, "rate 50 -> 60")
+	assert.DeepEqual(t, changes[0].Workspaces, []ident.Workspace{"mlyn"})
+}
+
+func TestReviewWarns(t *testing.T) {
+	for name, c := range map[string]struct{ from, to, want string }{
+		"no key":             {"", "", "workspace mlyn has no key"},
+		"above the slots":    {"rate = 50", "rate = 20000", "grant mlyn_shop: rate 20000 is above the 13750"},
+		"nobody may call it": {"routes = katalog_browse, order_place", "routes = katalog_browse", "route order_place can be called by no workspace"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			in := mustParse(t, strings.Replace(example(t), c.from, c.to, 1))
+			warnings := strings.Join(Review(in, Facts{}), "\n")
+			assert.Assert(t, strings.Contains(warnings, c.want), "%s", warnings)
+		})
+	}
+}
+
+func TestSharesAddUpToOne(t *testing.T) {
+	in := mustParse(t, example(t)+"\n[data_centre far]\nweight = 3\n")
+	sum := 0.0
+	for dc := range in.DataCentres {
+		sum += in.Share(dc)
+	}
+	assert.Assert(t, sum > 0.999999 && sum < 1.000001)
+	assert.Equal(t, in.Share("elsewhere"), 0.0)
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(example(f))
+	f.Fuzz(func(t *testing.T, text string) {
+		in, err := Parse("fuzz.ini", []byte(text))
+		if err != nil {
+			return
+		}
+		// A valid intent stays valid and plans to nothing against itself.
+		assert.NilError(t, Check("fuzz.ini", in))
+		assert.Assert(t, Diff(in, in).Empty())
+	})
+}
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -118,12 +118,12 @@
 
 // Lease gives tokens to a daemon and takes back what it has not spent.
 func (o *Owner) Lease(now time.Time, to ident.VM, w Want) Lease {
-	l := o.lease(now, to, w)
+	l := o.give(now, to, w)
 	l.Number = w.Number
 	return l
 }
 
-func (o *Owner) lease(now time.Time, to ident.VM, w Want) Lease {
+func (o *Owner) give(now time.Time, to ident.VM, w Want) Lease {
 	o.advance(now)
 	if w.Number <= o.seen[to] {
 		return Lease{WaitMs: 1}
--- a/core/raft/cluster_test.go
+++ b/core/raft/cluster_test.go
@@ -231,3 +231,12 @@
 		}
 	}
 }
+
+// toggle kills a node, or starts one that is down.
+func (c *cluster) toggle(id ident.Node) {
+	if c.hosts[id].up {
+		c.hosts[id].up = false
+		return
+	}
+	c.start(id)
+}
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -265,11 +265,7 @@
 	case 11:
 		c.cut = map[[2]ident.Node]bool{}
 	case 12:
-		if c.hosts[id].up {
-			c.hosts[id].up = false
-		} else {
-			c.start(id)
-		}
+		c.toggle(id)
 	case 13:
 		changeMembers(t, c, id)
 	}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -211,8 +211,11 @@
 }
 
 func (b *Balancer) better(now time.Time, lane int, among []*peer) *peer {
-	p := among[b.rng.IntN(len(among))]
-	q := among[b.rng.IntN(len(among))]
+	i := b.rng.IntN(len(among))
+	p, q := among[i], among[i]
+	if len(among) > 1 {
+		q = among[(i+1+b.rng.IntN(len(among)-1))%len(among)]
+	}
 	if p.shedding(now, lane) != q.shedding(now, lane) {
 		if p.shedding(now, lane) {
 			return q
--- /dev/null
+++ b/io/event/event_test.go
@@ -0,0 +1,25 @@
+package event
+
+import (
+	"fmt"
+	"os"
+	"regexp"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// docs/EVENTS.md lists exactly the events of the catalogue.
+func TestCatalogueIsDocumented(t *testing.T) {
+	data, err := os.ReadFile("../../docs/EVENTS.md")
+	assert.NilError(t, err)
+	var listed []string
+	for _, m := range regexp.MustCompile(`(?m)^\| (\d+) \| (\w+) \| ([^|]+) \|`).FindAllStringSubmatch(string(data), -1) {
+		listed = append(listed, fmt.Sprintf("%s %s %s", m[1], m[2], m[3]))
+	}
+	var known []string
+	for _, d := range Catalogue() {
+		known = append(known, fmt.Sprintf("%d %s %s", d.ID, d.Level, d.Text))
+	}
+	assert.DeepEqual(t, listed, known)
+}
--- a/io/ration/ration.go
+++ b/io/ration/ration.go
@@ -128,7 +128,7 @@
 func (r *Ration) await(ctx context.Context, g ident.Grant, h *holder, began time.Time) (time.Duration, error) {
 	defer h.mu.Unlock()
 	for now := began; ; now = r.opt.Clock.Now() {
-		if now != began && h.core.Retry(now) {
+		if !now.Equal(began) && h.core.Retry(now) {
 			return 0, nil
 		}
 		denied := h.core.Denied(now)
