quota, trial, report: lend tokens for bursts; scenarios and figures

Cause: at 70% load 0.83% of the calls inside their workspace's rate were refused: a burst divided over three data centres is used up in one of them while it lies unused in the others.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -53,7 +53,7 @@
 		return exitFailed
 	}
 	_, err = parser.ParseArgs(args)
-	return report(err)
+	return exitCode(err)
 }
 
 func newParser() (*flags.Parser, error) {
@@ -78,7 +78,7 @@
 	return parser, nil
 }
 
-func report(err error) int {
+func exitCode(err error) int {
 	if err == nil {
 		return exitDone
 	}
--- a/commands/trial.go
+++ b/commands/trial.go
@@ -11,7 +11,8 @@
 )
 
 type trialCommand struct {
-	Layout string `long:"layout" default:"small" description:"layout of the fleet: small"`
+	Layout string `long:"layout" default:"small" description:"layout of the fleet: small, mapa or coinex"`
+	Load   string `long:"scenario" description:"scenario of the load, for the layouts mapa and coinex"`
 	Mode   string `long:"mode" choice:"managed" choice:"pass_through" default:"managed" description:"mode of the daemons"`
 	Args   struct {
 		Dir string `positional-arg-name:"DIR" description:"new folder for the files"`
@@ -30,6 +31,13 @@
 		return usageError{fmt.Errorf("%w %q", err, c.Layout)}
 	}
 	layout.Mode = c.Mode
+	if c.Load != "" {
+		scenario, ok := trial.Scenarios(layout)[c.Load]
+		if !ok {
+			return usageError{fmt.Errorf("unknown scenario %q; known are %v", c.Load, trial.ScenarioNames(layout))}
+		}
+		layout = layout.With(scenario)
+	}
 	dir, err := filepath.Abs(c.Args.Dir)
 	if err != nil {
 		return usageError{err}
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -79,7 +79,7 @@
 		return 0 // an answer to an earlier request
 	}
 	if l.WaitMs > 0 {
-		const longest = 50 * time.Millisecond
+		const longest = 20 * time.Millisecond
 		h.denied = now.Add(min(time.Duration(l.WaitMs)*time.Millisecond, longest))
 		return 0
 	}
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -42,14 +42,22 @@
 	WaitMs int64 `json:"wait_ms"`
 }
 
-// Loan is a share of a grant that one data centre lends to another, with the
-// tokens that lay in it.
+// Loan is what one data centre lends to another: a share of the rate, a part
+// of the burst in calls, and the tokens that lay in it.
 type Loan struct {
 	Share  float64 `json:"share"`
+	Burst  float64 `json:"burst"`
 	Tokens float64 `json:"tokens"`
 	TimeMs int64   `json:"time_ms"`
 }
 
+// Ask is what one data centre wants from another: a share of the rate for
+// lasting demand, or tokens for calls that wait.
+type Ask struct {
+	Share  float64 `json:"share"`
+	Tokens float64 `json:"tokens"`
+}
+
 // Owner holds one data centre's share of a grant and divides it among the
 // daemons there. The shares of all data centres add up to one; a share is
 // lent for a time and comes back by itself.
@@ -75,6 +83,7 @@
 type loan struct {
 	with  ident.DataCentre
 	share float64
+	burst float64
 	until time.Time
 }
 
@@ -187,33 +196,54 @@
 	return max(1, int64(math.Ceil(missing/fill*1000)))
 }
 
-// Lend gives a part of the share to another data centre: at most what is
-// asked for and what the demand here leaves.
-func (o *Owner) Lend(now time.Time, to ident.DataCentre, want float64) Loan {
+// Lend gives another data centre what it asks for, as far as the demand here
+// leaves it: a share with its part of the burst, or tokens with room for them.
+func (o *Owner) Lend(now time.Time, to ident.DataCentre, want Ask) Loan {
 	o.advance(now)
 	if now.Before(o.idleUntil) {
 		return Loan{}
 	}
+	l := o.spareShare(now, want.Share)
+	if l.Share == 0 {
+		l = o.spareTokens(want.Tokens)
+	}
+	if l.Burst <= epsilon {
+		return Loan{}
+	}
+	l.TimeMs = LoanTime.Milliseconds()
+	o.tokens -= l.Tokens
+	o.lent = append(o.lent, loan{with: to, share: l.Share, burst: l.Burst, until: now.Add(LoanTime)})
+	o.cap()
+	return l
+}
+
+func (o *Owner) spareShare(now time.Time, want float64) Loan {
 	own := o.ownShare()
 	spare := min(want, own, o.Share()-o.needed(now))
-	if spare <= epsilon || own <= 0 {
+	if spare <= epsilon {
 		return Loan{}
 	}
-	tokens := o.tokens * spare / o.Share()
-	o.tokens -= tokens
-	o.lent = append(o.lent, loan{with: to, share: spare, until: now.Add(LoanTime)})
-	o.cap()
-	return Loan{Share: spare, Tokens: tokens, TimeMs: LoanTime.Milliseconds()}
+	part := spare / o.Share()
+	return Loan{Share: spare, Burst: min(o.ownBurst(), o.Burst()*part), Tokens: o.tokens * part}
+}
+
+// spareTokens gives at most half of the tokens that lie here.
+func (o *Owner) spareTokens(want float64) Loan {
+	n := math.Floor(min(want, o.tokens/2, o.ownBurst()))
+	if n < 1 {
+		return Loan{}
+	}
+	return Loan{Burst: n, Tokens: n}
 }
 
 // Borrow takes a loan that was asked for at a time.
 func (o *Owner) Borrow(now, asked time.Time, from ident.DataCentre, l Loan) {
 	o.advance(now)
 	until := asked.Add(shorten(l.TimeMs))
-	if l.Share <= 0 || !until.After(now) {
+	if l.Burst <= 0 || !until.After(now) {
 		return
 	}
-	o.borrowed = append(o.borrowed, loan{with: from, share: l.Share, until: until})
+	o.borrowed = append(o.borrowed, loan{with: from, share: l.Share, burst: l.Burst, until: until})
 	o.tokens += l.Tokens
 	o.cap()
 }
@@ -240,6 +270,23 @@
 	return share
 }
 
+// Burst returns the part of the burst that is held at the moment, in calls.
+func (o *Owner) Burst() float64 {
+	burst := o.ownBurst()
+	for _, b := range o.borrowed {
+		burst += b.burst
+	}
+	return burst
+}
+
+func (o *Owner) ownBurst() float64 {
+	burst := o.base * o.burst
+	for _, l := range o.lent {
+		burst -= l.burst
+	}
+	return max(0, burst)
+}
+
 // Outstanding returns the tokens that daemons hold.
 func (o *Owner) Outstanding() float64 {
 	sum := 0.0
@@ -255,7 +302,7 @@
 // Full reports whether the bucket holds all that it can.
 func (o *Owner) Full(now time.Time) bool {
 	o.advance(now)
-	return o.tokens >= o.Share()*o.burst-epsilon
+	return o.tokens >= o.Burst()-epsilon
 }
 
 // FillTime returns how long an empty bucket takes to fill.
@@ -333,7 +380,7 @@
 
 // cap holds kept and leased tokens together within the share of the burst.
 func (o *Owner) cap() {
-	o.tokens = max(0, min(o.tokens, o.Share()*o.burst-o.Outstanding()))
+	o.tokens = max(0, min(o.tokens, o.Burst()-o.Outstanding()))
 }
 
 func ceilMs(d time.Duration) int64 {
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -180,7 +180,10 @@
 
 func (w *world) borrow(to, from int) {
 	asked := w.now
-	want := rapid.Float64Range(0, 1).Draw(w.t, "share")
+	want := Ask{Share: rapid.Float64Range(0, 1).Draw(w.t, "share"), Tokens: rapid.Float64Range(0, 20).Draw(w.t, "tokens")}
+	if rapid.Bool().Draw(w.t, "tokens only") {
+		want.Share = 0
+	}
 	w.after(w.delay(), func() {
 		l := w.owners[from].Lend(w.now, ident.DataCentre(fmt.Sprint(to)), want)
 		if w.lost() {
--- a/core/quota/state.go
+++ b/core/quota/state.go
@@ -23,6 +23,7 @@
 type Span struct {
 	With   ident.DataCentre `json:"with,omitempty"`
 	Amount float64          `json:"amount"`
+	Burst  float64          `json:"burst,omitempty"`
 	LeftMs int64            `json:"left_ms"`
 }
 
@@ -50,10 +51,10 @@
 	o := NewOwner(now.Add(time.Duration(s.IdleMs)*time.Millisecond), rate, burst, base)
 	o.tokens = s.Tokens
 	for _, l := range s.Lent {
-		o.lent = append(o.lent, loan{with: l.With, share: l.Amount, until: now.Add(time.Duration(l.LeftMs) * time.Millisecond)})
+		o.lent = append(o.lent, loan{with: l.With, share: l.Amount, burst: l.Burst, until: now.Add(time.Duration(l.LeftMs) * time.Millisecond)})
 	}
 	for _, b := range s.Borrowed {
-		o.borrowed = append(o.borrowed, loan{with: b.With, share: b.Amount, until: now.Add(shorten(b.LeftMs))})
+		o.borrowed = append(o.borrowed, loan{with: b.With, share: b.Amount, burst: b.Burst, until: now.Add(shorten(b.LeftMs))})
 	}
 	for vm, h := range s.Out {
 		o.out[vm] = held{tokens: h.Amount, until: now.Add(time.Duration(h.LeftMs) * time.Millisecond)}
@@ -71,7 +72,7 @@
 func spans(now time.Time, loans []loan) []Span {
 	out := make([]Span, 0, len(loans))
 	for _, l := range loans {
-		out = append(out, Span{With: l.with, Amount: l.share, LeftMs: l.until.Sub(now).Milliseconds()})
+		out = append(out, Span{With: l.with, Amount: l.share, Burst: l.burst, LeftMs: l.until.Sub(now).Milliseconds()})
 	}
 	return out
 }
--- a/io/load/plan.go
+++ b/io/load/plan.go
@@ -60,6 +60,13 @@
 	Idempotent bool     `ini:"idempotent"`
 	Body       int      `ini:"body"`
 	Targets    []string `ini:"targets"`
+	// GrantRate and GrantBurst are what the workspace may call; a call that
+	// they allow is inside the rate.
+	GrantRate  float64 `ini:"grant_rate"`
+	GrantBurst float64 `ini:"grant_burst"`
+	// SurgeOnly makes the plan's surge apply to this stream only when any
+	// stream sets it.
+	SurgeOnly bool `ini:"surge_only"`
 	// Key is read from KeyFile.
 	Key string
 }
--- a/io/load/result.go
+++ b/io/load/result.go
@@ -15,6 +15,10 @@
 	NotRun   bool
 	Attempts int
 	Latency  time.Duration
+	// Inside is set when the workspace's rate and burst allowed the call.
+	Inside bool
+	// Key names the call in the stand-ins' ledgers.
+	Key string
 }
 
 // Result is what all customers got.
@@ -26,6 +30,9 @@
 	Total   *StreamStats            `json:"total"`
 	// Timeline counts calls by the second in which they were due.
 	Timeline []Second `json:"timeline"`
+	// NotRun lists the calls of which the last answer said that they had not
+	// run, as the stand-ins' ledgers name them.
+	NotRun []string `json:"not_run,omitempty"`
 }
 
 // StreamStats sums up one stream.
@@ -36,10 +43,15 @@
 	Attempts  int            `json:"attempts"`
 	MaxTries  int            `json:"max_tries"`
 	Outcomes  map[string]int `json:"outcomes"`
-	P50Ms     float64        `json:"p50_ms"`
-	P90Ms     float64        `json:"p90_ms"`
-	P99Ms     float64        `json:"p99_ms"`
-	hist      *hdrhistogram.Histogram
+	// Inside counts the calls inside the rate, InsideWhole those of them that
+	// were answered whole, Wrongful those refused for the rate.
+	Inside      int     `json:"inside"`
+	InsideWhole int     `json:"inside_whole"`
+	Wrongful    int     `json:"wrongful"`
+	P50Ms       float64 `json:"p50_ms"`
+	P90Ms       float64 `json:"p90_ms"`
+	P99Ms       float64 `json:"p99_ms"`
+	hist        *hdrhistogram.Histogram
 }
 
 // Second is one second of the run.
@@ -68,6 +80,9 @@
 	defer r.mu.Unlock()
 	r.Streams[s.Name].add(out)
 	r.Total.add(out)
+	if out.NotRun && out.Attempts == 1 && !s.Idempotent {
+		r.NotRun = append(r.NotRun, out.Key)
+	}
 	second := int(due.Sub(r.began) / time.Second)
 	for len(r.Timeline) <= second {
 		r.Timeline = append(r.Timeline, Second{})
@@ -85,6 +100,15 @@
 	s.Attempts += out.Attempts
 	s.MaxTries = max(s.MaxTries, out.Attempts)
 	s.Outcomes[out.Outcome]++
+	if out.Inside {
+		s.Inside++
+	}
+	if out.Inside && out.Whole {
+		s.InsideWhole++
+	}
+	if out.Inside && out.Outcome == "over_rate" {
+		s.Wrongful++
+	}
 	if out.Whole {
 		s.Whole++
 		_ = s.hist.RecordValue(max(1, out.Latency.Microseconds())) // above a minute counts as a minute
--- a/io/load/run.go
+++ b/io/load/run.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,6 +28,9 @@
 	places chan struct{}
 	wg     sync.WaitGroup
 	result *Result
+	// selective is set when the surge concerns some streams only.
+	selective bool
+	inside    *insideMeter
 }
 
 // Run carries out a plan and returns what the customers got.
@@ -40,7 +44,9 @@
 		began:  time.Now(),
 		places: make(chan struct{}, p.Load.InFlight),
 		result: newResult(p),
+		inside: newInsideMeter(p),
 	}
+	r.selective = slices.ContainsFunc(p.Streams, func(s Stream) bool { return s.SurgeOnly })
 	var generators sync.WaitGroup
 	for i, s := range p.Streams {
 		generators.Go(func() { r.generate(ctx, s, uint64(p.Load.Seed+i)) })
@@ -57,23 +63,27 @@
 	rng := rand.New(rand.NewPCG(seed, 7))
 	due := r.began
 	for n := 0; ; n++ {
-		pause := rng.ExpFloat64() / (s.Rate * r.factor(due))
+		pause := rng.ExpFloat64() / (s.Rate * r.factor(s, due))
 		due = due.Add(time.Duration(pause * float64(time.Second)))
 		if due.Sub(r.began) > r.plan.Load.Duration || !waitUntil(ctx, due) {
 			return
 		}
+		inside := r.inside.allows(s, due)
 		select {
 		case r.places <- struct{}{}:
 		default:
-			r.result.add(s, due, Sample{Outcome: "not_sent"})
+			r.result.add(s, due, Sample{Outcome: "not_sent", Inside: inside})
 			continue
 		}
 		r.wg.Add(1)
-		go r.customer(ctx, s, n, due)
+		go r.customer(ctx, s, n, due, inside)
 	}
 }
 
-func (r *runner) factor(at time.Time) float64 {
+func (r *runner) factor(s Stream, at time.Time) float64 {
+	if r.selective && !s.SurgeOnly {
+		return 1
+	}
 	since := at.Sub(r.began)
 	l := r.plan.Load
 	if l.SurgeFor > 0 && since >= l.SurgeAt && since < l.SurgeAt+l.SurgeFor {
@@ -98,7 +108,7 @@
 }
 
 // customer sends one call, and again as an impatient customer does.
-func (r *runner) customer(ctx context.Context, s Stream, n int, due time.Time) {
+func (r *runner) customer(ctx context.Context, s Stream, n int, due time.Time, inside bool) {
 	defer r.wg.Done()
 	defer func() { <-r.places }()
 	path := strings.ReplaceAll(s.Path, "{n}", strconv.Itoa(n))
@@ -115,6 +125,8 @@
 		}
 	}
 	out.Latency = time.Since(due)
+	out.Inside = inside
+	out.Key = action + " " + path
 	r.result.add(s, due, out)
 }
 
--- a/io/ration/borrow.go
+++ b/io/ration/borrow.go
@@ -21,12 +21,23 @@
 		}
 		if want := o.core.Wants(now); want > 0 {
 			o.borrowing = true
-			go r.borrow(g, o, want)
+			go r.borrow(g, o, quota.Ask{Share: want})
 		}
 	}
 }
 
-func (r *Ration) borrow(g ident.Grant, o *owned, want float64) {
+// borrowTokens asks for tokens at once, since calls wait for them; the mutex
+// is held.
+func (r *Ration) borrowTokens(now time.Time, g ident.Grant, o *owned) {
+	const pause, few = 15 * time.Millisecond, 4
+	if o.borrowing || now.Sub(o.shortAt) < pause {
+		return
+	}
+	o.borrowing, o.shortAt = true, now
+	go r.borrow(g, o, quota.Ask{Tokens: few})
+}
+
+func (r *Ration) borrow(g ident.Grant, o *owned, want quota.Ask) {
 	defer func() {
 		r.ownMu.Lock()
 		defer r.ownMu.Unlock()
@@ -39,19 +50,21 @@
 		}
 		asked := r.opt.Clock.Now()
 		l, err := r.askLoan(g, dc, want)
-		if err != nil || l.Share <= 0 {
+		if err != nil || l.Burst <= 0 {
 			continue
 		}
 		r.ownMu.Lock()
 		o.core.Borrow(r.opt.Clock.Now(), asked, dc, l)
 		r.ownMu.Unlock()
-		if want -= l.Share; want <= 0 {
+		want.Share -= l.Share
+		want.Tokens -= l.Tokens
+		if want.Share <= 0 && want.Tokens <= 0 {
 			return
 		}
 	}
 }
 
-func (r *Ration) askLoan(g ident.Grant, dc ident.DataCentre, want float64) (quota.Loan, error) {
+func (r *Ration) askLoan(g ident.Grant, dc ident.DataCentre, want quota.Ask) (quota.Loan, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	members := r.opt.Board.Members.Read()
--- a/io/ration/owner.go
+++ b/io/ration/owner.go
@@ -17,6 +17,8 @@
 	core *quota.Owner
 	// borrowing is set while other data centres are asked.
 	borrowing bool
+	// shortAt is when tokens were asked for elsewhere last.
+	shortAt time.Time
 }
 
 // view remembers when the members of this data centre changed last.
@@ -81,7 +83,12 @@
 		return wire.QuotaLeaseReply{}, nil
 	}
 	r.adjust(q.Grant, o)
-	return wire.QuotaLeaseReply{Owner: true, Lease: o.core.Lease(r.opt.Clock.Now(), q.VM, q.Want)}, nil
+	now := r.opt.Clock.Now()
+	l := o.core.Lease(now, q.VM, q.Want)
+	if l.WaitMs > 0 && q.Want.Spend > 0 {
+		r.borrowTokens(now, q.Grant, o)
+	}
+	return wire.QuotaLeaseReply{Owner: true, Lease: l}, nil
 }
 
 // adjust follows the configuration; the mutex is held.
--- /dev/null
+++ b/io/report/page.go
@@ -0,0 +1,96 @@
+package report
+
+import (
+	"bytes"
+	"encoding/json"
+	"html/template"
+	"os"
+
+	"chicorymast/core/fault"
+	"chicorymast/io/load"
+)
+
+const fileMode = 0o644
+
+// WriteSummary writes the rows as JSON.
+func WriteSummary(path string, rows []Row) (err error) {
+	defer fault.Note(&err, "write summary %s", path)
+	data, err := json.MarshalIndent(rows, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, data, fileMode)
+}
+
+// ReadSummary reads what WriteSummary wrote; a file that is not there is an
+// empty summary.
+func ReadSummary(path string) (rows []Row, err error) {
+	defer fault.Note(&err, "read summary %s", path)
+	data, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return rows, json.Unmarshal(data, &rows)
+}
+
+// WritePage writes the rows as one HTML file with a plot for each run.
+func WritePage(path string, rows []Row) (err error) {
+	defer fault.Note(&err, "write page %s", path)
+	var b bytes.Buffer
+	if err := page.Execute(&b, rows); err != nil {
+		return err
+	}
+	return os.WriteFile(path, b.Bytes(), fileMode)
+}
+
+// bar is one second of a plot; heights are in pixels.
+type bar struct{ X, Offered, Whole int }
+
+const (
+	plotHeight = 90
+	barWidth   = 8
+)
+
+func bars(t []load.Second) []bar {
+	most := 1
+	for _, s := range t {
+		most = max(most, s.Offered)
+	}
+	out := make([]bar, len(t))
+	for i, s := range t {
+		out[i] = bar{X: i * barWidth, Offered: s.Offered * plotHeight / most, Whole: s.Whole * plotHeight / most}
+	}
+	return out
+}
+
+var page = template.Must(template.New("page").Funcs(template.FuncMap{
+	"bars": bars,
+	"top":  func(h int) int { return plotHeight - h },
+}).Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>chicorymast: measurements</title>
+<style>
+body{font:14px sans-serif;margin:2em;color:#222}
+table{border-collapse:collapse}
+td,th{border:1px solid #bbb;padding:2px 8px;text-align:right}
+td:first-child,th:first-child{text-align:left}
+.offered{fill:#ddd}.whole{fill:#3a7d44}
+h2{margin-top:1.5em}
+</style></head><body>
+<h1>Measurements</h1>
+<p>Grey: calls due in each second. Green: those of them answered whole.</p>
+<table><tr><th>scenario</th><th>mode</th><th>goodput</th><th>of capacity in trouble</th><th>recovery s</th><th>worst workspace</th>
+<th>wrongful refusals</th><th>over rate</th><th>second runs</th><th>false not run</th><th>runs per whole</th><th>p50 ms</th><th>p99 ms</th><th>CPU share</th></tr>
+{{range .}}<tr><td>{{.Scenario}}</td><td>{{.Mode}}</td><td>{{printf "%.4f" .Goodput}}</td><td>{{printf "%.3f" .GoodputTrouble}}</td>
+<td>{{printf "%.0f" .RecoverySec}}</td><td>{{printf "%.4f" .WorstWorkspace}}</td><td>{{printf "%.5f" .Wrongful}}</td><td>{{printf "%.0f" .OverRate}}</td>
+<td>{{.DuplicateRuns}}</td><td>{{.FalseNotRun}}</td><td>{{printf "%.2f" .RunsPerWhole}}</td><td>{{printf "%.1f" .P50Ms}}</td><td>{{printf "%.1f" .P99Ms}}</td>
+<td>{{printf "%.4f" .CPUShare}}</td></tr>{{end}}</table>
+{{range .}}<h2>{{.Scenario}}, {{.Mode}}</h2>
+<svg width="640" height="95" role="img" aria-label="calls over time">
+{{range bars .Timeline}}<rect class="offered" x="{{.X}}" y="{{top .Offered}}" width="7" height="{{.Offered}}"/><rect class="whole" x="{{.X}}" y="{{top .Whole}}" width="7" height="{{.Whole}}"/>{{end}}
+</svg>
+<p>{{range $reason, $n := .Outcomes}}{{$reason}} {{$n}} &nbsp; {{end}}</p>{{end}}
+</body></html>
+`))
--- a/io/trial/content.go
+++ b/io/trial/content.go
@@ -4,10 +4,14 @@
 	"fmt"
 	"path/filepath"
 	"strings"
+	"time"
 
 	"chicorymast/core/ident"
 )
 
+// smallDuration is how long the load lasts that no scenario describes.
+const smallDuration = 15 * time.Second
+
 // intent renders the operator's intent of a layout.
 func (f *Fleet) intent() string {
 	var b strings.Builder
@@ -42,11 +46,27 @@
 // upstreams, or straight at the stand-ins.
 func (f *Fleet) loadPlan(direct bool) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "[load]\ntargets = %s\nduration = 15s\ndirect = %t\nseed = 1\n", strings.Join(f.targets(), ", "), direct)
-	for _, t := range f.layout.Tenants {
+	s := f.layout.Load
+	duration := s.Duration
+	if duration == 0 {
+		duration = smallDuration
+	}
+	fmt.Fprintf(&b, "[load]\ntargets = %s\nduration = %s\ndirect = %t\nseed = 1\n", strings.Join(f.targets(), ", "), duration, direct)
+	fmt.Fprintf(&b, "retries = %d\nbackoff = %s\n", s.Retries, s.Backoff)
+	if s.Timeout > 0 {
+		fmt.Fprintf(&b, "timeout = %s\n", s.Timeout)
+	}
+	if s.Surge > 0 {
+		fmt.Fprintf(&b, "surge_at = %s\nsurge_for = %s\nsurge_factor = %g\n", s.SurgeAt, s.SurgeFor, s.Surge)
+	}
+	for n, t := range f.layout.Tenants {
 		for i, o := range t.Offer {
 			fmt.Fprintf(&b, "\n[stream %s_%d]\nworkspace = %s\nmethod = %s\npath = %s\nrate = %g\nidempotent = %t\n",
 				t.Name, i+1, t.Name, o.Method, o.Path, o.Rate, o.Idempotent)
+			fmt.Fprintf(&b, "grant_rate = %g\ngrant_burst = %g\n", t.Rate, t.Burst)
+			if s.Greedy {
+				fmt.Fprintf(&b, "surge_only = %t\n", n == 0)
+			}
 			if direct {
 				fmt.Fprintf(&b, "targets = %s\n", strings.Join(f.directTargets(o.Path), ", "))
 				continue
--- a/io/trial/layout.go
+++ b/io/trial/layout.go
@@ -31,6 +31,8 @@
 	Tenants  []Tenant
 	// Mode is the daemons' mode.
 	Mode string
+	// Load changes the load and says what happens while it runs.
+	Load Scenario
 	// Sample is the share of calls that are traced.
 	Sample float64
 }
@@ -77,7 +79,7 @@
 	Idempotent bool
 }
 
-var layouts = map[string]func() Layout{"small": Small}
+var layouts = map[string]func() Layout{"small": Small, "mapa": Mapa, "coinex": Coinex}
 
 // ByName returns a layout.
 func ByName(name string) (Layout, error) {
--- a/io/trial/write.go
+++ b/io/trial/write.go
@@ -60,6 +60,8 @@
 		"environment": f.environment(),
 		"load.ini":    f.loadPlan(false),
 		"direct.ini":  f.loadPlan(true),
+		"steps":       f.steps(),
+		"stand-ins":   f.standInList(),
 	}
 	for _, d := range f.Daemons {
 		files[string(d.VM)+".ini"] = f.settings(d, tokenDigest)
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -207,10 +207,10 @@
 type QuotaLendRequest struct {
 	DataCentre ident.DataCentre `json:"data_centre"`
 	Grant      ident.Grant      `json:"grant"`
-	Want       float64          `json:"want"`
+	Want       quota.Ask        `json:"want"`
 }
 
-// QuotaLendReply is what is lent; a share of zero is a refusal.
+// QuotaLendReply is what is lent; a burst of zero is a refusal.
 type QuotaLendReply struct {
 	Loan quota.Loan `json:"loan"`
 }
