quota: lend by steady demand, tokens for moments only

Cause: found by a test that spreads calls at 80% of a small grant over three data centres. Demand was averaged over 1 s, so a data centre lent its share and its tokens away at a quiet moment for 4 s and refused the next calls; tokens lent for waiting calls kept the lender's bucket small for 4 s, and what accrued there overflowed.

Change: demand averages over 10 s, lenders keep 1.8 times their demand and borrowers want 1.15 times theirs, loans of tokens end after 500 ms.

--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -23,6 +23,7 @@
 
 // Take spends one token, if there is one.
 func (h *Holder) Take(now time.Time) bool {
+	h.demand.over = holderMemory
 	h.demand.add(now, 1)
 	return h.Retry(now)
 }
@@ -55,6 +56,9 @@
 
 // ahead is how many tokens to have for later calls.
 func (h *Holder) ahead(now time.Time) float64 {
+	if h.demand.over == 0 {
+		return 0
+	}
 	return math.Floor(h.demand.rate(now) * fetchTime.Seconds())
 }
 
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -17,13 +17,22 @@
 	SpendTime = 50 * time.Millisecond
 	// LoanTime is how long one data centre may use another's share.
 	LoanTime = 4 * time.Second
+	// TokenLoanTime is how long tokens that calls wait for are lent.
+	TokenLoanTime = 500 * time.Millisecond
 	// holderMargin of a lease's time is kept back by who received it, for
 	// clocks that do not run alike.
 	holderMargin = 0.1
-	// demandTime is over how long demand is averaged.
-	demandTime = time.Second
-	// headroom is how much above its demand an owner wants to hold.
-	headroom = 1.25
+	// ownerMemory is over how long an owner averages its demand. It is longer
+	// than a loan, or a data centre lends away at a quiet moment what it needs
+	// in the next.
+	ownerMemory = 10 * time.Second
+	// holderMemory is over how long a daemon averages its demand.
+	holderMemory = time.Second
+	// wantRoom is how much above its demand an owner wants to hold, keepRoom
+	// how much it keeps when others ask; the gap between them keeps shares
+	// from going to and fro.
+	wantRoom = 1.15
+	keepRoom = 1.8
 	// epsilon is what counts as nothing among shares.
 	epsilon = 1e-9
 )
@@ -99,6 +108,7 @@
 	return &Owner{
 		rate: float64(rate), burst: float64(burst), base: base, at: idleUntil,
 		out: map[ident.VM]held{}, seen: map[ident.VM]uint64{}, idleUntil: idleUntil,
+		demand: meter{over: ownerMemory},
 	}
 }
 
@@ -210,21 +220,21 @@
 	if l.Burst <= epsilon {
 		return Loan{}
 	}
-	l.TimeMs = LoanTime.Milliseconds()
 	o.tokens -= l.Tokens
-	o.lent = append(o.lent, loan{with: to, share: l.Share, burst: l.Burst, until: now.Add(LoanTime)})
+	until := now.Add(time.Duration(l.TimeMs) * time.Millisecond)
+	o.lent = append(o.lent, loan{with: to, share: l.Share, burst: l.Burst, until: until})
 	o.cap()
 	return l
 }
 
 func (o *Owner) spareShare(now time.Time, want float64) Loan {
 	own := o.ownShare()
-	spare := min(want, own, o.Share()-o.needed(now))
+	spare := min(want, own, o.Share()-o.needed(now, keepRoom))
 	if spare <= epsilon {
 		return Loan{}
 	}
 	part := spare / o.Share()
-	return Loan{Share: spare, Burst: min(o.ownBurst(), o.Burst()*part), Tokens: o.tokens * part}
+	return Loan{Share: spare, Burst: min(o.ownBurst(), o.Burst()*part), Tokens: o.tokens * part, TimeMs: LoanTime.Milliseconds()}
 }
 
 // spareTokens gives at most half of the tokens that lie here.
@@ -233,7 +243,7 @@
 	if n < 1 {
 		return Loan{}
 	}
-	return Loan{Burst: n, Tokens: n}
+	return Loan{Burst: n, Tokens: n, TimeMs: TokenLoanTime.Milliseconds()}
 }
 
 // Borrow takes a loan that was asked for at a time.
@@ -258,7 +268,7 @@
 			lasting += b.share
 		}
 	}
-	return max(0, o.needed(now)-lasting)
+	return max(0, o.needed(now, wantRoom)-lasting)
 }
 
 // Share returns the share that is held at the moment.
@@ -324,9 +334,10 @@
 	return max(0, share)
 }
 
-// needed is the share of the whole rate that the demand here amounts to.
-func (o *Owner) needed(now time.Time) float64 {
-	return min(1, headroom*o.demand.rate(now)/o.rate)
+// needed is the share of the whole rate that the demand here amounts to, with
+// some room.
+func (o *Owner) needed(now time.Time, room float64) float64 {
+	return min(1, room*o.demand.rate(now)/o.rate)
 }
 
 // advance lets time pass: tokens accrue, loans and leases end, each at its
@@ -389,8 +400,9 @@
 
 // meter averages what is asked for over time.
 type meter struct {
-	sum float64
-	at  time.Time
+	over time.Duration
+	sum  float64
+	at   time.Time
 }
 
 func (m *meter) add(now time.Time, n float64) {
@@ -401,12 +413,12 @@
 // rate returns tokens per second.
 func (m *meter) rate(now time.Time) float64 {
 	m.decay(now)
-	return m.sum / demandTime.Seconds()
+	return m.sum / m.over.Seconds()
 }
 
 func (m *meter) decay(now time.Time) {
 	if !m.at.IsZero() && now.After(m.at) {
-		m.sum *= math.Exp(-now.Sub(m.at).Seconds() / demandTime.Seconds())
+		m.sum *= math.Exp(-now.Sub(m.at).Seconds() / m.over.Seconds())
 	}
 	if now.After(m.at) {
 		m.at = now
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -237,3 +237,102 @@
 		}
 	})
 }
+
+// TestSmallGrantOverDataCentres spreads calls at 80% of a small grant's rate
+// over three data centres. A call that finds no token asks again every 20 ms;
+// its data centre asks the others for tokens each time.
+func TestSmallGrantOverDataCentres(t *testing.T) {
+	for _, rate := range []float64{5, 15, 60} {
+		t.Run(fmt.Sprint(rate), func(t *testing.T) {
+			f := newSmallFleet(rate)
+			calls, missed := f.run(5 * time.Minute)
+			t.Logf("%d of %d calls found no token in time", missed, calls)
+			assert.Assert(t, float64(missed) <= 0.001*float64(calls), "%d of %d", missed, calls)
+		})
+	}
+}
+
+type smallFleet struct {
+	rate    float64
+	rng     *rand.Rand
+	owners  []*Owner
+	holders [][]*Holder
+	// waiting calls: where they came in and when.
+	waiting []waitingCall
+}
+
+type waitingCall struct {
+	dc, vm int
+	since  time.Time
+}
+
+const smallBurst = 20.0
+
+func newSmallFleet(rate float64) *smallFleet {
+	const dcs, vms = 3, 5
+	f := &smallFleet{rate: rate, rng: rand.New(rand.NewPCG(1, 2))}
+	for range dcs {
+		f.owners = append(f.owners, NewOwner(epoch.Add(-time.Hour), ident.Rate(rate), smallBurst, 1.0/dcs))
+		holders := make([]*Holder, vms)
+		for i := range holders {
+			holders[i] = &Holder{}
+		}
+		f.holders = append(f.holders, holders)
+	}
+	return f
+}
+
+func (f *smallFleet) run(d time.Duration) (calls, missed int) {
+	const step, patience = 20 * time.Millisecond, 250 * time.Millisecond
+	next := epoch
+	for now := epoch; now.Before(epoch.Add(d)); now = now.Add(step) {
+		for ; next.Before(now); next = next.Add(time.Duration(f.rng.ExpFloat64() / (0.8 * f.rate) * float64(time.Second))) {
+			calls++
+			f.waiting = append(f.waiting, waitingCall{f.rng.IntN(len(f.owners)), f.rng.IntN(5), now})
+		}
+		rest := f.waiting[:0]
+		for _, c := range f.waiting {
+			switch {
+			case f.serve(now, c):
+			case now.Sub(c.since) > patience:
+				missed++
+			default:
+				rest = append(rest, c)
+			}
+		}
+		f.waiting = rest
+		f.share(now)
+	}
+	return calls, missed
+}
+
+func (f *smallFleet) serve(now time.Time, c waitingCall) bool {
+	h := f.holders[c.dc][c.vm]
+	if now.Equal(c.since) && h.Take(now) {
+		return true
+	}
+	l := f.owners[c.dc].Lease(now, vm(c.dc*10+c.vm), h.Ask(now, 1))
+	if h.Receive(now, now, l) == 1 {
+		return true
+	}
+	f.borrow(now, c.dc, Ask{Tokens: 2})
+	return false
+}
+
+// share borrows shares of the rate, as daemons do four times a second.
+func (f *smallFleet) share(now time.Time) {
+	for dc, o := range f.owners {
+		if want := o.Wants(now); want > 0 {
+			f.borrow(now, dc, Ask{Share: want})
+		}
+	}
+}
+
+func (f *smallFleet) borrow(now time.Time, to int, want Ask) {
+	for from, o := range f.owners {
+		if from != to {
+			l := o.Lend(now, ident.DataCentre(fmt.Sprint(to)), want)
+			f.owners[to].Borrow(now, now, ident.DataCentre(fmt.Sprint(from)), l)
+		}
+	}
+}
--- a/io/ration/borrow.go
+++ b/io/ration/borrow.go
@@ -29,7 +29,7 @@
 // borrowTokens asks for tokens at once, since calls wait for them; the mutex
 // is held.
 func (r *Ration) borrowTokens(now time.Time, g ident.Grant, o *owned) {
-	const pause, few = 15 * time.Millisecond, 4
+	const pause, few = 15 * time.Millisecond, 2
 	if o.borrowing || now.Sub(o.shortAt) < pause {
 		return
 	}
