proxy, secure, member: crash suspects, silent peers, mutual TLS, bounded eviction

Cause: a request that crashes its upstream was sent on to the next one without end; a daemon that fell silent cost each call its whole time; daemons trusted whoever connected; a relay that had been away itself would have marked the whole fleet gone at once.

Change: requests are fingerprinted, crashes announced with the daemons' entries; after two nobody runs the request for a minute, and the answer to it is held for 0.8 s until all know. The daemon beside an upstream says every 250 ms that it works (102); an attempt that hears nothing for 1 s is given up. Bodies must make progress. Mutual TLS between daemons with reload. At most a fifth of the members is marked gone within one lease.

--- a/config/listen.go
+++ b/config/listen.go
@@ -40,7 +40,7 @@
 			return a.key, fmt.Sprintf("%s is already the address of %s", a.value, other)
 		}
 		taken[a.value] = a.key
-		if problem := c.Security.checkPlaintext(a.value); problem != "" && a.key != "caller" {
+		if problem := checkReach(c, a); problem != "" {
 			return a.key, problem
 		}
 	}
@@ -50,6 +50,20 @@
 	return "", ""
 }
 
+// checkReach refuses listeners that anyone could reach without TLS. Callers may
+// come from anywhere; operators' tokens may not travel in the open.
+func checkReach(c *Config, a keyed) (problem string) {
+	switch a.key {
+	case "peer", "control":
+		return c.Security.checkPlaintext(a.value)
+	case "admin":
+		if !c.Security.AllowPlaintext && !loopback(a.value) {
+			return "is not a loopback address; operators' tokens would travel in the open. Use a tunnel, or allow_plaintext = true in [security]"
+		}
+	}
+	return ""
+}
+
 func checkAddress(text string) (problem string) {
 	if text == "" {
 		return "is missing"
--- a/core/board/daemon.go
+++ b/core/board/daemon.go
@@ -7,6 +7,7 @@
 	"chicorymast/core/intent"
 	"chicorymast/core/match"
 	"chicorymast/core/member"
+	"chicorymast/core/poison"
 	"chicorymast/core/state"
 )
 
@@ -24,6 +25,8 @@
 	Served *Section[Served]
 	// Life is written by the daemon itself.
 	Life *Section[Life]
+	// Crashes is written by the proxy: what this VM announces of crashes.
+	Crashes *Section[[]poison.Mark]
 }
 
 // New returns a board on which nothing is known yet.
@@ -35,6 +38,7 @@
 		Contact:   NewSection(&Contact{}),
 		Served:    NewSection(&Served{}),
 		Life:      NewSection(&Life{Phase: LifeStarting}),
+		Crashes:   NewSection(&[]poison.Mark{}),
 	}
 }
 
@@ -137,6 +141,8 @@
 	ByService map[ident.Service][]member.Entry
 	// ByVM finds the entry of a VM.
 	ByVM map[ident.VM]member.Entry
+	// Crashes adds up the crashes that requests met at other VMs.
+	Crashes map[ident.VM]map[poison.Print]int
 	// ByDataCentre lists the VMs of each data centre that take part.
 	ByDataCentre map[ident.DataCentre][]ident.VM
 }
@@ -148,8 +154,10 @@
 		ByService:    map[ident.Service][]member.Entry{},
 		ByVM:         make(map[ident.VM]member.Entry, len(entries)),
 		ByDataCentre: map[ident.DataCentre][]ident.VM{},
+		Crashes:      map[ident.VM]map[poison.Print]int{},
 	}
 	for _, e := range entries {
+		m.addCrashes(e)
 		m.ByVM[e.VM] = e
 		if e.Phase == member.PhaseUp {
 			m.ByDataCentre[e.DataCentre] = append(m.ByDataCentre[e.DataCentre], e.VM)
@@ -161,6 +169,27 @@
 	return m
 }
 
+func (m *Members) addCrashes(e member.Entry) {
+	if len(e.Crashes) == 0 {
+		return
+	}
+	marks := make(map[poison.Print]int, len(e.Crashes))
+	for _, mark := range e.Crashes {
+		marks[mark.Print] = mark.Crashes
+	}
+	m.Crashes[e.VM] = marks
+}
+
+// CrashesElsewhere returns how many crashes a request met at other VMs.
+func (m *Members) CrashesElsewhere(self ident.VM, p poison.Print) (n int) {
+	for vm, marks := range m.Crashes {
+		if vm != self {
+			n += marks[p]
+		}
+	}
+	return n
+}
+
 // Served is the upstream on this VM, or none.
 type Served struct {
 	member.Served
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -15,9 +15,11 @@
 package member
 
 import (
+	"slices"
 	"time"
 
 	"chicorymast/core/ident"
+	"chicorymast/core/poison"
 )
 
 // DefaultLease is how long an entry lives without renewal.
@@ -56,6 +58,8 @@
 	Phase      Phase            `json:"phase"`
 	// Relay is set while other daemons announce themselves to this one.
 	Relay bool `json:"relay,omitempty"`
+	// Crashes are requests that met crashes of upstreams, as seen by the VM.
+	Crashes []poison.Mark `json:"crashes,omitempty"`
 	// Version orders the announcements of one VM; it starts at the VM's start
 	// time, so that a restarted daemon is newer than its earlier life.
 	Version uint64 `json:"version"`
@@ -81,6 +85,9 @@
 	lease   time.Duration
 	records map[ident.VM]*record
 	change  uint64
+	// evicted counts the entries marked gone since windowAt.
+	evicted  int
+	windowAt time.Time
 }
 
 // New returns an empty directory.
@@ -134,8 +141,11 @@
 
 // Expire marks entries that were not renewed within the lease as gone and
 // forgets those that have been gone for ten leases. It counts the new ones.
+// When many lapse together, the fault is more likely on the way than at all
+// of them, so only a part of all is marked within one lease, oldest first.
 func (d *Directory) Expire(now time.Time) (expired int) {
 	const forgetAfter = 10
+	var lapsed []*record
 	for vm, r := range d.records {
 		age := now.Sub(r.renewed)
 		if age > forgetAfter*d.lease {
@@ -143,15 +153,36 @@
 			continue
 		}
 		if age > d.lease && r.entry.Phase != PhaseGone {
-			d.change++
-			r.change = d.change
-			r.entry.Phase = PhaseGone
-			expired++
+			lapsed = append(lapsed, r)
 		}
 	}
+	slices.SortFunc(lapsed, func(a, b *record) int { return a.renewed.Compare(b.renewed) })
+	for _, r := range lapsed[:min(len(lapsed), d.evictable(now))] {
+		d.change++
+		r.change = d.change
+		r.entry.Phase = PhaseGone
+		d.evicted++
+		expired++
+	}
 	return expired
 }
 
+const (
+	// evictShare of all entries may be marked gone within one lease.
+	evictShare = 0.2
+	// evictLeast may always be.
+	evictLeast = 3
+)
+
+// evictable returns how many entries may be marked gone at the moment.
+func (d *Directory) evictable(now time.Time) int {
+	if now.Sub(d.windowAt) > d.lease {
+		d.windowAt, d.evicted = now, 0
+	}
+	most := max(evictLeast, int(evictShare*float64(len(d.records))))
+	return max(0, most-d.evicted)
+}
+
 // Change returns the counter that Since compares with; it grows with every
 // change of content.
 func (d *Directory) Change() uint64 {
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -58,6 +59,23 @@
 	})
 }
 
+// A relay that was away itself finds all leases lapsed; it must not make the
+// whole fleet unreachable at once.
+func TestMassLapseIsSpread(t *testing.T) {
+	d := New(DefaultLease)
+	const n = 50
+	for i := range n {
+		d.Announce(epoch, entry(ident.VM(fmt.Sprint(i)), 1))
+	}
+	now := epoch.Add(DefaultLease + time.Second)
+	assert.Equal(t, d.Expire(now), n/5)
+	assert.Equal(t, d.Expire(now.Add(time.Second)), 0)
+	for i := range n - n/5 {
+		d.Announce(now.Add(time.Second), entry(ident.VM(fmt.Sprint(i)), 1))
+	}
+	assert.Equal(t, d.Expire(now.Add(2*time.Second)), 0, "those that renew meanwhile stay")
+}
+
 func TestSinceBringsOnlyChanges(t *testing.T) {
 	d := New(DefaultLease)
 	d.Announce(epoch, entry("a", 1))
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -21,6 +21,7 @@
 	"chicorymast/core/fault"
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
+	"chicorymast/core/poison"
 	"chicorymast/core/state"
 	"chicorymast/io/event"
 	"chicorymast/io/timer"
@@ -93,6 +94,8 @@
 	phase  member.Phase
 	relay  string
 	acting bool
+	// crashes is compared by identity: the section's value at the time.
+	crashes *[]poison.Mark
 }
 
 // New returns an agent that is not in touch yet.
@@ -155,13 +158,14 @@
 // interruptOnChange ends a waiting sync when this VM has something to
 // announce, so that a drain is known at once.
 func (a *Agent) interruptOnChange(ctx context.Context, cancel context.CancelFunc) (stop func() bool) {
-	served, life := a.opt.Board.Served.Changed(), a.opt.Board.Life.Changed()
+	served, life, crashes := a.opt.Board.Served.Changed(), a.opt.Board.Life.Changed(), a.opt.Board.Crashes.Changed()
 	result := make(chan bool, 1)
 	finished := make(chan struct{})
 	go func() {
 		select {
 		case <-served:
 		case <-life:
+		case <-crashes:
 		case <-ctx.Done():
 			result <- false
 			return
@@ -251,7 +255,9 @@
 		e.Phase = member.PhaseDraining
 	}
 	e.Relay = a.opt.Acting()
-	content := entryContent{phase: e.Phase, relay: a.relay, acting: e.Relay}
+	marks := a.opt.Board.Crashes.Read()
+	e.Crashes = *marks
+	content := entryContent{phase: e.Phase, relay: a.relay, acting: e.Relay, crashes: marks}
 	if s := a.opt.Board.Served.Read(); s.Present() {
 		served := s.Served
 		if s.Drained {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -34,6 +34,7 @@
 	"chicorymast/io/ration"
 	"chicorymast/io/record"
 	"chicorymast/io/relay"
+	"chicorymast/io/secure"
 	"chicorymast/io/timer"
 	"chicorymast/io/trace"
 	"chicorymast/io/wire"
@@ -51,6 +52,8 @@
 	board *board.Board
 	reg   *prometheus.Registry
 
+	secure  *secure.Identity
+	dial    wire.Dial
 	pool    *wire.Pool
 	server  *wire.Server
 	relay   *relay.Relay
@@ -82,11 +85,18 @@
 		clock:  timer.NewClock(),
 		board:  board.New(),
 		reg:    prometheus.NewRegistry(),
-		pool:   wire.NewPool(cfg.Calls.ConnectTimeout),
 		server: wire.NewServer(),
 		failed: make(chan error, 1),
 	}
 	d.cfg.Store(&cfg)
+	if d.secure, err = secure.Load(cfg.Security); err != nil {
+		return nil, err
+	}
+	dialer := &net.Dialer{Timeout: cfg.Calls.ConnectTimeout}
+	d.dial = func(ctx context.Context, address string) (net.Conn, error) {
+		return d.secure.Dial(ctx, dialer, address)
+	}
+	d.pool = wire.NewPool(d.dial)
 	d.reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	if d.tracer, err = trace.Open(cfg.Trace, cfg.Daemon.VM); err != nil {
 		return nil, err
@@ -172,6 +182,7 @@
 		Seed:    uint64(d.clock.Now().UnixNano()),
 		Quota:   d.ration,
 		Records: d.records,
+		Dial:    d.dial,
 	})
 }
 
@@ -200,7 +211,7 @@
 	if err != nil {
 		return err
 	}
-	d.listeners = append(d.listeners, &listener{name: "control", ln: ln})
+	d.listeners = append(d.listeners, &listener{name: "control", ln: d.secure.Listen(ln)})
 	return nil
 }
 
@@ -230,6 +241,9 @@
 		IdleTimeout:       idle,
 		ErrorLog:          discardLogger(),
 	}
+	if name == "peer" {
+		ln = d.secure.Listen(ln)
+	}
 	if name == "caller" {
 		ln = limitListener(ln, calls.Connections)
 	}
@@ -319,7 +333,13 @@
 		d.log.Emit(event.SettingsKept, zap.Error(err))
 		return err
 	}
-	next.Daemon, next.Listen = have.Daemon, have.Listen
+	if d.secure != nil {
+		if err := d.secure.Reload(); err != nil {
+			d.log.Emit(event.SettingsKept, zap.Error(err))
+			return err
+		}
+	}
+	next.Daemon, next.Listen, next.Security = have.Daemon, have.Listen, have.Security
 	d.cfg.Store(&next)
 	d.log.SetLevel(next.Log.Level)
 	d.log.Emit(event.SettingsReloaded)
--- a/io/daemon/faults_test.go
+++ b/io/daemon/faults_test.go
@@ -212,11 +212,7 @@
 	f.t.Helper()
 	body := fmt.Sprintf(`{"service":%q,"upstream":"recorder","address":%q,"slots":5}`, svc, address)
 	eventually(f.t, func() string {
-		req, err := http.NewRequest(http.MethodPut, "http://"+f.vm(vm).Addresses["local"]+"/-/upstream", strings.NewReader(body))
-		assert.NilError(f.t, err)
-		resp, err := f.client.Do(req)
-		assert.NilError(f.t, err)
-		assert.NilError(f.t, resp.Body.Close())
+		f.announceOnce(vm, body)
 		for _, r := range f.daemons {
 			known := r.daemon.board.Members.Read().ByService[svc]
 			if len(known) != 1 || known[0].Served.Upstream != "recorder" {
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -6,14 +6,13 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
 	"time"
 
 	"chicorymast/core/admit"
 	"chicorymast/core/fault"
 	"chicorymast/core/ident"
+	"chicorymast/core/poison"
 	"chicorymast/core/retry"
 	"chicorymast/core/route"
 	"chicorymast/io/hop"
@@ -27,6 +26,8 @@
 	url    *url.URL
 	header http.Header
 	body   *payload
+	// print identifies the content, to recognise what crashes upstreams.
+	print poison.Print
 }
 
 // answered is a good answer: what the upstream said, whatever its status.
@@ -61,11 +62,17 @@
 	firstBackoff = 5 * time.Millisecond
 	// naiveRetries is what the plain pass-through mode does at every hop.
 	naiveRetries = 3
+	// suspectHold delays the answer about a request that crashes upstreams
+	// until the whole fleet knows of it: its caller sends it again at once.
+	suspectHold = 800 * time.Millisecond
 )
 
 // dispatch sends a call to the fleet, again where that is safe and allowed.
 func (p *Proxy) dispatch(ctx context.Context, o *outbound) (*answered, settlement, *fault.Refusal) {
 	budget := retry.NewBudget(o.call.Retries)
+	if r := p.suspects.refuse(p.opt.Clock.Now(), o.print); r != nil && !p.passThrough() {
+		return nil, settlement{unspent: budget.Left()}, r
+	}
 	tried := map[ident.VM]bool{}
 	maybeRan := false
 	for n := 0; ; n++ {
@@ -125,6 +132,10 @@
 	if a.refusal != nil && !retryable(o, a.refusal) {
 		return false
 	}
+	if r := p.suspects.refuse(p.opt.Clock.Now(), o.print); r != nil {
+		pause(ctx, suspectHold)
+		return false
+	}
 	if !budget.Spend() || !p.fleet.mayRetry(o.call.Service) {
 		return false
 	}
@@ -141,9 +152,14 @@
 
 func (p *Proxy) backoff(ctx context.Context, n int) bool {
 	p.rngMu.Lock()
-	pause := time.Duration(p.rng.Int64N(int64(firstBackoff << min(n, 4))))
+	wait := time.Duration(p.rng.Int64N(int64(firstBackoff << min(n, 4))))
 	p.rngMu.Unlock()
-	t := time.NewTimer(pause)
+	return pause(ctx, wait)
+}
+
+// pause waits; it reports false when ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
@@ -162,32 +178,47 @@
 
 // try sends the call once.
 func (p *Proxy) try(ctx context.Context, o *outbound, vm route.Candidate, lent int) attempt {
-	req, wrote := p.request(ctx, o, vm, lent)
-	resp, err := p.transport.RoundTrip(req)
+	attemptCtx, watchdog, stop := watch(ctx)
+	req := p.request(attemptCtx, o, vm, lent, watchdog)
+	resp, err := p.peers.RoundTrip(req)
+	watchdog.answered()
 	if err != nil {
-		r := sendRefusal(ctx, err, wrote.Load(), o)
+		defer stop()
+		r := sendRefusal(ctx, cause(attemptCtx, err), watchdog.wrote.Load(), o)
 		p.report(o, vm, r, nil)
 		return attempt{refusal: r}
 	}
 	answer, ok := hop.GetAnswer(resp.Header)
 	if !ok {
+		defer stop()
 		drain(resp)
 		r := fault.Failed(fault.ReasonUpstreamFailed, "VM %s did not answer as a daemon", vm.VM)
 		p.report(o, vm, r, nil)
 		return attempt{refusal: r}
 	}
 	if answer.Reason != "" {
+		defer stop()
 		drain(resp)
+		if answer.Reason == fault.ReasonUpstreamCrashed && !answer.Deeper {
+			p.suspects.crashed(p.opt.Clock.Now(), o.print)
+		}
 		r := &fault.Refusal{Reason: answer.Reason, Detail: answer.Detail, NotRun: answer.NotRun}
 		p.report(o, vm, r, &answer.Load)
 		return attempt{refusal: r, deeper: answer.Deeper, unspent: answer.Unspent}
 	}
-	return p.receive(ctx, o, vm, resp, answer)
+	p.suspects.answered(p.opt.Clock.Now(), o.print)
+	return p.receive(ctx, o, vm, resp, answer, stop)
+}
+
+// cause prefers why an attempt was given up to the error that this led to.
+func cause(ctx context.Context, err error) error {
+	if c := context.Cause(ctx); errors.Is(c, errSilent) {
+		return c
+	}
+	return err
 }
 
-func (p *Proxy) request(ctx context.Context, o *outbound, vm route.Candidate, lent int) (*http.Request, *atomic.Bool) {
-	wrote := &atomic.Bool{}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }})
+func (p *Proxy) request(ctx context.Context, o *outbound, vm route.Candidate, lent int, w *watchdog) *http.Request {
 	target := *o.url
 	target.Scheme, target.Host = "http", vm.Address
 	req := &http.Request{Method: o.method, URL: &target, Header: o.header.Clone(), Host: o.header.Get("Host")}
@@ -198,10 +229,11 @@
 	hop.PutCall(req.Header, call)
 	trace.Inject(ctx, req.Header, "")
 	o.body.attach(req)
+	w.follow(req)
 	if !o.body.whole {
 		req.Header.Set("Expect", "100-continue")
 	}
-	return req.WithContext(ctx), wrote
+	return req.WithContext(ctx)
 }
 
 func remaining(ctx context.Context, now time.Time) time.Duration {
@@ -230,7 +262,7 @@
 
 // receive takes the answer; one that is small arrives whole before anything
 // of it is passed on.
-func (p *Proxy) receive(ctx context.Context, o *outbound, vm route.Candidate, resp *http.Response, a hop.Answer) attempt {
+func (p *Proxy) receive(ctx context.Context, o *outbound, vm route.Candidate, resp *http.Response, a hop.Answer, stop func()) attempt {
 	out := &answered{status: resp.StatusCode, header: resp.Header, length: resp.ContentLength}
 	if a.NotRun {
 		out.header.Set(hop.HeaderNotRun, "true")
@@ -238,6 +270,7 @@
 	keep := p.keepLimit(o, resp.ContentLength)
 	head, err := io.ReadAll(io.LimitReader(resp.Body, int64(keep)+1))
 	if err != nil {
+		defer stop()
 		_ = resp.Body.Close()
 		r := incomplete(ctx, err)
 		p.report(o, vm, r, &a.Load)
@@ -245,6 +278,7 @@
 	}
 	result := attempt{answer: out, deeper: a.Deeper, unspent: a.Unspent}
 	if len(head) <= keep {
+		defer stop()
 		_ = resp.Body.Close()
 		out.whole = head
 		out.length = int64(len(head))
@@ -256,6 +290,7 @@
 		io.Closer
 	}{io.MultiReader(bytes.NewReader(head), resp.Body), resp.Body}
 	out.finish = func(err error) {
+		defer stop()
 		if err != nil {
 			p.report(o, vm, incomplete(ctx, err), &a.Load)
 			return
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -15,6 +15,7 @@
 	"chicorymast/core/fault"
 	"chicorymast/core/ident"
 	"chicorymast/core/intent"
+	"chicorymast/core/poison"
 	"chicorymast/io/event"
 	"chicorymast/io/hop"
 	"chicorymast/io/record"
@@ -46,7 +47,7 @@
 	began := p.opt.Clock.Now()
 	ctx, span := p.opt.Trace.Start(trace.Extract(r), "entry")
 	defer span.End()
-	in, refusal := p.check(r)
+	in, refusal := p.check(w, r)
 	if refusal != nil {
 		p.refuseEntry(w, "", refusal, 0, began)
 		return
@@ -69,7 +70,7 @@
 
 // check finds the route, the workspace and the grant, and reads the start of
 // the body. Nothing has run when it refuses.
-func (p *Proxy) check(r *http.Request) (*admitted, *fault.Refusal) {
+func (p *Proxy) check(w http.ResponseWriter, r *http.Request) (*admitted, *fault.Refusal) {
 	if p.opt.Board.Life.Read().Phase == board.LifeStopping {
 		return nil, fault.Refuse(fault.ReasonDraining, "this daemon is stopping; call another one")
 	}
@@ -92,6 +93,7 @@
 	if !in.spec.Idempotent && in.action == "" {
 		return nil, fault.Refuse(fault.ReasonActionMissing, "route %s runs at most once and needs an %s", name, hop.HeaderAction)
 	}
+	p.pace(w, r)
 	body, err := readPayload(r, p.opt.Config().Calls.ReplayLimit, in.config.State.Intent.RouteBodyLimit(in.spec))
 	if err != nil {
 		return nil, asRefusal(err)
@@ -100,6 +102,14 @@
 	return in, nil
 }
 
+// pace bounds how long a sender may be silent in the middle of a body.
+func (p *Proxy) pace(w http.ResponseWriter, r *http.Request) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return
+	}
+	r.Body = pacedBody{Reader: r.Body, control: http.NewResponseController(w), patient: p.opt.Config().Calls.ProgressTimeout}
+}
+
 func (p *Proxy) authorise(r *http.Request, in *admitted) *fault.Refusal {
 	if in.spec.Open {
 		return nil
@@ -306,9 +316,18 @@
 		url:    r.URL,
 		header: header,
 		body:   in.body,
+		print:  printOf(r, in.body),
 	}
 }
 
+// printOf identifies the content of a request, whoever sends it.
+func printOf(r *http.Request, body *payload) poison.Print {
+	d := xxhash.New()
+	_, _ = d.WriteString(r.Method + " " + r.URL.RequestURI() + "\n")
+	_, _ = d.Write(body.head)
+	return poison.Print(strconv.FormatUint(d.Sum64(), 36))
+}
+
 // rankOf spreads actions over the ranks in the same way at every hop.
 func rankOf(w ident.Workspace, a ident.ActionID) admit.Rank {
 	return admit.Rank(xxhash.Sum64String(string(w) + "\x00" + string(a)))
--- a/io/proxy/local.go
+++ b/io/proxy/local.go
@@ -109,7 +109,7 @@
 	defer span.End()
 	ctx, cancel := context.WithDeadline(ctx, parent.deadline)
 	defer cancel()
-	o, refusal := p.childCall(r, parent)
+	o, refusal := p.childCall(w, r, parent)
 	if refusal != nil {
 		p.refuseEntry(w, "", refusal, 0, began)
 		return
@@ -132,13 +132,14 @@
 
 // childCall makes the call of a child: it has the workspace, the rank and
 // the deadline of its parent, and the higher class of the two.
-func (p *Proxy) childCall(r *http.Request, parent *servedCall) (*outbound, *fault.Refusal) {
+func (p *Proxy) childCall(w http.ResponseWriter, r *http.Request, parent *servedCall) (*outbound, *fault.Refusal) {
 	config := p.opt.Board.Config.Read()
 	name, ok := config.Table.Find(r.Method, r.URL.Path)
 	if !ok {
 		return nil, fault.Refuse(fault.ReasonNoRoute, "no route for %s %s", r.Method, r.URL.Path)
 	}
 	spec := config.State.Intent.Routes[name]
+	p.pace(w, r)
 	body, err := readPayload(r, p.opt.Config().Calls.ReplayLimit, config.State.Intent.RouteBodyLimit(spec))
 	if err != nil {
 		return nil, asRefusal(err)
@@ -154,5 +155,5 @@
 	header := r.Header.Clone()
 	hop.StripInbound(header)
 	header.Set("Host", r.Host)
-	return &outbound{call: call, method: r.Method, url: r.URL, header: header, body: body}, nil
+	return &outbound{call: call, method: r.Method, url: r.URL, header: header, body: body, print: printOf(r, body)}, nil
 }
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -54,13 +54,16 @@
 		return p.refusePeer(w, settlement{unspent: call.Retries}, r)
 	}
 	if p.passThrough() {
-		return p.forward(ctx, w, r, call, served, func(admit.Sample) {})
+		return p.forward(ctx, w, r, call, served, startProgress(w), func(admit.Sample) {})
 	}
+	told := startProgress(w)
+	defer told.stop()
 	ticket, refusal := p.gate.enter(ctx, call, served.Slots)
 	if refusal != nil {
+		told.stop()
 		return p.refusePeer(w, settlement{unspent: call.Retries}, refusal)
 	}
-	return p.forward(ctx, w, r, call, served, func(s admit.Sample) { p.gate.leave(ticket, s) })
+	return p.forward(ctx, w, r, call, served, told, func(s admit.Sample) { p.gate.leave(ticket, s) })
 }
 
 func (p *Proxy) unavailable(served *board.Served, call hop.Call) *fault.Refusal {
@@ -86,7 +89,7 @@
 
 // forward runs the call at the upstream and passes the answer back.
 func (p *Proxy) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, call hop.Call,
-	served *board.Served, leave func(admit.Sample),
+	served *board.Served, told *progress, leave func(admit.Sample),
 ) (status int) {
 	began := p.opt.Clock.Now()
 	sc := &servedCall{call: call, deadline: began.Add(time.Duration(call.TimeoutMs) * time.Millisecond)}
@@ -103,6 +106,7 @@
 	}()
 	req, wrote := p.upstreamRequest(ctx, r, served, token)
 	resp, err := p.transport.RoundTrip(req)
+	told.stop()
 	unspent, _, deeper := sc.summary(p.opt.Clock.Now())
 	if err != nil {
 		refusal := p.upstreamRefusal(ctx, err, wrote.Load())
@@ -146,7 +150,7 @@
 		r = fault.Failed(fault.ReasonDeadline, "the upstream did not answer in time")
 	case ctx.Err() != nil:
 		r = fault.Failed(fault.ReasonCancelled, "the caller left")
-	case wrote:
+	case wrote && refusesConnections(p.opt.Board.Served.Read().Address):
 		p.opt.Log.Emit(event.UpstreamCrashed, zap.Error(err))
 		r.Reason = fault.ReasonUpstreamCrashed
 	}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -18,6 +18,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,7 @@
 	"chicorymast/io/record"
 	"chicorymast/io/timer"
 	"chicorymast/io/trace"
+	"chicorymast/io/wire"
 )
 
 // Options is what a proxy needs.
@@ -41,6 +43,8 @@
 	Log    *event.Log
 	Trace  *trace.Tracer
 	Meter  *Meter
+	// Dial connects to other daemons.
+	Dial wire.Dial
 	// Seed starts the random choices.
 	Seed uint64
 	// Quota decides on rates; it is asked once for each action.
@@ -65,12 +69,15 @@
 type Proxy struct {
 	opt       Options
 	transport *http.Transport
-	fleet     *fleet
-	gate      *gate
-	calls     *callTable
-	running   atomic.Int64
-	rngMu     sync.Mutex
-	rng       *rand.Rand
+	// peers carries calls to other daemons.
+	peers    *http.Transport
+	fleet    *fleet
+	gate     *gate
+	calls    *callTable
+	suspects *suspects
+	running  atomic.Int64
+	rngMu    sync.Mutex
+	rng      *rand.Rand
 }
 
 // New returns a proxy.
@@ -79,11 +86,16 @@
 	p := &Proxy{
 		opt:       opt,
 		transport: newTransport(opt.Config().Calls),
+		peers:     newTransport(opt.Config().Calls),
 		rng:       rng,
 		calls:     newCallTable(),
 	}
+	p.peers.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
+		return opt.Dial(ctx, address)
+	}
 	p.fleet = newFleet(opt, rand.New(rand.NewPCG(opt.Seed+1, opt.Seed)))
 	p.gate = newGate(opt)
+	p.suspects = newSuspects(opt)
 	return p
 }
 
@@ -108,9 +120,12 @@
 func (p *Proxy) Start() (stop func()) {
 	const gateTick = 10 * time.Millisecond
 	stopGate := p.opt.Clock.Every(gateTick, p.gate.tick)
+	stopSuspects := p.opt.Clock.Every(time.Second, p.suspects.tick)
 	return func() {
 		stopGate()
+		stopSuspects()
 		p.transport.CloseIdleConnections()
+		p.peers.CloseIdleConnections()
 	}
 }
 
--- /dev/null
+++ b/io/proxy/suspects.go
@@ -0,0 +1,73 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+
+	"chicorymast/core/board"
+	"chicorymast/core/fault"
+	"chicorymast/core/ident"
+	"chicorymast/core/poison"
+	"chicorymast/io/event"
+
+	"go.uber.org/zap"
+)
+
+// suspects keeps requests that crash upstreams away from them.
+type suspects struct {
+	vm    ident.VM
+	board *board.Board
+	log   *event.Log
+	mu    sync.Mutex
+	table *poison.Table
+}
+
+func newSuspects(opt Options) *suspects {
+	return &suspects{vm: opt.Config().Daemon.VM, board: opt.Board, log: opt.Log, table: poison.New()}
+}
+
+// refuse returns a refusal for a request that met too many crashes.
+func (s *suspects) refuse(now time.Time, p poison.Print) *fault.Refusal {
+	s.mu.Lock()
+	crashes := s.table.Crashes(now, p)
+	s.mu.Unlock()
+	crashes += s.board.Members.Read().CrashesElsewhere(s.vm, p)
+	if crashes < poison.CrashesToSuspect {
+		return nil
+	}
+	return fault.Refuse(fault.ReasonCrashSuspect, "this request met %d crashes of upstreams and is not run for a while", crashes)
+}
+
+// crashed counts a crash and announces it.
+func (s *suspects) crashed(now time.Time, p poison.Print) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Crashed(now, p)
+	s.announce(now)
+	if s.table.Crashes(now, p) >= poison.CrashesToSuspect {
+		s.log.Emit(event.CrashSuspectNamed, zap.String("fingerprint", string(p)))
+	}
+}
+
+// answered clears a request that ran well.
+func (s *suspects) answered(now time.Time, p poison.Print) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table.Answered(p) {
+		s.announce(now)
+	}
+}
+
+// tick lets marks end.
+func (s *suspects) tick(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.table.Marks(now)) != len(*s.board.Crashes.Read()) {
+		s.announce(now)
+	}
+}
+
+func (s *suspects) announce(now time.Time) {
+	marks := s.table.Marks(now)
+	s.board.Crashes.Write(&marks)
+}
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -7,7 +7,7 @@
 //	wire.Handle(srv, wire.MethodSync, func(ctx context.Context, req wire.SyncRequest) (wire.SyncReply, error) { ... })
 //	go srv.Serve(listener)
 //
-//	pool := wire.NewPool(time.Second)
+//	pool := wire.NewPool(wire.Plain(time.Second))
 //	reply, err := wire.Call[wire.SyncReply](ctx, pool, address, wire.MethodSync, req)
 //
 // A pool keeps one connection to each address. A call that gets no answer in
@@ -153,20 +153,31 @@
 	return n, err
 }
 
+// Dial connects to another daemon.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
 // Pool keeps connections to other daemons.
 type Pool struct {
-	connect time.Duration
-	mu      sync.Mutex
-	conns   map[string]*jsonrpc2.Conn
+	dial  Dial
+	mu    sync.Mutex
+	conns map[string]*jsonrpc2.Conn
 	// Received and Sent count bytes on all connections.
 	Received, Sent atomic.Int64
 	// Replaced counts connections closed because they had gone silent.
 	Replaced atomic.Int64
 }
 
-// NewPool returns a pool that takes at most the given time to connect.
-func NewPool(connect time.Duration) *Pool {
-	return &Pool{connect: connect, conns: map[string]*jsonrpc2.Conn{}}
+// NewPool returns a pool that connects with dial.
+func NewPool(dial Dial) *Pool {
+	return &Pool{dial: dial, conns: map[string]*jsonrpc2.Conn{}}
+}
+
+// Plain returns a Dial without TLS that takes at most the given time.
+func Plain(connect time.Duration) Dial {
+	dialer := net.Dialer{Timeout: connect}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
 }
 
 // Call sends a message and waits for its answer until ctx ends.
@@ -204,8 +215,7 @@
 	if c := p.open(address); c != nil {
 		return c, nil
 	}
-	dialer := net.Dialer{Timeout: p.connect}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
