state, board, member, relay: make a change cost what it changes

It hashed the whole configuration and rebuilt all indexes for each. One stand-in relay of a data centre would have served all its daemons.

--- /dev/null
+++ b/commands/changes.go
@@ -0,0 +1,45 @@
+package cmds
+
+import (
+	"fmt"
+	"time"
+
+	"chicorymast/core/ident"
+	"chicorymast/core/state"
+	"chicorymast/io/admin"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+type changesCommand struct {
+	clientOptions
+	Count int           `long:"count" default:"100" description:"how many changes"`
+	Pause time.Duration `long:"pause" description:"time between two changes"`
+	Label string        `long:"label" default:"changes" description:"start of the change ids"`
+}
+
+func init() {
+	register("changes", "make many small changes (trials)", "Makes many small changes one after another and prints how long they take to be accepted.", &changesCommand{})
+}
+
+// Execute makes the changes.
+func (c *changesCommand) Execute([]string) error {
+	const longest, digits = int64(time.Minute / time.Microsecond), 3
+	hist := hdrhistogram.New(1, longest, digits)
+	began := time.Now()
+	for i := range c.Count {
+		id := ident.ChangeID(fmt.Sprintf("%s-%d", c.Label, i))
+		sent := time.Now()
+		q := admin.Drain{ChangeID: id, VM: "nobody"}
+		if _, err := change[state.Result](c.clientOptions, id, "/v1/drains", q); err != nil {
+			return err
+		}
+		if err := hist.RecordValue(max(1, time.Since(sent).Microseconds())); err != nil {
+			return err
+		}
+		time.Sleep(c.Pause)
+	}
+	ms := func(q float64) float64 { return float64(hist.ValueAtQuantile(q)) / 1000 }
+	fmt.Printf("changes=%d seconds=%.2f accept_p50_ms=%.2f accept_p99_ms=%.2f\n", c.Count, time.Since(began).Seconds(), ms(50), ms(99))
+	return nil
+}
--- a/core/board/daemon.go
+++ b/core/board/daemon.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"reflect"
 	"time"
 
 	"chicorymast/core/ident"
@@ -64,6 +65,25 @@
 	return &Config{State: st, Table: routeTable(st.Intent), Recent: recent, grants: grantIndex(st.Intent), digest: st.Digest()}
 }
 
+// Next prepares the state that follows c's. What does not differ is shared: a
+// patched intent keeps the maps that the patch leaves alone.
+func (c *Config) Next(st *state.State, recent []Step) *Config {
+	have, want := c.State.Intent, st.Intent
+	next := &Config{State: st, Recent: recent, Table: c.Table, grants: c.grants, digest: st.Digest()}
+	if !sameMap(have.Routes, want.Routes) {
+		next.Table = routeTable(want)
+	}
+	if !sameMap(have.Grants, want.Grants) || !sameMap(have.Groups, want.Groups) {
+		next.grants = grantIndex(want)
+	}
+	return next
+}
+
+// sameMap reports whether two maps are one and the same.
+func sameMap[K comparable, V any](a, b map[K]V) bool {
+	return reflect.ValueOf(a).Pointer() == reflect.ValueOf(b).Pointer()
+}
+
 // Digest returns the hash of the state, computed once.
 func (c *Config) Digest() string {
 	return c.digest
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -15,6 +15,7 @@
 package member
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -80,11 +81,22 @@
 	change uint64
 }
 
+// journalEntry says which VM a change concerned.
+type journalEntry struct {
+	change uint64
+	vm     ident.VM
+}
+
+// journalLength is how many changes are found without looking at all entries.
+const journalLength = 4096
+
 // Directory holds the entries that one VM knows.
 type Directory struct {
 	lease   time.Duration
 	records map[ident.VM]*record
 	change  uint64
+	// journal lists the last changes, oldest first.
+	journal []journalEntry
 	// evicted counts the entries marked gone since windowAt.
 	evicted  int
 	windowAt time.Time
@@ -124,7 +136,7 @@
 }
 
 func (d *Directory) put(e Entry, heard time.Time) {
-	d.change++
+	d.note(e.VM)
 	e.AgeMs = 0
 	d.records[e.VM] = &record{entry: e, renewed: heard, change: d.change}
 }
@@ -158,7 +170,7 @@
 	}
 	slices.SortFunc(lapsed, func(a, b *record) int { return a.renewed.Compare(b.renewed) })
 	for _, r := range lapsed[:min(len(lapsed), d.evictable(now))] {
-		d.change++
+		d.note(r.entry.VM)
 		r.change = d.change
 		r.entry.Phase = PhaseGone
 		d.evicted++
@@ -215,7 +227,27 @@
 
 // Since returns the entries whose content changed after the given counter.
 func (d *Directory) Since(now time.Time, change uint64) []Entry {
-	return d.collect(now, func(r *record) bool { return r.change > change })
+	if len(d.journal) == 0 || d.journal[0].change > change+1 {
+		return d.collect(now, func(r *record) bool { return r.change > change })
+	}
+	first, _ := slices.BinarySearchFunc(d.journal, change+1, func(e journalEntry, n uint64) int { return cmp.Compare(e.change, n) })
+	entries := []Entry{}
+	for _, e := range d.journal[first:] {
+		// Of several changes of one VM only the last stands in its record.
+		if r := d.records[e.vm]; r != nil && r.change == e.change {
+			entries = append(entries, r.export(now))
+		}
+	}
+	return entries
+}
+
+// note counts a change.
+func (d *Directory) note(vm ident.VM) {
+	d.change++
+	d.journal = append(d.journal, journalEntry{d.change, vm})
+	if len(d.journal) > 2*journalLength {
+		d.journal = slices.Clone(d.journal[journalLength:])
+	}
 }
 
 func (d *Directory) collect(now time.Time, keep func(*record) bool) []Entry {
@@ -224,9 +256,13 @@
 		if !keep(r) {
 			continue
 		}
-		e := r.entry
-		e.AgeMs = max(0, now.Sub(r.renewed).Milliseconds())
-		entries = append(entries, e)
+		entries = append(entries, r.export(now))
 	}
 	return entries
 }
+
+func (r *record) export(now time.Time) Entry {
+	e := r.entry
+	e.AgeMs = max(0, now.Sub(r.renewed).Milliseconds())
+	return e
+}
--- a/core/state/group.go
+++ b/core/state/group.go
@@ -41,13 +41,26 @@
 	if len(have.Members) > 0 && (missing(have.Members, c.Members) > 1 || missing(c.Members, have.Members) > 1) {
 		return Result{Outcome: OutcomeInvalid, Detail: "only one replica can be changed at a time"}
 	}
+	s.prepare()
 	r := s.accept()
 	groups = slices.Clone(groups)
+	s.mixGroups(c.DataCentre, groups)
 	groups[c.Index] = Group{Epoch: s.Revision, Members: slices.Clone(c.Members), Before: have.Members}
 	s.Groups[c.DataCentre] = groups
+	s.mixGroups(c.DataCentre, groups)
 	return r
 }
 
+// mixGroups takes a data centre's groups out of the hash, or puts them in.
+func (s *State) mixGroups(dc ident.DataCentre, groups []Group) {
+	if _, known := s.Groups[dc]; !known {
+		return
+	}
+	for i, g := range groups {
+		s.items.mix("replicas", groupName(dc, i), g)
+	}
+}
+
 // missing counts the VMs of a that are not in b.
 func missing(a, b []ident.VM) int {
 	n := 0
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -17,7 +17,6 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -75,6 +74,9 @@
 	ConfirmedAt ident.Revision            `json:"confirmed_at"`
 	Results     map[ident.ChangeID]Result `json:"results"`
 	Trail       []ident.ChangeID          `json:"trail"`
+
+	items    sum
+	prepared bool
 }
 
 // New returns the state at revision zero.
@@ -170,7 +172,9 @@
 	if err := intent.Check("intent", want); err != nil {
 		return Result{Outcome: OutcomeInvalid, Detail: err.Error()}
 	}
+	s.prepare()
 	r := s.accept()
+	s.mixPatch(s.Intent, c.Patch)
 	s.Intent = want
 	s.ConfirmedBy, s.ConfirmedAt = c.ChangeID, s.Revision
 	s.dropOrphanKeys()
@@ -179,8 +183,11 @@
 
 // dropOrphanKeys ends the keys of workspaces that are no longer in the intent.
 func (s *State) dropOrphanKeys() {
-	maps.DeleteFunc(s.Keys, func(_ ident.KeyDigest, k Key) bool {
+	maps.DeleteFunc(s.Keys, func(d ident.KeyDigest, k Key) bool {
 		_, known := s.Intent.Workspaces[k.Workspace]
+		if !known {
+			s.items.mix("key", string(d), k)
+		}
 		return !known
 	})
 }
@@ -195,14 +202,19 @@
 	if _, taken := s.Keys[c.Digest]; taken {
 		return Result{Outcome: OutcomeInvalid, Detail: "this key is already granted"}
 	}
+	s.prepare()
 	r := s.accept()
-	s.Keys[c.Digest] = Key{ID: ident.PublicID(c.Digest), Workspace: c.Workspace, ExpiresMillis: c.ExpiresMillis}
+	key := Key{ID: ident.PublicID(c.Digest), Workspace: c.Workspace, ExpiresMillis: c.ExpiresMillis}
+	s.Keys[c.Digest] = key
+	s.items.mix("key", string(c.Digest), key)
 	return r
 }
 
 func (s *State) withdrawKey(c WithdrawKey) Result {
 	for digest, key := range s.Keys {
 		if key.ID == c.Key {
+			s.prepare()
+			s.items.mix("key", string(digest), key)
 			delete(s.Keys, digest)
 			return s.accept()
 		}
@@ -211,6 +223,10 @@
 }
 
 func (s *State) setDrain(c SetDrain) Result {
+	s.prepare()
+	if s.Drains[c.VM] != c.Draining {
+		s.items.mix("drain", string(c.VM), true)
+	}
 	if c.Draining {
 		s.Drains[c.VM] = true
 	} else {
@@ -237,23 +253,6 @@
 	return counts
 }
 
-// Digest returns a hash of all that is in force; equal states have equal
-// digests on every VM.
-func (s *State) Digest() string {
-	data, err := json.Marshal(struct {
-		Revision ident.Revision
-		Intent   intent.Intent
-		Keys     map[ident.KeyDigest]Key
-		Drains   map[ident.VM]bool
-		Groups   map[ident.DataCentre][]Group
-	}{s.Revision, s.Intent, s.Keys, s.Drains, s.Groups})
-	if err != nil {
-		return ""
-	}
-	sum := sha256.Sum256(data)
-	return hex.EncodeToString(sum[:16])
-}
-
 // commandDigest covers the content of a command but not when and by whom it
 // was sent, so that a resent command is recognised.
 func commandDigest(c Command) string {
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -182,6 +182,13 @@
 	}
 }
 
+// Relay returns the control address of the relay that is asked.
+func (a *Agent) Relay() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.relay
+}
+
 func (a *Agent) pause(ctx context.Context) {
 	t := time.NewTimer(retryPause)
 	defer t.Stop()
@@ -200,7 +207,9 @@
 	if next == a.relay {
 		return
 	}
+	a.mu.Lock()
 	a.relay = next
+	a.mu.Unlock()
 	a.sourceSince = a.opt.Clock.Now()
 	a.mark = wire.Mark{}
 	a.opt.Log.Emit(event.SourceChanged, zap.String("relay", next))
@@ -359,7 +368,7 @@
 	if len(recent) > keptSteps {
 		recent = recent[len(recent)-keptSteps:]
 	}
-	return board.NewConfig(st, recent), nil
+	return have.Next(st, recent), nil
 }
 
 func (a *Agent) takeFreshness(reply wire.SyncReply) {
--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -228,5 +228,5 @@
 
 // publish writes the configuration to the blackboard.
 func (c *Control) publish() {
-	c.opt.Board.Config.Write(board.NewConfig(c.state.Clone(), slices.Clone(c.steps)))
+	c.opt.Board.Config.Write(c.opt.Board.Config.Read().Next(c.state.Clone(), slices.Clone(c.steps)))
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -118,6 +118,7 @@
 	cfg := d.Config()
 	d.relay = relay.New(relay.Options{
 		VM: cfg.Daemon.VM, Clock: d.clock, Board: d.board, Pool: d.pool, Others: d.otherRelays,
+		Address: cfg.Listen.Control, Source: func() string { return d.agent.Relay() },
 		Always: slices.Contains(cfg.Control.JoinAddresses(), cfg.Listen.Control),
 	})
 	d.relay.Register(d.server)
--- a/io/daemon/relays.go
+++ b/io/daemon/relays.go
@@ -4,12 +4,19 @@
 	"slices"
 
 	"chicorymast/config"
+	"chicorymast/core/ident"
 	"chicorymast/core/member"
 	"chicorymast/core/rendez"
 )
 
-// standIns is how many VMs of a data centre may stand in as relay there.
-const standIns = 3
+const (
+	// topStandIns VMs of a data centre speak with the relays elsewhere when no
+	// named relay is near.
+	topStandIns = 3
+	// perStandIn is how many daemons one stand-in serves, so that each stays
+	// within what a daemon may spend.
+	perStandIn = 50
+)
 
 // relays lists where this daemon may synchronise, the best first: the relays
 // that the settings name, those of the own data centre before the others; in
@@ -46,16 +53,31 @@
 	return near, far
 }
 
-// standInsAbove lists the stand-ins of this data centre that come before this
-// VM, so that two never synchronise with each other.
-func (d *Daemon) standInsAbove(named []string) []string {
+// standIns lists the stand-ins of this data centre in rendezvous order, and
+// this VM's place among them; the place is -1 when it is none.
+func (d *Daemon) standIns() (vms []ident.VM, place int) {
 	cfg := d.Config()
+	live := d.board.Members.Read().ByDataCentre[cfg.Daemon.DataCentre]
+	vms = rendez.Top("relay", live, max(topStandIns, len(live)/perStandIn))
+	return vms, slices.Index(vms, cfg.Daemon.VM)
+}
+
+// standInsAbove lists the stand-ins that this VM may ask, so that no two ask
+// each other: a top one those before it, another one the top ones, and all
+// others each in an order of their own, which spreads them.
+func (d *Daemon) standInsAbove(named []string) []string {
+	vms, place := d.standIns()
+	switch {
+	case place >= topStandIns:
+		vms = vms[:topStandIns]
+	case place >= 0:
+		vms = vms[:place]
+	default:
+		vms = rendez.Order("relay/"+string(d.Config().Daemon.VM), vms)
+	}
 	members := d.board.Members.Read()
 	var out []string
-	for _, vm := range rendez.Top("relay", members.ByDataCentre[cfg.Daemon.DataCentre], standIns) {
-		if vm == cfg.Daemon.VM {
-			break
-		}
+	for _, vm := range vms {
 		if address := members.ByVM[vm].Addresses.Control; !slices.Contains(named, address) {
 			out = append(out, address)
 		}
@@ -74,7 +96,20 @@
 	return out
 }
 
+// otherRelays lists whom this relay pulls from. A named relay pulls from all;
+// a top stand-in from the others in its data centre, so that they know each
+// other's daemons while they are cut off; what is elsewhere it hears from the
+// relay that it asks itself.
 func (d *Daemon) otherRelays() []string {
-	own := d.Config().Listen.Control
-	return slices.DeleteFunc(d.allRelays(), func(address string) bool { return address == own })
+	cfg := d.Config()
+	own := cfg.Listen.Control
+	all := slices.DeleteFunc(d.allRelays(), func(address string) bool { return address == own })
+	if slices.Contains(cfg.Control.JoinAddresses(), own) {
+		return all
+	}
+	if _, place := d.standIns(); place < 0 || place >= topStandIns {
+		return nil
+	}
+	near, _ := d.splitByDistance(all)
+	return near
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -41,6 +41,10 @@
 	Clock timer.Clock
 	Board *board.Board
 	Pool  *wire.Pool
+	// Address is this relay's control address, Source that of the relay which
+	// this daemon asks itself.
+	Address string
+	Source  func() string
 	// Always makes the relay pull even when no other daemon has chosen it.
 	Always bool
 	// Others are the control addresses of the other relays.
@@ -93,6 +97,7 @@
 		if !r.opt.Always && !r.Acting() {
 			return
 		}
+		r.feed(now)
 		for _, address := range r.opt.Others() {
 			r.startPull(address)
 		}
@@ -216,6 +221,28 @@
 	}
 }
 
+// feed takes what this daemon hears as a member from another relay. What came
+// from this very relay must not renew itself.
+func (r *Relay) feed(now time.Time) {
+	heard := now.Sub(r.opt.Board.Contact.Read().At) < member.DefaultLease/2
+	if r.opt.Always || !heard || r.opt.Source() == r.opt.Address {
+		return
+	}
+	entries := r.opt.Board.Members.Read().Entries
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := 0
+	for _, e := range entries {
+		e.AgeMs = 0
+		if r.all.Announce(now, e) {
+			changed++
+		}
+	}
+	if changed > 0 {
+		r.wake()
+	}
+}
+
 func (r *Relay) startPull(address string) {
 	r.mu.Lock()
 	m := r.mirrors[address]
--- a/io/report/report.go
+++ b/io/report/report.go
@@ -112,7 +112,7 @@
 
 // fromWorkspaces finds the worst served one and what was refused wrongly.
 func (row *Row) fromWorkspaces(l trial.Layout, r *load.Result) {
-	type sums struct{ inside, offered, whole, wrongful, served int }
+	type sums struct{ inside, offered, wrongful, served int }
 	by := map[string]*sums{}
 	for _, s := range r.Streams {
 		if by[s.Workspace] == nil {
@@ -121,7 +121,6 @@
 		w := by[s.Workspace]
 		w.inside += s.Inside
 		w.offered += s.Offered
-		w.whole += s.InsideWhole
 		w.wrongful += s.Wrongful
 		w.served += s.Whole
 	}
@@ -129,7 +128,8 @@
 	wrongful, inside := 0, 0
 	for _, t := range l.Tenants {
 		w := by[string(t.Name)]
-		row.WorstWorkspace = min(row.WorstWorkspace, ratio(w.whole, w.inside))
+		// What its rate allows is what a workspace is owed, however much it sends.
+		row.WorstWorkspace = min(row.WorstWorkspace, ratio(w.served, w.inside))
 		if w.inside == w.offered {
 			// One that sends more can't say which of its calls were inside.
 			wrongful += w.wrongful
