--- /dev/null
+++ b/core/board/board_test.go
@@ -0,0 +1,97 @@
+package board
+
+import (
+	"fmt"
+	"testing"
+
+	"chicorymast/core/ident"
+	"chicorymast/core/intent"
+	"chicorymast/core/member"
+	"chicorymast/core/state"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestSectionWakesReaders(t *testing.T) {
+	s := NewSection(&Life{Phase: LifeStarting})
+	changed := s.Changed()
+	s.Write(&Life{Phase: LifeRunning})
+	<-changed
+	assert.Equal(t, s.Read().Phase, LifeRunning)
+}
+
+func withRoutes(n int) *state.State {
+	st := state.New()
+	patch := intent.Patch{
+		Services: map[ident.Service]*intent.ServiceSpec{"s": {}},
+		Routes:   map[ident.Route]*intent.RouteSpec{},
+	}
+	for i := range n {
+		patch.Routes[ident.Route(fmt.Sprintf("r%d", i))] = &intent.RouteSpec{
+			Method: "GET", Path: fmt.Sprintf("/r%d/{id}", i), Service: "s", Class: ident.ClassNormal,
+		}
+	}
+	st.Apply(state.Confirm{Head: state.Head{ChangeID: "routes"}, Patch: patch})
+	return st
+}
+
+// Next shares what did not change and finds what did.
+func TestNextFindsNewRoutes(t *testing.T) {
+	st := withRoutes(3)
+	first := NewConfig(st.Clone(), nil)
+	st.Apply(state.SetDrain{Head: state.Head{ChangeID: "d"}, VM: "vm", Draining: true})
+	same := first.Next(st.Clone(), nil)
+	assert.Assert(t, same.Table == first.Table)
+	route := &intent.RouteSpec{Method: "GET", Path: "/new", Service: "s", Class: ident.ClassNormal}
+	r := st.Apply(state.Confirm{
+		Head: state.Head{ChangeID: "n"}, Base: st.ConfirmedAt, Patch: intent.Patch{Routes: map[ident.Route]*intent.RouteSpec{"new": route}},
+	})
+	assert.Equal(t, r.Outcome, state.OutcomeAccepted, "%s", r.Detail)
+	next := same.Next(st.Clone(), nil)
+	_, ok := next.Table.Find("GET", "/new")
+	assert.Assert(t, ok)
+	assert.Equal(t, next.Digest(), NewConfig(st.Clone(), nil).Digest())
+}
+
+func TestSince(t *testing.T) {
+	st := state.New()
+	var steps []Step
+	for i := range 5 {
+		st.Apply(state.SetDrain{Head: state.Head{ChangeID: ident.ChangeID(fmt.Sprint(i))}, VM: "vm", Draining: i%2 == 0})
+		steps = append(steps, Step{Revision: st.Revision})
+	}
+	c := NewConfig(st, steps[2:])
+	got, kept := c.Since(3)
+	assert.Assert(t, kept)
+	assert.Equal(t, len(got), 2)
+	_, kept = c.Since(0)
+	assert.Assert(t, !kept, "what is no longer kept needs a snapshot")
+}
+
+func BenchmarkNewMembers37000(b *testing.B) {
+	entries := make([]member.Entry, 37_000)
+	for i := range entries {
+		entries[i] = member.Entry{
+			VM: ident.VM(fmt.Sprintf("vm-%d", i)), DataCentre: ident.DataCentre(fmt.Sprintf("dc-%d", i%19)), Phase: member.PhaseUp,
+			Served: &member.Served{Service: ident.Service(fmt.Sprintf("s-%d", i/6)), Phase: member.PhaseUp},
+		}
+	}
+	for b.Loop() {
+		NewMembers(entries)
+	}
+}
+
+func BenchmarkNextWith31000Routes(b *testing.B) {
+	st := withRoutes(31_000)
+	c := NewConfig(st, nil)
+	for b.Loop() {
+		c.Next(st.Clone(), nil)
+	}
+}
+
+func BenchmarkRebuild31000Routes(b *testing.B) {
+	st := withRoutes(31_000)
+	for b.Loop() {
+		NewConfig(st, nil)
+	}
+}
--- /dev/null
+++ b/io/wire/wire_test.go
@@ -0,0 +1,103 @@
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+type ping struct {
+	N int `json:"n"`
+}
+
+func serve(t testing.TB, register func(*Server)) (address string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := NewServer()
+	register(s)
+	go func() { _ = s.Serve(ln) }()
+	t.Cleanup(func() {
+		_ = ln.Close()
+		s.Close()
+	})
+	return ln.Addr().String()
+}
+
+func newPool(t testing.TB) *Pool {
+	t.Helper()
+	p := NewPool(Plain(time.Second))
+	t.Cleanup(p.Close)
+	return p
+}
+
+func echo(s *Server) {
+	Handle(s, "echo", func(_ context.Context, q ping) (ping, error) { return q, nil })
+}
+
+func mustEcho(t testing.TB, p *Pool, address string, n int) {
+	t.Helper()
+	got, err := Call[ping](context.Background(), p, address, "echo", ping{n})
+	assert.NilError(t, err)
+	assert.Equal(t, got.N, n)
+}
+
+func TestCall(t *testing.T) {
+	p, address := newPool(t), serve(t, echo)
+	mustEcho(t, p, address, 7)
+	t.Run("unknown method", func(t *testing.T) {
+		_, err := Call[ping](context.Background(), p, address, "nothing", ping{})
+		assert.ErrorContains(t, err, "no method")
+	})
+	t.Run("params that do not fit", func(t *testing.T) {
+		_, err := Call[ping](context.Background(), p, address, "echo", "text")
+		assert.ErrorContains(t, err, "params of echo")
+	})
+	mustEcho(t, p, address, 8)
+}
+
+// A connection that swallows everything is closed when a call's time is up,
+// and the next call goes over a new one.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	real := serve(t, echo)
+	front := newSwallower(t, real)
+	p := newPool(t)
+	mustEcho(t, p, front.address, 1)
+	front.swallow()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := Call[ping](ctx, p, front.address, "echo", ping{2})
+	assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
+	mustEcho(t, p, front.address, 3)
+	assert.Equal(t, p.Replaced.Load(), int64(1))
+}
+
+func TestTooLargeObjectIsRefused(t *testing.T) {
+	head := binary.AppendUvarint(nil, MaxObject+1)
+	var v any
+	assert.ErrorIs(t, codec{}.ReadObject(bufio.NewReader(bytes.NewReader(head)), &v), ErrTooLarge)
+}
+
+func FuzzReadObject(f *testing.F) {
+	f.Add([]byte{2, '{', '}'})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 1})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var v any
+		_ = codec{}.ReadObject(bufio.NewReader(bytes.NewReader(data)), &v) // must not panic
+	})
+}
+
+func BenchmarkCall(b *testing.B) {
+	p, address := newPool(b), serve(b, echo)
+	b.ReportAllocs()
+	for b.Loop() {
+		mustEcho(b, p, address, 1)
+	}
+}
