daemon: prove cut-off data centres, an isolated leader, operators' histories

Cause: no test cut connections between daemons while they stayed open, and the operators' histories were checked by single cases only.

Change: tests stand between daemons and silence chosen connections; a leader that is cut off but answers all others, a data centre cut off and back, and histories of racing operators, under cuts, checked for linearizability.

--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -230,3 +230,9 @@
 func (c *Control) publish() {
 	c.opt.Board.Config.Write(c.opt.Board.Config.Read().Next(c.state.Clone(), slices.Clone(c.steps)))
 }
+
+// Leading reports whether this node leads, as far as it knows.
+func (c *Control) Leading() (leading bool) {
+	c.wait(func() { leading = c.node != nil && !c.broken && c.node.Status().Leading })
+	return leading
+}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -78,7 +78,12 @@
 }
 
 // New opens everything that a daemon needs; nothing serves yet.
-func New(cfg config.Config, log *event.Log) (d *Daemon, err error) {
+func New(cfg config.Config, log *event.Log) (*Daemon, error) {
+	return newWith(cfg, log, func(dial wire.Dial) wire.Dial { return dial })
+}
+
+// newWith lets tests stand between a daemon and its connections.
+func newWith(cfg config.Config, log *event.Log, wrap func(wire.Dial) wire.Dial) (d *Daemon, err error) {
 	defer fault.Note(&err, "set up daemon %s", cfg.Daemon.VM)
 	d = &Daemon{
 		log:    log.With(zap.String("vm", string(cfg.Daemon.VM))),
@@ -93,9 +98,9 @@
 		return nil, err
 	}
 	dialer := &net.Dialer{Timeout: cfg.Calls.ConnectTimeout}
-	d.dial = func(ctx context.Context, address string) (net.Conn, error) {
+	d.dial = wrap(func(ctx context.Context, address string) (net.Conn, error) {
 		return d.secure.Dial(ctx, dialer, address)
-	}
+	})
 	d.pool = wire.NewPool(d.dial)
 	d.reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	if d.tracer, err = trace.Open(cfg.Trace, cfg.Daemon.VM); err != nil {
--- a/io/daemon/fleet_test.go
+++ b/io/daemon/fleet_test.go
@@ -38,6 +38,7 @@
 	keys    map[ident.Workspace]string
 	changes int
 	client  *http.Client
+	cuts    *cuts
 }
 
 // running is one daemon or stand-in.
@@ -60,7 +61,7 @@
 	assert.NilError(t, err)
 	f := &fleet{
 		t: t, files: files, token: token, daemons: map[ident.VM]*running{}, stubs: map[ident.Upstream]*running{},
-		keys: map[ident.Workspace]string{}, client: &http.Client{Timeout: 20 * time.Second},
+		keys: map[ident.Workspace]string{}, cuts: newCuts(files), client: &http.Client{Timeout: 20 * time.Second},
 	}
 	for _, d := range files.Daemons {
 		f.startDaemon(d)
@@ -92,7 +93,7 @@
 		log, err = event.Open(os.Stderr, "info", "console")
 		assert.NilError(f.t, err)
 	}
-	dm, err := New(cfg, log)
+	dm, err := newWith(cfg, log, f.cuts.wrap(d.VM))
 	assert.NilError(f.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{daemon: dm, stop: cancel, done: make(chan error, 1)}
