store, commands: backup and restore of the configuration

Cause: a set of control daemons that lost all folders had no way back.

Change: backup saves a control daemon's state, restore makes a new folder of it; a new set is founded only by folders that began with the same state.

Measured: TestBackupAndRestore, with real processes: workspaces, keys and the answers of past changes are there again; a folder in use is not overwritten.

--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -75,6 +75,7 @@
 		{"POST /v1/confirmations", config.OperatorConfirm, (*api).confirm},
 		{"POST /v1/keys", config.OperatorAdminister, (*api).grantKey},
 		{"POST /v1/withdrawals", config.OperatorAdminister, (*api).withdrawKey},
+		{"GET /v1/backup", config.OperatorAdminister, (*api).backup},
 		{"GET /v1/control", config.OperatorView, (*api).listControl},
 		{"POST /v1/control", config.OperatorAdminister, (*api).changeControl},
 		{"POST /v1/drains", config.OperatorConfirm, (*api).drain},
--- a/io/admin/control.go
+++ b/io/admin/control.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"chicorymast/config"
 	"chicorymast/core/ident"
 	"chicorymast/io/wire"
 )
@@ -18,6 +19,15 @@
 	Node ident.Node `json:"node,omitempty"`
 }
 
+// backup returns the whole state, results of past changes included; only a
+// control daemon has it.
+func (a *api) backup(*http.Request, ident.Actor) (any, *Problem) {
+	if a.opt.Config().Daemon.Role != config.RoleControl {
+		return nil, problem(http.StatusNotFound, "no_resource", "ask a control daemon: this one does not keep the audit trail")
+	}
+	return a.opt.Board.Config.Read().State, nil
+}
+
 func (a *api) listControl(r *http.Request, _ ident.Actor) (any, *Problem) {
 	return a.askLeader(r.Context(), wire.MembersRequest{Op: wire.MembersList})
 }
--- a/io/ctrl/found.go
+++ b/io/ctrl/found.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"chicorymast/core/ident"
@@ -35,9 +36,7 @@
 		return err
 	}
 	if !ok || id.Token == "" {
-		raw := make([]byte, tokenBytes)
-		_, _ = rand.Read(raw) // crypto/rand never fails
-		id = store.Identity{Token: hex.EncodeToString(raw)}
+		id = store.Identity{Token: c.newToken()}
 		if err := c.store.SetIdentity(id); err != nil {
 			return err
 		}
@@ -80,11 +79,34 @@
 		}
 		tokens[reply.VM] = reply.Token
 	}
-	if len(tokens) == len(c.opt.Voters) {
+	if len(tokens) == len(c.opt.Voters) && sameOrigin(tokens) {
 		c.becomeFounder(tokens)
 	}
 }
 
+// originOf is the part of a token that says what state a folder began with.
+func originOf(token string) string {
+	_, origin, _ := strings.Cut(token, "-")
+	return origin
+}
+
+// sameOrigin reports whether all folders began with the same state.
+func sameOrigin(tokens map[ident.VM]string) bool {
+	origins := map[string]bool{}
+	for _, token := range tokens {
+		origins[originOf(token)] = true
+	}
+	return len(origins) == 1
+}
+
+// newToken names a new folder: at random, and by what it began with.
+func (c *Control) newToken() string {
+	raw := make([]byte, tokenBytes)
+	_, _ = rand.Read(raw) // crypto/rand never fails
+	origin := sha256.Sum256(c.restored.Snapshot.Data)
+	return hex.EncodeToString(raw) + "-" + hex.EncodeToString(origin[:tokenBytes])
+}
+
 func (c *Control) probeOne(address string) (wire.ProbeReply, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
--- a/io/proof/control_test.go
+++ b/io/proof/control_test.go
@@ -179,6 +179,32 @@
 	f.mustRun(rest, "confirm", "--change-id", "c2", plan)
 }
 
+// All folders are lost; the set is founded again from a backup, with the keys
+// and the first answers of past changes.
+func TestBackupAndRestore(t *testing.T) {
+	f := start(t, controlOnly(3))
+	f.mustRun(controls, "confirm", "--change-id", "c1", f.plan("control-1", "kept"))
+	f.mustRun(controls, "key", "grant", "--change-id", "k1", "kept")
+	keys := f.mustRun(controls, "key", "list")
+	file := filepath.Join(t.TempDir(), "backup")
+	f.mustRun(controls, "backup", file)
+	f.killAll()
+	for _, vm := range controls {
+		folder := filepath.Join(f.files.Dir, "data", string(vm))
+		_, err := f.run(controls, "restore", "--data-folder", folder, file)
+		assert.Assert(t, err != nil, "a folder in use must not be overwritten")
+		assert.NilError(t, os.RemoveAll(folder))
+		f.mustRun(controls, "restore", "--data-folder", folder, file)
+	}
+	for _, d := range f.files.Daemons {
+		f.startOne(d.VM)
+	}
+	f.awaitMembers(len(f.files.Daemons))
+	assert.Assert(t, f.workspaces("control-2")["kept"])
+	assert.Equal(t, f.mustRun(controls, "key", "list"), keys)
+	f.mustRun(controls, "confirm", "--change-id", "c2", f.plan("control-3", "kept", "after"))
+}
+
 // wipe kills a control daemon and empties its data folder.
 func (f *fleet) wipe(vm ident.VM) {
 	f.t.Helper()
