--- a/core/dedup/dedup_test.go
+++ b/core/dedup/dedup_test.go
@@ -1,23 +1,17 @@
 package dedup
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 	"time"
 
+	"chicorymast/core/simul"
+
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
 
-// TestMain fixes the seed of the random tests; -rapid.seed overrides it.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	flag.Parse()
-	m.Run()
-}
+func TestMain(m *testing.M) { simul.Main(m) }
 
 var (
 	epoch = time.Unix(1_000_000, 0)
@@ -108,28 +102,22 @@
 // group is replicas without a network. A replica that restarts forgets all
 // and answers again after a quiet time and copies from a majority.
 type group struct {
+	*simul.Timeline
 	t       *rapid.T
-	now     time.Time
 	tables  []*Table
 	ready   []bool
 	since   []time.Time
-	later   []event
 	runs    []Runner
 	claimed int
 }
 
-type event struct {
-	at time.Time
-	do func()
-}
-
 const (
 	claimTime = 500 * time.Millisecond
 	quietTime = 2 * claimTime
 )
 
 func newGroup(t *rapid.T) *group {
-	g := &group{t: t, now: epoch}
+	g := &group{Timeline: simul.NewTimeline(epoch), t: t}
 	n := rapid.SampledFrom([]int{1, 3, 5}).Draw(t, "replicas")
 	for range n {
 		g.tables = append(g.tables, NewTable(time.Hour, 1000))
@@ -141,49 +129,28 @@
 	return g
 }
 
-func (g *group) after(do func()) {
+// soon lets something happen after a random delay.
+func (g *group) soon(do func()) {
 	d := time.Duration(rapid.SampledFrom([]int{0, 1, 100, 499, 700, 5000}).Draw(g.t, "delay")) * time.Millisecond
-	g.later = append(g.later, event{g.now.Add(d), do})
-}
-
-func (g *group) advance(d time.Duration) {
-	end := g.now.Add(d)
-	for {
-		first := -1
-		for i, e := range g.later {
-			if !e.at.After(end) && (first < 0 || e.at.Before(g.later[first].at)) {
-				first = i
-			}
-		}
-		if first < 0 {
-			break
-		}
-		e := g.later[first]
-		g.later = append(g.later[:first], g.later[first+1:]...)
-		if e.at.After(g.now) {
-			g.now = e.at
-		}
-		e.do()
-	}
-	g.now = end
+	g.After(d, do)
 }
 
 // claim sends a claim to all; replies count only within the claim time.
 func (g *group) claim() {
 	g.claimed++
 	runner := Runner(fmt.Sprint("r", g.claimed))
-	vote, began, decided := NewVote(len(g.tables), "f"), g.now, false
+	vote, began, decided := NewVote(len(g.tables), "f"), g.Now(), false
 	for i := range g.tables {
 		if rapid.IntRange(0, 5).Draw(g.t, "lost") == 0 {
 			continue
 		}
-		g.after(func() {
+		g.soon(func() {
 			if !g.ready[i] {
 				return
 			}
-			reply := g.tables[i].Begin(g.now, claim(runner))
-			g.after(func() {
-				if decided || g.now.Sub(began) > claimTime {
+			reply := g.tables[i].Begin(g.Now(), claim(runner))
+			g.soon(func() {
+				if decided || g.Now().Sub(began) > claimTime {
 					return
 				}
 				vote.Add(reply)
@@ -194,12 +161,12 @@
 			})
 		})
 	}
-	g.later = append(g.later, event{g.now.Add(claimTime), func() {
+	g.After(claimTime, func() {
 		if !decided {
 			decided = true
 			g.tell(func(t *Table) { t.Release(order, runner) })
 		}
-	}})
+	})
 }
 
 func (g *group) run(runner Runner) {
@@ -210,7 +177,7 @@
 	switch rapid.IntRange(0, 2).Draw(g.t, "end") {
 	case 0: // the runner is lost and tells nobody
 	case 1:
-		g.tell(func(t *Table) { t.End(g.now, order, "f", runner, PhaseDone, Answer{}) })
+		g.tell(func(t *Table) { t.End(g.Now(), order, "f", runner, PhaseDone, Answer{}) })
 	case 2: // it has not run, so another may
 		g.runs = nil
 		g.tell(func(t *Table) { t.Release(order, runner) })
@@ -220,7 +187,7 @@
 func (g *group) tell(do func(*Table)) {
 	for i := range g.tables {
 		if rapid.IntRange(0, 5).Draw(g.t, "lost") > 0 {
-			g.after(func() {
+			g.soon(func() {
 				if g.ready[i] {
 					do(g.tables[i])
 				}
@@ -230,13 +197,13 @@
 }
 
 func (g *group) restart(i int) {
-	g.tables[i], g.ready[i], g.since[i] = NewTable(time.Hour, 1000), false, g.now
+	g.tables[i], g.ready[i], g.since[i] = NewTable(time.Hour, 1000), false, g.Now()
 }
 
 // recover copies from the others if a majority of the group, without this
 // replica, is ready.
 func (g *group) recover(i int) {
-	if g.ready[i] || g.now.Sub(g.since[i]) < quietTime {
+	if g.ready[i] || g.Now().Sub(g.since[i]) < quietTime {
 		return
 	}
 	var from []*Table
@@ -249,7 +216,7 @@
 		return
 	}
 	for _, table := range from[:len(g.tables)/2+1] {
-		g.tables[i].Load(g.now, table.Copy(g.now))
+		g.tables[i].Load(g.Now(), table.Copy(g.Now()))
 	}
 	g.ready[i] = true
 }
@@ -263,7 +230,7 @@
 			i := rapid.IntRange(0, len(g.tables)-1).Draw(t, "replica")
 			switch rapid.IntRange(0, 6).Draw(t, "what") {
 			case 0, 1:
-				g.advance(time.Duration(rapid.SampledFrom([]int{1, 100, 600, 3000}).Draw(t, "ms")) * time.Millisecond)
+				g.Advance(time.Duration(rapid.SampledFrom([]int{1, 100, 600, 3000}).Draw(t, "ms")) * time.Millisecond)
 			case 2, 3:
 				g.claim()
 			case 4:
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -1,26 +1,19 @@
 package quota
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"chicorymast/core/ident"
+	"chicorymast/core/simul"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
 
-// TestMain fixes the seed of the random tests; -rapid.seed overrides it.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	flag.Parse()
-	m.Run()
-}
+func TestMain(m *testing.M) { simul.Main(m) }
 
 var epoch = time.Unix(1_000_000, 0)
 
@@ -82,25 +75,19 @@
 // world is a few data centres whose messages take their time or are lost, and
 // whose daemons' clocks run differently.
 type world struct {
+	*simul.Timeline
 	t       *rapid.T
-	now     time.Time
 	rate    ident.Rate
 	burst   ident.Burst
 	owners  []*Owner
 	holders [][]*Holder
 	skew    [][]float64
-	later   []event
 	gauge   gauge
 }
 
-type event struct {
-	at time.Time
-	do func()
-}
-
 func newWorld(t *rapid.T) *world {
 	w := &world{
-		t: t, now: epoch,
+		Timeline: simul.NewTimeline(epoch), t: t,
 		rate:  ident.Rate(rapid.SampledFrom([]float64{5, 50, 400}).Draw(t, "rate")),
 		burst: ident.Burst(rapid.SampledFrom([]float64{8, 40, 300}).Draw(t, "burst")),
 	}
@@ -120,7 +107,7 @@
 
 // clock is what a daemon's own clock shows.
 func (w *world) clock(dc, vm int) time.Time {
-	return epoch.Add(time.Duration(float64(w.now.Sub(epoch)) * w.skew[dc][vm]))
+	return epoch.Add(time.Duration(float64(w.Now().Sub(epoch)) * w.skew[dc][vm]))
 }
 
 func (w *world) delay() time.Duration {
@@ -129,35 +116,8 @@
 
 func (w *world) lost() bool { return rapid.IntRange(0, 9).Draw(w.t, "lost") == 0 }
 
-func (w *world) after(d time.Duration, do func()) {
-	w.later = append(w.later, event{at: w.now.Add(d), do: do})
-}
-
-// advance carries out what becomes due, in order of time.
-func (w *world) advance(d time.Duration) {
-	end := w.now.Add(d)
-	for {
-		first := -1
-		for i, e := range w.later {
-			if !e.at.After(end) && (first < 0 || e.at.Before(w.later[first].at)) {
-				first = i
-			}
-		}
-		if first < 0 {
-			break
-		}
-		e := w.later[first]
-		w.later = append(w.later[:first], w.later[first+1:]...)
-		if e.at.After(w.now) {
-			w.now = e.at
-		}
-		e.do()
-	}
-	w.now = end
-}
-
 func (w *world) spend(n int) {
-	if !w.gauge.spend(w.now, n) {
+	if !w.gauge.spend(w.Now(), n) {
 		w.t.Fatalf("more than rate %v and burst %v over all VMs: %v tokens too many", w.rate, w.burst, -w.gauge.tokens)
 	}
 }
@@ -169,40 +129,40 @@
 	if w.lost() {
 		return
 	}
-	w.after(w.delay(), func() {
-		l := w.owners[dc].Lease(w.now, ident.VM(fmt.Sprintf("%d-%d", dc, vm)), want)
+	w.After(w.delay(), func() {
+		l := w.owners[dc].Lease(w.Now(), ident.VM(fmt.Sprintf("%d-%d", dc, vm)), want)
 		if w.lost() {
 			return
 		}
-		w.after(w.delay(), func() { w.spend(h.Receive(w.clock(dc, vm), asked, l)) })
+		w.After(w.delay(), func() { w.spend(h.Receive(w.clock(dc, vm), asked, l)) })
 	})
 }
 
 func (w *world) borrow(to, from int) {
-	asked := w.now
+	asked := w.Now()
 	want := Ask{Share: rapid.Float64Range(0, 1).Draw(w.t, "share"), Tokens: rapid.Float64Range(0, 20).Draw(w.t, "tokens")}
 	if rapid.Bool().Draw(w.t, "tokens only") {
 		want.Share = 0
 	}
-	w.after(w.delay(), func() {
-		l := w.owners[from].Lend(w.now, ident.DataCentre(fmt.Sprint(to)), want)
+	w.After(w.delay(), func() {
+		l := w.owners[from].Lend(w.Now(), ident.DataCentre(fmt.Sprint(to)), want)
 		if w.lost() {
 			return
 		}
-		w.after(w.delay(), func() { w.owners[to].Borrow(w.now, asked, ident.DataCentre(fmt.Sprint(from)), l) })
+		w.After(w.delay(), func() { w.owners[to].Borrow(w.Now(), asked, ident.DataCentre(fmt.Sprint(from)), l) })
 	})
 }
 
 func (w *world) replaceOwner(dc int) {
 	base := 1 / float64(len(w.owners))
 	if rapid.Bool().Draw(w.t, "crash") {
-		w.owners[dc] = NewOwner(w.now.Add(LoanTime), w.rate, w.burst, base)
+		w.owners[dc] = NewOwner(w.Now().Add(LoanTime), w.rate, w.burst, base)
 		return
 	}
-	s := w.owners[dc].Yield(w.now)
-	w.owners[dc] = NewOwner(w.now.Add(time.Hour), w.rate, w.burst, base) // gives nothing on the way
-	w.advance(w.delay())
-	w.owners[dc] = Resume(w.now, w.rate, w.burst, base, s)
+	s := w.owners[dc].Yield(w.Now())
+	w.owners[dc] = NewOwner(w.Now().Add(time.Hour), w.rate, w.burst, base) // gives nothing on the way
+	w.Advance(w.delay())
+	w.owners[dc] = Resume(w.Now(), w.rate, w.burst, base, s)
 }
 
 // TestNeverAboveRateAndBurst lets daemons, owners, loans, crashes and
@@ -216,7 +176,7 @@
 			vm := rapid.IntRange(0, len(w.holders[dc])-1).Draw(t, "vm")
 			switch rapid.IntRange(0, 9).Draw(t, "what") {
 			case 0, 1:
-				w.advance(time.Duration(rapid.SampledFrom([]int{1, 20, 200, 1500}).Draw(t, "ms")) * time.Millisecond)
+				w.Advance(time.Duration(rapid.SampledFrom([]int{1, 20, 200, 1500}).Draw(t, "ms")) * time.Millisecond)
 			case 2, 3, 4, 5:
 				if w.holders[dc][vm].Take(w.clock(dc, vm)) {
 					w.spend(1)
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -1,23 +1,16 @@
 package raft
 
 import (
-	"flag"
 	"testing"
 
 	"chicorymast/core/ident"
+	"chicorymast/core/simul"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
 
-// TestMain fixes the seed of the random tests; -rapid.seed overrides it.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	flag.Parse()
-	m.Run()
-}
+func TestMain(m *testing.M) { simul.Main(m) }
 
 func mustLead(t testing.TB, c *cluster) ident.Node {
 	t.Helper()
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -1,21 +1,15 @@
 package retry
 
 import (
-	"flag"
 	"testing"
 
+	"chicorymast/core/simul"
+
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
 
-// TestMain fixes the seed of the random tests; -rapid.seed overrides it.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	flag.Parse()
-	m.Run()
-}
+func TestMain(m *testing.M) { simul.Main(m) }
 
 // walk spends a budget as greedily as it can over a random call tree and
 // returns how many retries were made.
--- a/io/daemon/fleet_test.go
+++ b/io/daemon/fleet_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -39,6 +40,39 @@
 	changes int
 	client  *http.Client
 	cuts    *cuts
+	log     *buffer
+}
+
+// buffer takes the logs of all daemons.
+type buffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// mustKeepSecrets fails if a key or the operator's token stands in a log or
+// in a trace.
+func (f *fleet) mustKeepSecrets() {
+	f.t.Helper()
+	texts := map[string][]byte{"the log": f.log.text.Bytes()}
+	spans, err := filepath.Glob(filepath.Join(f.files.Dir, "*.spans"))
+	assert.NilError(f.t, err)
+	for _, path := range spans {
+		texts[path], err = os.ReadFile(path)
+		assert.NilError(f.t, err)
+	}
+	assert.Assert(f.t, len(texts["the log"]) > 0)
+	for where, text := range texts {
+		assert.Assert(f.t, !bytes.Contains(text, []byte(f.token)), "the operator's token stands in %s", where)
+		for w, key := range f.keys {
+			assert.Assert(f.t, !bytes.Contains(text, []byte(key)), "the key of %s stands in %s", w, where)
+		}
+	}
 }
 
 // running is one daemon or stand-in.
@@ -61,7 +95,7 @@
 	assert.NilError(t, err)
 	f := &fleet{
 		t: t, files: files, token: token, daemons: map[ident.VM]*running{}, stubs: map[ident.Upstream]*running{},
-		keys: map[ident.Workspace]string{}, cuts: newCuts(files), client: &http.Client{Timeout: 20 * time.Second},
+		keys: map[ident.Workspace]string{}, cuts: newCuts(files), log: &buffer{}, client: &http.Client{Timeout: 20 * time.Second},
 	}
 	for _, d := range files.Daemons {
 		f.startDaemon(d)
@@ -81,13 +115,14 @@
 		r.end(f.t)
 	}
 	f.client.CloseIdleConnections()
+	f.mustKeepSecrets()
 }
 
 func (f *fleet) startDaemon(d *trial.Daemon) {
 	f.t.Helper()
 	cfg, err := config.Load(filepath.Join(f.files.Dir, string(d.VM)+".ini"))
 	assert.NilError(f.t, err)
-	log, err := event.Open(io.Discard, "error", "json")
+	log, err := event.Open(f.log, "debug", "json")
 	assert.NilError(f.t, err)
 	if os.Getenv("FLEET_LOG") != "" {
 		log, err = event.Open(os.Stderr, "info", "console")
--- a/io/report/page.go
+++ b/io/report/page.go
@@ -89,7 +89,8 @@
 <td>{{printf "%.4f" .CPUShare}}</td></tr>{{end}}</table>
 {{range .}}<h2>{{.Scenario}}, {{.Mode}}</h2>
 <svg width="640" height="95" role="img" aria-label="calls over time">
-{{range bars .Timeline}}<rect class="offered" x="{{.X}}" y="{{top .Offered}}" width="7" height="{{.Offered}}"/><rect class="whole" x="{{.X}}" y="{{top .Whole}}" width="7" height="{{.Whole}}"/>{{end}}
+{{range bars .Timeline}}<rect class="offered" x="{{.X}}" y="{{top .Offered}}" width="7" height="{{.Offered}}"/>
+<rect class="whole" x="{{.X}}" y="{{top .Whole}}" width="7" height="{{.Whole}}"/>{{end}}
 </svg>
 <p>{{range $reason, $n := .Outcomes}}{{$reason}} {{$n}} &nbsp; {{end}}</p>{{end}}
 </body></html>
--- a/io/wire/wire_test.go
+++ b/io/wire/wire_test.go
@@ -66,8 +66,8 @@
 // A connection that swallows everything is closed when a call's time is up,
 // and the next call goes over a new one.
 func TestSilentConnectionIsReplaced(t *testing.T) {
-	real := serve(t, echo)
-	front := newSwallower(t, real)
+	target := serve(t, echo)
+	front := newSwallower(t, target)
 	p := newPool(t)
 	mustEcho(t, p, front.address, 1)
 	front.swallow()
