quota, ration, proxy: give back what a call that did not run was charged

Change: a refusal that proves that nothing ran gives the token back to the owner with the daemon's next request.

--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -15,6 +15,8 @@
 	demand meter
 	// used is what was spent since the owner was asked last.
 	used float64
+	// refund counts calls that were charged and have not run.
+	refund float64
 	// denied is until when asking again is of no use.
 	denied time.Time
 	// number is that of the newest request.
@@ -39,6 +41,12 @@
 	return true
 }
 
+// Refund gives one token back for a call that was charged but has not run. It
+// reaches the owner with the next request.
+func (h *Holder) Refund() {
+	h.refund++
+}
+
 // Denied returns how long it is of no use to ask.
 func (h *Holder) Denied(now time.Time) time.Duration {
 	return max(0, h.denied.Sub(now))
@@ -49,8 +57,8 @@
 func (h *Holder) Ask(now time.Time, waiting int) Want {
 	h.expire(now)
 	h.number = max(h.number+1, uint64(now.UnixMicro()))
-	w := Want{Number: h.number, Spend: float64(waiting), Ahead: h.ahead(now), Used: h.used + float64(waiting), Unspent: h.tokens}
-	h.tokens, h.used = 0, 0
+	w := Want{Number: h.number, Spend: float64(waiting), Ahead: h.ahead(now), Used: h.used + float64(waiting), Unspent: h.tokens, Refund: h.refund}
+	h.tokens, h.used, h.refund = 0, 0, 0
 	return w
 }
 
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -133,6 +133,8 @@
 	Used   float64 `json:"used"`
 	// Unspent is handed back.
 	Unspent float64 `json:"unspent"`
+	// Refund is for calls that were charged and then proved not to have run.
+	Refund float64 `json:"refund,omitempty"`
 }
 
 // Lease gives tokens to a daemon and takes back what it has not spent.
@@ -149,6 +151,8 @@
 	}
 	o.seen[to] = w.Number
 	o.takeBack(to, w.Unspent)
+	o.tokens += max(0, w.Refund)
+	o.cap()
 	o.demand.add(now, w.Used)
 	if now.Before(o.idleUntil) {
 		return Lease{WaitMs: ceilMs(o.idleUntil.Sub(now))}
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -122,6 +122,16 @@
 	}
 }
 
+// takeBack undoes one call that was charged but did not run.
+func (w *world) takeBack(dc, vm int) {
+	if !w.holders[dc][vm].Take(w.clock(dc, vm)) {
+		return
+	}
+	w.spend(1)
+	w.holders[dc][vm].Refund()
+	w.gauge.tokens = min(w.gauge.burst, w.gauge.tokens+1)
+}
+
 func (w *world) ask(dc, vm, waiting int) {
 	h := w.holders[dc][vm]
 	asked := w.clock(dc, vm)
@@ -174,7 +184,7 @@
 		for range rapid.IntRange(20, 300).Draw(t, "steps") {
 			dc := rapid.IntRange(0, len(w.owners)-1).Draw(t, "dc")
 			vm := rapid.IntRange(0, len(w.holders[dc])-1).Draw(t, "vm")
-			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			switch rapid.IntRange(0, 10).Draw(t, "what") {
 			case 0, 1:
 				w.Advance(time.Duration(rapid.SampledFrom([]int{1, 20, 200, 1500}).Draw(t, "ms")) * time.Millisecond)
 			case 2, 3, 4, 5:
@@ -185,6 +195,8 @@
 				}
 			case 6, 7:
 				w.ask(dc, vm, 0)
+			case 10:
+				w.takeBack(dc, vm)
 			case 8:
 				if from := rapid.IntRange(0, len(w.owners)-1).Draw(t, "from"); from != dc {
 					w.borrow(dc, from)
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -39,6 +39,8 @@
 	config    *board.Config
 	action    ident.ActionID
 	body      *payload
+	// charged is the grant that has paid for the call.
+	charged ident.Grant
 }
 
 func (p *Proxy) serveEntry(w http.ResponseWriter, r *http.Request) {
@@ -177,16 +179,24 @@
 	if !ok {
 		return fault.Refuse(fault.ReasonNoGrant, "workspace %s may not call route %s", in.workspace, in.route), 0
 	}
-	wait, err := p.opt.Quota.Charge(ctx, name, grant.Rate, grant.Burst)
+	wait, err := p.opt.Quota.Charge(ctx, name)
 	if err != nil {
 		return asRefusal(err), 0
 	}
 	if wait > 0 {
 		return fault.Refuse(fault.ReasonOverRate, "grant %s allows %v calls per second, burst %v", name, grant.Rate, grant.Burst), wait
 	}
+	in.charged = name
 	return nil, 0
 }
 
+// refund takes the charge back for a call that has not run.
+func (p *Proxy) refund(in *admitted, r *fault.Refusal) {
+	if in.charged != "" && r.NotRun {
+		p.opt.Quota.Refund(in.charged)
+	}
+}
+
 // probes lets a few calls through to a service that sheds, so that its
 // recovery is noticed.
 func (p *Proxy) probes() bool {
@@ -244,6 +254,7 @@
 }
 
 func (p *Proxy) endRefused(run *record.Running, in *admitted, r *fault.Refusal) {
+	p.refund(in, r)
 	if r.NotRun {
 		p.opt.Records.End(run, "", dedup.Answer{})
 		return
@@ -285,6 +296,7 @@
 func (p *Proxy) run(ctx context.Context, w http.ResponseWriter, r *http.Request, in *admitted, began time.Time) {
 	answer, _, refusal := p.dispatch(ctx, p.outbound(r, in))
 	if refusal != nil {
+		p.refund(in, refusal)
 		p.refuseEntry(w, in.route, refusal, 0, began)
 		return
 	}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -56,7 +56,9 @@
 // Quota charges one call to a grant.
 type Quota interface {
 	// Charge returns zero when the call may go on, or how long to wait.
-	Charge(ctx context.Context, grant ident.Grant, rate ident.Rate, burst ident.Burst) (wait time.Duration, err error)
+	Charge(ctx context.Context, grant ident.Grant) (wait time.Duration, err error)
+	// Refund takes a charge back for a call that is proved not to have run.
+	Refund(grant ident.Grant)
 }
 
 // Records claims actions that must not run twice.
--- a/io/ration/ration.go
+++ b/io/ration/ration.go
@@ -7,7 +7,7 @@
 //	r := ration.New(ration.Options{...})
 //	r.Register(server)
 //	stop := r.Start()
-//	wait, err := r.Charge(ctx, grant, rate, burst)
+//	wait, err := r.Charge(ctx, grant)
 //
 // The owner of a grant is the first of the data centre's VMs in rendezvous
 // order. A VM that is out of touch with its relay for as long as a membership
@@ -95,7 +95,7 @@
 
 // Charge takes one token of a grant. It returns zero when the call may go on,
 // or how long to wait when the grant is used up.
-func (r *Ration) Charge(ctx context.Context, g ident.Grant, _ ident.Rate, _ ident.Burst) (wait time.Duration, err error) {
+func (r *Ration) Charge(ctx context.Context, g ident.Grant) (wait time.Duration, err error) {
 	h := r.holder(g)
 	now := r.opt.Clock.Now()
 	h.mu.Lock()
@@ -122,6 +122,15 @@
 	}
 }
 
+// Refund gives back what a call was charged that was then proved not to have
+// run.
+func (r *Ration) Refund(g ident.Grant) {
+	h := r.holder(g)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.core.Refund()
+}
+
 // await asks the owner on behalf of a call; the holder is locked on entry. A
 // grant that is used up for a moment only delays the call a little, since
 // other daemons may hand back tokens.
