admit, proxy: let short bursts wait, name the last refusal

Cause: with a quarter of one service and a third of another drained at 70% load, 1.4% of the calls were lost, none when calls are only passed on: the queue beside an upstream held one call a slot, which does not bear 93% load, and a call refused by every upstream was answered as no_upstream.

Change: while a queue has been empty within half a second, four times as many may wait; one that stands is cut to its short length, so that a lasting surge adds no delay. A call that was tried everywhere gets the last refusal.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -38,7 +38,8 @@
 type Config struct {
 	// Slots is how many calls the upstream takes at once.
 	Slots int
-	// Queue is how many calls may wait.
+	// Queue is how many calls may wait for long. For a short time, while the
+	// queue has been empty lately, burstQueue times as many may.
 	Queue int
 }
 
@@ -93,8 +94,10 @@
 	lanes   [laneCount]lane
 	running map[Ticket]struct{}
 	waiting int
-	own     time.Duration
-	shed    shedMark
+	// queuedSince is since when at least one call has waited.
+	queuedSince time.Time
+	own         time.Duration
+	shed        shedMark
 }
 
 // shedMark remembers the best lane from which a call was shed lately.
@@ -107,6 +110,10 @@
 	laneCount = 2 * len(ident.Classes)
 	// LevelOpen is the level of a gate that sheds nothing.
 	LevelOpen = laneCount
+	// standingTime is how long a queue may take to empty before it counts as
+	// standing.
+	standingTime = 500 * time.Millisecond
+	burstQueue   = 4
 	// shedMemory is how long a shed call keeps the level down.
 	shedMemory = 300 * time.Millisecond
 	// ownWeight is the weight of a new sample in the mean of own times.
@@ -141,18 +148,39 @@
 	if g.waiting == 0 && len(g.running) < g.limit.current() {
 		return []Effect{g.start(r.Ticket)}
 	}
-	var effects []Effect
-	if g.waiting >= g.cfg.Queue {
+	effects, in := g.makeRoom(now, n, r)
+	if !in {
+		return effects
+	}
+	if g.waiting == 0 {
+		g.queuedSince = now
+	}
+	g.lanes[n].push(r)
+	g.waiting++
+	return append(effects, g.fill(now)...)
+}
+
+// makeRoom sheds until one more call may wait; it reports false when the
+// arriving call itself is the one to shed.
+func (g *Gate) makeRoom(now time.Time, n int, r Request) (effects []Effect, in bool) {
+	for g.waiting >= g.room(now) {
 		victim, at := g.victim(n, r)
 		g.markShed(now, at)
 		effects = append(effects, Refuse{Ticket: victim, Reason: fault.ReasonOverload})
 		if victim == r.Ticket {
-			return effects
+			return effects, false
 		}
 	}
-	g.lanes[n].push(r)
-	g.waiting++
-	return append(effects, g.fill(now)...)
+	return effects, true
+}
+
+// room is how many calls may wait at the moment. A queue that has stood for a
+// while is a standing one: it only adds delay, so it is kept short.
+func (g *Gate) room(now time.Time) int {
+	if g.waiting > 0 && now.Sub(g.queuedSince) > standingTime {
+		return g.cfg.Queue
+	}
+	return burstQueue * g.cfg.Queue
 }
 
 // Cancel forgets a call that waits, because its caller left. It reports
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -75,10 +75,11 @@
 	}
 	tried := map[ident.VM]bool{}
 	maybeRan := false
+	last := fault.Refuse(fault.ReasonNoUpstream, "no upstream of service %s takes the call", o.call.Service)
 	for n := 0; ; n++ {
 		vm, ok := p.pick(o.call, tried)
 		if !ok {
-			r := fault.Refuse(fault.ReasonNoUpstream, "no upstream of service %s takes the call", o.call.Service)
+			r := last
 			r.NotRun = !maybeRan
 			return nil, settlement{unspent: budget.Left()}, r
 		}
@@ -90,6 +91,7 @@
 		}
 		if a.refusal != nil {
 			maybeRan = maybeRan || !a.refusal.NotRun
+			last = a.refusal
 		}
 		tried[vm.VM] = true
 		if !p.again(ctx, o, a, &budget, n) {
