proxy, ration: say not run only when it is true of all attempts

Cause, found on reading: an idempotent call that one upstream had answered with 503, without proof, and that the next daemon then refused, was answered with not_run true. A call whose time was up while it waited for its rate was answered as upstream_failed, one whose grant's owner was lost as over_rate.

Before: the new TestNotRunIsTrueOfAllAttempts fails on its fourth case with the old rule. After: it passes; io/daemon's faults pass.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -146,6 +147,9 @@
 	if ctx.Err() != nil || (err != nil && interrupted) {
 		return
 	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		a.opt.Log.Emit(event.ConnectionReplaced, zap.String("relay", a.relay))
+	}
 	if err != nil {
 		a.nextRelay()
 		a.pause(ctx)
--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -84,6 +84,8 @@
 	waiters  map[raft.Index]waiter
 	broken   bool
 	keeper   keeper
+	// voters is how many voters the last decided members had.
+	voters int
 }
 
 // waiter is a proposal whose entry is not decided yet.
@@ -197,6 +199,7 @@
 		r.Snapshot.Members = raft.Members{Voters: c.opt.Voters}
 	}
 	c.applied = r.Snapshot.Index
+	c.voters = len(r.Snapshot.Members.Voters)
 	c.node = raft.New(raft.Config{
 		ID: c.identity.Node, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Rand: c.rng,
 	}, r)
--- a/io/ctrl/effects.go
+++ b/io/ctrl/effects.go
@@ -75,7 +75,7 @@
 	for _, e := range entries {
 		c.applied = e.Index
 		if e.Kind == raft.EntryMembers {
-			c.opt.Log.Emit(event.VoterAdded, zap.ByteString("members", e.Data))
+			c.noteMembers(e)
 		}
 		if e.Kind == raft.EntryCommand {
 			changed = c.applyCommand(e) || changed
@@ -88,6 +88,21 @@
 	c.compact()
 }
 
+// noteMembers logs a change of the voters.
+func (c *Control) noteMembers(e raft.Entry) {
+	var m raft.Members
+	if json.Unmarshal(e.Data, &m) != nil {
+		return
+	}
+	switch {
+	case len(m.Voters) > c.voters:
+		c.opt.Log.Emit(event.VoterAdded, zap.ByteString("members", e.Data))
+	case len(m.Voters) < c.voters:
+		c.opt.Log.Emit(event.VoterRemoved, zap.ByteString("members", e.Data))
+	}
+	c.voters = len(m.Voters)
+}
+
 func (c *Control) applyCommand(e raft.Entry) (changed bool) {
 	cmd, err := state.Decode(e.Data)
 	if err != nil {
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -67,41 +67,67 @@
 	suspectHold = 800 * time.Millisecond
 )
 
+// journey is a call's way through the fleet: what was tried and what is known.
+type journey struct {
+	budget retry.Budget
+	tried  map[ident.VM]bool
+	// maybeRan is set when an attempt may have run at an upstream.
+	maybeRan bool
+	last     *fault.Refusal
+}
+
+func newJourney(o *outbound) *journey {
+	return &journey{
+		budget: retry.NewBudget(o.call.Retries),
+		tried:  map[ident.VM]bool{},
+		last:   fault.Refuse(fault.ReasonNoUpstream, "no upstream of service %s takes the call", o.call.Service),
+	}
+}
+
+// note remembers what an attempt at a VM has shown.
+func (j *journey) note(vm ident.VM, lent int, a attempt) {
+	j.budget.Settle(lent, a.unspent)
+	j.tried[vm] = true
+	if a.refusal != nil {
+		j.last = a.refusal
+		j.maybeRan = j.maybeRan || !a.refusal.NotRun
+	}
+	if a.answer != nil && a.answer.header.Get(hop.HeaderNotRun) != "true" {
+		j.maybeRan = true
+	}
+}
+
+// refuse ends the journey with the last refusal, true of all attempts.
+func (j *journey) refuse(deeper bool) (*answered, settlement, *fault.Refusal) {
+	r := *j.last
+	r.NotRun = !j.maybeRan
+	return nil, settlement{j.budget.Left(), deeper}, &r
+}
+
 // dispatch sends a call to the fleet, again where that is safe and allowed.
 func (p *Proxy) dispatch(ctx context.Context, o *outbound) (*answered, settlement, *fault.Refusal) {
-	budget := retry.NewBudget(o.call.Retries)
+	j := newJourney(o)
 	if r := p.suspects.refuse(p.opt.Clock.Now(), o.print); r != nil && !p.passThrough() {
-		return nil, settlement{unspent: budget.Left()}, r
+		return nil, settlement{unspent: j.budget.Left()}, r
 	}
-	tried := map[ident.VM]bool{}
-	maybeRan := false
-	last := fault.Refuse(fault.ReasonNoUpstream, "no upstream of service %s takes the call", o.call.Service)
 	for n := 0; ; n++ {
-		vm, ok := p.pick(o.call, tried)
+		vm, ok := p.pick(o.call, j.tried)
 		if !ok {
-			r := last
-			r.NotRun = !maybeRan
-			return nil, settlement{unspent: budget.Left()}, r
+			return j.refuse(false)
 		}
-		lent := budget.Lend()
+		lent := j.budget.Lend()
 		a := p.try(ctx, o, vm, lent)
-		budget.Settle(lent, a.unspent)
-		if a.answer != nil && !retryStatus(o, a) {
-			return a.answer, settlement{budget.Left(), a.deeper}, nil
-		}
-		if a.refusal != nil {
-			maybeRan = maybeRan || !a.refusal.NotRun
-			last = a.refusal
+		j.note(vm.VM, lent, a)
+		good := a.answer != nil && !retryStatus(o, a)
+		if !good && p.again(ctx, o, a, &j.budget, n) {
+			a.discard()
+			p.opt.Meter.retries.Inc()
+			continue
 		}
-		tried[vm.VM] = true
-		if !p.again(ctx, o, a, &budget, n) {
-			if a.refusal != nil {
-				a.refusal.NotRun = !maybeRan
-			}
-			return a.answer, settlement{budget.Left(), a.deeper}, a.refusal
+		if a.answer != nil {
+			return a.answer, settlement{j.budget.Left(), a.deeper}, nil
 		}
-		a.discard()
-		p.opt.Meter.retries.Inc()
+		return j.refuse(a.deeper)
 	}
 }
 
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -181,7 +182,7 @@
 	}
 	wait, err := p.opt.Quota.Charge(ctx, name)
 	if err != nil {
-		return asRefusal(err), 0
+		return chargeRefusal(err), 0
 	}
 	if wait > 0 {
 		return fault.Refuse(fault.ReasonOverRate, "grant %s allows %v calls per second, burst %v", name, grant.Rate, grant.Burst), wait
@@ -190,6 +191,17 @@
 	return nil, 0
 }
 
+// chargeRefusal says why a call could not be charged; it has not run.
+func chargeRefusal(err error) *fault.Refusal {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return fault.Refuse(fault.ReasonDeadline, "the time was up while the call waited for its rate")
+	case errors.Is(err, context.Canceled):
+		return fault.Refuse(fault.ReasonCancelled, "the caller left while the call waited for its rate")
+	}
+	return fault.Refuse(fault.ReasonQuotaUnreachable, "%v", err)
+}
+
 // refund takes the charge back for a call that has not run.
 func (p *Proxy) refund(in *admitted, r *fault.Refusal) {
 	if in.charged != "" && r.NotRun {
--- a/io/ration/ration.go
+++ b/io/ration/ration.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -28,6 +29,9 @@
 	"chicorymast/io/wire"
 )
 
+// ErrUnreachable is returned when a grant's owner can't be asked.
+var ErrUnreachable = errors.New("the owner of the grant can't be reached")
+
 // Options is what the division of rates needs.
 type Options struct {
 	VM         ident.VM
@@ -59,6 +63,8 @@
 	queue []chan bool
 	// delayed counts the calls that wait for the grant to fill.
 	delayed int
+	// lost is set while the owner does not answer.
+	lost bool
 }
 
 const (
@@ -94,7 +100,8 @@
 }
 
 // Charge takes one token of a grant. It returns zero when the call may go on,
-// or how long to wait when the grant is used up.
+// or how long to wait when the grant is used up. Errors: ErrUnreachable, or that
+// of ctx.
 func (r *Ration) Charge(ctx context.Context, g ident.Grant) (wait time.Duration, err error) {
 	h := r.holder(g)
 	now := r.opt.Clock.Now()
@@ -143,6 +150,9 @@
 		denied := h.core.Denied(now)
 		if denied > 0 {
 			late := now.Add(denied).Sub(began) > patience || h.delayed >= mostDelayed
+			if late && h.lost {
+				return 0, ErrUnreachable
+			}
 			if late || !h.pause(ctx, denied) {
 				return denied, ctx.Err()
 			}
@@ -227,6 +237,7 @@
 		l = quota.Lease{Number: want.Number, WaitMs: tickTime.Milliseconds()}
 	}
 	h.mu.Lock()
+	h.lost = !ok
 	served := h.core.Receive(r.opt.Clock.Now(), asked, l)
 	for i, place := range queue {
 		place <- i < served
