--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -112,7 +112,7 @@
 	LevelOpen = laneCount
 	// standingTime is how long a queue may take to empty before it counts as
 	// standing.
-	standingTime = 500 * time.Millisecond
+	standingTime = 2 * time.Second
 	burstQueue   = 4
 	// shedMemory is how long a shed call keeps the level down.
 	shedMemory = 300 * time.Millisecond
