quota, ration: go on with others' tokens while an owner is lost

Change: a new owner spends tokens that other data centres lend while it waits; daemons whose owner does not answer ask the owners elsewhere, who give from their own shares.

--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -151,10 +151,13 @@
 	}
 	o.seen[to] = w.Number
 	o.takeBack(to, w.Unspent)
-	o.tokens += max(0, w.Refund)
-	o.cap()
+	if !now.Before(o.idleUntil) {
+		o.tokens += max(0, w.Refund)
+		o.cap()
+	}
 	o.demand.add(now, w.Used)
-	if now.Before(o.idleUntil) {
+	if now.Before(o.idleUntil) && o.tokens < 1 {
+		// Only tokens that others have lent can lie here before that time.
 		return Lease{WaitMs: ceilMs(o.idleUntil.Sub(now))}
 	}
 	if w.Spend+w.Ahead < 1 {
--- a/io/ration/ration.go
+++ b/io/ration/ration.go
@@ -244,28 +244,49 @@
 	}
 }
 
-// askOwner finds the grant's owner. Views may differ for a moment, so an
-// owner that denies being it is asked again with the next view.
+// askOwner asks the grant's owner here and, while that one does not answer,
+// the owners in other data centres, who give from their own shares.
 func (r *Ration) askOwner(q wire.QuotaLeaseRequest) (quota.Lease, bool) {
-	const tries = 5
+	const tries = 3
 	const pause = 20 * time.Millisecond
+	home := r.ownerDataCentre(q.Grant)
 	for range tries {
-		reply, err := r.askOnce(q)
+		reply, err := r.askIn(home, q)
 		if err == nil && reply.Owner {
 			return reply.Lease, true
 		}
-		time.Sleep(pause)
 		// What was handed back with the first request may have arrived.
-		q.Want.Unspent = 0
+		q.Want.Unspent, q.Want.Refund = 0, 0
+		if home == r.opt.DataCentre {
+			if l, ok := r.askElsewhere(q); ok {
+				return l, true
+			}
+		}
+		// Views differ for a moment: ask again with the next one.
+		time.Sleep(pause)
+	}
+	return quota.Lease{}, false
+}
+
+// askElsewhere asks the owners in other data centres until one gives.
+func (r *Ration) askElsewhere(q wire.QuotaLeaseRequest) (quota.Lease, bool) {
+	for dc := range r.opt.Board.Config.Read().State.Intent.DataCentres {
+		if dc == r.opt.DataCentre {
+			continue
+		}
+		reply, err := r.askIn(dc, q)
+		if err == nil && reply.Owner && reply.Lease.Spend > 0 {
+			return reply.Lease, true
+		}
 	}
 	return quota.Lease{}, false
 }
 
-func (r *Ration) askOnce(q wire.QuotaLeaseRequest) (wire.QuotaLeaseReply, error) {
+func (r *Ration) askIn(dc ident.DataCentre, q wire.QuotaLeaseRequest) (wire.QuotaLeaseReply, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	members := r.opt.Board.Members.Read()
-	vm, ok := rendez.First(ownerKey(q.Grant), members.ByDataCentre[r.ownerDataCentre(q.Grant)])
+	vm, ok := rendez.First(ownerKey(q.Grant), members.ByDataCentre[dc])
 	if !ok {
 		return wire.QuotaLeaseReply{}, nil
 	}
