commands: give every command line options of its own

Cause: in a clean clone TestExitCodes failed: 'check' without a file exited 0. The commands' option structs were made once in a process, so a command line saw the options of the one before; the order of the cases is random.

Change: a parser gets fresh structs.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"reflect"
 
 	"chicorymast/core/schema"
 
@@ -35,6 +36,12 @@
 	parent            string
 }
 
+// fresh returns the command's type without any option set, so that two command
+// lines in one process do not share them.
+func (c command) fresh() any {
+	return reflect.New(reflect.TypeOf(c.data).Elem()).Interface()
+}
+
 var registry []command
 
 func register(name, short, long string, data any) {
@@ -63,7 +70,7 @@
 		if c.parent != "" {
 			continue
 		}
-		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
+		if _, err := parser.AddCommand(c.name, c.short, c.long, c.fresh()); err != nil {
 			return nil, err
 		}
 	}
@@ -71,7 +78,7 @@
 		if c.parent == "" {
 			continue
 		}
-		if _, err := parser.Find(c.parent).AddCommand(c.name, c.short, c.long, c.data); err != nil {
+		if _, err := parser.Find(c.parent).AddCommand(c.name, c.short, c.long, c.fresh()); err != nil {
 			return nil, err
 		}
 	}
