intent: refuse a setting that did nothing

Cause, found on reading: a service's progress_timeout was read, checked and stored, and nothing used it; an operator who set it was misled.

Change: it is an unknown key now, named with file and section.

Measured: the new case of TestBadIntentsAreNamed passes; core, config, commands, the whole path and the reload pass; lint is clean.

--- a/core/intent/intent.go
+++ b/core/intent/intent.go
@@ -60,11 +60,10 @@
 // ServiceSpec is one service. Slots and Servers are what the operator expects
 // to run; they serve the review of a plan, not the traffic.
 type ServiceSpec struct {
-	Slots        int           `ini:"slots" json:"slots"`
-	Servers      int           `ini:"servers" json:"servers"`
-	Connections  int           `ini:"connections" json:"connections"`
-	ServiceTime  time.Duration `ini:"service_time" json:"service_time"`
-	ProgressTime time.Duration `ini:"progress_timeout" json:"progress_timeout"`
+	Slots       int           `ini:"slots" json:"slots"`
+	Servers     int           `ini:"servers" json:"servers"`
+	Connections int           `ini:"connections" json:"connections"`
+	ServiceTime time.Duration `ini:"service_time" json:"service_time"`
 }
 
 // RouteSpec is one kind of call.
--- a/core/intent/intent_test.go
+++ b/core/intent/intent_test.go
@@ -38,6 +38,7 @@
 		"unknown key":        {"rate = 50", "rat = 50", "grant mlyn_shop", "rat"},
 		"unknown kind":       {"[service katalog]", "[servis katalog]", "servis katalog", ""},
 		"no name":            {"[service katalog]", "[service]", "service", ""},
+		"no such setting":    {"slots = 55", "progress_timeout = 1s", "service katalog", "progress_timeout"},
 		"rate zero":          {"rate = 50", "rate = 0", "grant mlyn_shop", "rate"},
 		"rate NaN":           {"rate = 50", "rate = NaN", "grant mlyn_shop", "rate"},
 		"burst zero":         {"burst = 100", "burst = 0", "grant mlyn_shop", "burst"},
