trial: take listening ports that outgoing connections don't get

Cause: in an uncached run of all tests, TestServesWithoutAnyControlDaemon ended with 'address already in use', and TestWipedVoterDoesNotVote waited in vain after it restarted a daemon, most likely for the same reason: ports were found by binding port 0, so they lay among those that the system gives to outgoing connections of tests that run at the same time.

Change: ports between 12,000 and 32,000, below that range.

Before: both failed in that run; the run before had passed. After: these tests and the whole path pass; a whole run is to follow.

--- a/io/trial/write.go
+++ b/io/trial/write.go
@@ -1,7 +1,9 @@
 package trial
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -116,23 +118,37 @@
 	return nil
 }
 
+// Listening ports come from below those that the system gives to outgoing
+// connections, which would else take the port of a daemon that restarts.
+const (
+	firstPort = 12_000
+	lastPort  = 32_000
+)
+
 // freeAddresses finds loopback addresses on which nobody listens.
 func freeAddresses(n int) (addresses []string, err error) {
-	var open []net.Listener
-	defer func() {
-		for _, ln := range open {
-			_ = ln.Close()
+	const tries = 100
+	taken := map[int]bool{}
+	for range n * tries {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if taken[port] || !free(address) {
+			continue
 		}
-	}()
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
+		taken[port] = true
+		if addresses = append(addresses, address); len(addresses) == n {
+			return addresses, nil
 		}
-		open = append(open, ln)
-		addresses = append(addresses, ln.Addr().String())
 	}
-	return addresses, nil
+	return nil, errors.New("not enough free ports on loopback")
+}
+
+func free(address string) bool {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	return ln.Close() == nil
 }
 
 func (f *Fleet) settings(d *Daemon, tokenDigest string) string {
