--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -12,7 +12,7 @@
 )
 
 type daemonCommand struct {
-	Config string `long:"config" short:"c" required:"true" description:"settings file"`
+	Config string `long:"config" short:"c" env:"CHICORYMAST_SETTINGS" required:"true" description:"settings file"`
 }
 
 func init() {
@@ -26,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	log, err := event.Open(os.Stderr, cfg.Log.Level, cfg.Log.Format)
+	log, err := event.Open(os.Stdout, cfg.Log.Level, cfg.Log.Format)
 	if err != nil {
 		return err
 	}
--- a/config/calls.go
+++ b/config/calls.go
@@ -16,6 +16,12 @@
 	HeaderLimit int `ini:"header_limit"`
 	// HeaderTimeout is how long a caller may take to send its header.
 	HeaderTimeout time.Duration `ini:"header_timeout"`
+	// RetryRatio and RetrySlack bound the repetitions towards each service over
+	// the whole fleet: a share of its calls, and a number besides within
+	// RetryWindow. Every daemon keeps to its part of both.
+	RetryRatio  float64       `ini:"retry_ratio"`
+	RetrySlack  int           `ini:"retry_slack"`
+	RetryWindow time.Duration `ini:"retry_window"`
 	// Connections is how many connections the caller's listener takes.
 	Connections int `ini:"connections"`
 }
@@ -28,6 +34,9 @@
 		ConnectTimeout:  time.Second,
 		HeaderLimit:     32 << 10,
 		HeaderTimeout:   5 * time.Second,
+		RetryRatio:      0.1,
+		RetrySlack:      100,
+		RetryWindow:     10 * time.Second,
 		Connections:     4096,
 	}
 }
@@ -46,6 +55,12 @@
 		return "header_limit", "must be at least 1024 bytes"
 	case c.HeaderTimeout <= 0:
 		return "header_timeout", "must be above zero"
+	case c.RetryRatio < 0 || c.RetryRatio > 1:
+		return "retry_ratio", "must be between 0 and 1"
+	case c.RetrySlack < 0:
+		return "retry_slack", "can't be below zero"
+	case c.RetryWindow <= 0:
+		return "retry_window", "must be above zero"
 	case c.Connections < 1:
 		return "connections", "must be at least 1"
 	}
--- a/config/config.go
+++ b/config/config.go
@@ -33,6 +33,7 @@
 	Log       Log
 	Trace     Trace
 	Security  Security
+	Platform  Platform
 	Operators map[string]Operator
 }
 
@@ -95,6 +96,7 @@
 		"log":       &c.Log,
 		"trace":     &c.Trace,
 		"security":  &c.Security,
+		"platform":  &c.Platform,
 	}
 }
 
@@ -110,7 +112,7 @@
 }
 
 func (c *Config) check() error {
-	order := []string{"daemon", "listen", "control", "calls", "admission", "cut_off", "log", "trace", "security"}
+	order := []string{"daemon", "listen", "control", "calls", "admission", "cut_off", "log", "trace", "security", "platform"}
 	sections := c.sections()
 	for _, name := range order {
 		if key, problem := sections[name].check(c); problem != "" {
--- a/config/daemon.go
+++ b/config/daemon.go
@@ -27,12 +27,18 @@
 
 // Daemon is the section [daemon].
 type Daemon struct {
-	VM              ident.VM         `ini:"vm"`
-	DataCentre      ident.DataCentre `ini:"data_centre"`
-	Role            Role             `ini:"role"`
-	Mode            Mode             `ini:"mode"`
-	DataFolder      string           `ini:"data_folder"`
-	ShutdownTimeout time.Duration    `ini:"shutdown_timeout"`
+	VM         ident.VM         `ini:"vm"`
+	DataCentre ident.DataCentre `ini:"data_centre"`
+	Role       Role             `ini:"role"`
+	// Service is that of the upstream on this VM, where the settings know it:
+	// calls that begin on this VM are known to come from there.
+	Service         ident.Service `ini:"service"`
+	Mode            Mode          `ini:"mode"`
+	DataFolder      string        `ini:"data_folder"`
+	ShutdownTimeout time.Duration `ini:"shutdown_timeout"`
+	// ShutdownDelay is how long a daemon that stops goes on serving, so that
+	// callers and peers learn of it before its listeners close.
+	ShutdownDelay time.Duration `ini:"shutdown_delay"`
 }
 
 func defaultDaemon() Daemon {
@@ -51,6 +57,8 @@
 		return "mode", "must be managed or pass_through"
 	case d.Role == RoleControl && d.DataFolder == "":
 		return "data_folder", "is missing: a control daemon keeps the configuration there"
+	case d.ShutdownDelay < 0 || d.ShutdownDelay >= d.ShutdownTimeout:
+		return "shutdown_delay", "must be at least zero and less than shutdown_timeout"
 	case d.ShutdownTimeout <= 0:
 		return "shutdown_timeout", "must be above zero"
 	}
--- a/config/listen.go
+++ b/config/listen.go
@@ -7,13 +7,14 @@
 
 // Listen is the section [listen]; every address is IP:port.
 type Listen struct {
-	// Caller takes calls from outside.
+	// Caller takes calls from outside; a control daemon may go without.
 	Caller string `ini:"caller"`
-	// Peer takes calls from other daemons.
+	// Peer takes calls from other daemons; a control daemon may go without.
 	Peer string `ini:"peer"`
 	// Control takes messages from other daemons.
 	Control string `ini:"control"`
-	// Local takes announcements and calls from the upstream on this VM.
+	// Local takes announcements and calls from the upstream on this VM; it may
+	// be empty where the upstream announces itself through a platform.
 	Local string `ini:"local"`
 	// Admin serves the administration API and the metrics; it may be empty.
 	Admin string `ini:"admin"`
@@ -30,7 +31,7 @@
 func (l *Listen) check(c *Config) (key, problem string) {
 	taken := map[string]string{}
 	for _, a := range l.all() {
-		if a.value == "" && a.key == "admin" {
+		if a.value == "" && l.mayLack(c, a.key) {
 			continue
 		}
 		if problem := checkAddress(a.value); problem != "" {
@@ -44,12 +45,25 @@
 			return a.key, problem
 		}
 	}
-	if !loopback(l.Local) {
+	if l.Local != "" && !loopback(l.Local) {
 		return "local", "must be a loopback address: it serves this VM's upstream only"
 	}
 	return "", ""
 }
 
+// mayLack reports whether a listener may be left out.
+func (l *Listen) mayLack(c *Config, key string) bool {
+	switch key {
+	case "admin":
+		return true
+	case "caller", "peer":
+		return c.Daemon.Role == RoleControl
+	case "local":
+		return c.Daemon.Role == RoleControl || c.Platform.Enabled()
+	}
+	return false
+}
+
 // checkReach refuses listeners that anyone could reach without TLS. Callers may
 // come from anywhere; operators' tokens may not travel in the open.
 func checkReach(c *Config, a keyed) (problem string) {
--- a/core/board/board_test.go
+++ b/core/board/board_test.go
@@ -6,6 +6,7 @@
 
 	"chicorymast/core/ident"
 	"chicorymast/core/intent"
+	"chicorymast/core/match"
 	"chicorymast/core/member"
 	"chicorymast/core/state"
 
@@ -48,7 +49,7 @@
 	})
 	assert.Equal(t, r.Outcome, state.OutcomeAccepted, "%s", r.Detail)
 	next := same.Next(st.Clone(), nil)
-	_, ok := next.Table.Find("GET", "/new")
+	_, ok := next.Table.Find(match.Call{Method: "GET", Path: "/new"})
 	assert.Assert(t, ok)
 	assert.Equal(t, next.Digest(), NewConfig(st.Clone(), nil).Digest())
 }
--- a/core/board/daemon.go
+++ b/core/board/daemon.go
@@ -43,6 +43,13 @@
 	}
 }
 
+// Serving reports whether this VM can serve calls: it knows a configuration
+// that was confirmed since its start, and does not stop.
+func (b *Board) Serving() bool {
+	confirmed := b.Config.Read().State.ConfirmedAt > 0 && !b.Freshness.Read().AsOf.IsZero()
+	return confirmed && b.Life.Read().Phase == LifeRunning
+}
+
 // Config is the configuration in force, prepared for the hot path.
 type Config struct {
 	State *state.State
@@ -51,6 +58,8 @@
 	// Recent holds the last accepted commands, oldest first.
 	Recent []Step
 	grants map[ident.Workspace]map[ident.Route]ident.Grant
+	// keys holds the keys that the intent itself declares.
+	keys   map[ident.KeyDigest]ident.Workspace
 	digest string
 }
 
@@ -62,20 +71,26 @@
 
 // NewConfig prepares a state. The state must not be changed afterwards.
 func NewConfig(st *state.State, recent []Step) *Config {
-	return &Config{State: st, Table: routeTable(st.Intent), Recent: recent, grants: grantIndex(st.Intent), digest: st.Digest()}
+	return &Config{
+		State: st, Table: routeTable(st.Intent), Recent: recent,
+		grants: grantIndex(st.Intent), keys: keyIndex(st.Intent), digest: st.Digest(),
+	}
 }
 
 // Next prepares the state that follows c's. What does not differ is shared: a
 // patched intent keeps the maps that the patch leaves alone.
 func (c *Config) Next(st *state.State, recent []Step) *Config {
 	have, want := c.State.Intent, st.Intent
-	next := &Config{State: st, Recent: recent, Table: c.Table, grants: c.grants, digest: st.Digest()}
+	next := &Config{State: st, Recent: recent, Table: c.Table, grants: c.grants, keys: c.keys, digest: st.Digest()}
 	if !sameMap(have.Routes, want.Routes) {
 		next.Table = routeTable(want)
 	}
 	if !sameMap(have.Grants, want.Grants) || !sameMap(have.Groups, want.Groups) {
 		next.grants = grantIndex(want)
 	}
+	if !sameMap(have.Workspaces, want.Workspaces) {
+		next.keys = keyIndex(want)
+	}
 	return next
 }
 
@@ -99,10 +114,34 @@
 
 // Grant returns the grant under which a workspace may call a route.
 func (c *Config) Grant(w ident.Workspace, r ident.Route) (ident.Grant, intent.GrantSpec, bool) {
+	if c.State.Intent.Workspaces[w].AllRoutes {
+		name := intent.WholeGrant(w)
+		return name, c.State.Intent.Grant(name), true
+	}
 	name, ok := c.grants[w][r]
 	return name, c.State.Intent.Grants[name], ok
 }
 
+// Holder returns the workspace whose key has a digest. A key that has expired
+// by now is nobody's.
+func (c *Config) Holder(d ident.KeyDigest, now time.Time) (ident.Workspace, bool) {
+	if w, ok := c.keys[d]; ok {
+		return w, true
+	}
+	key, ok := c.State.Keys[d]
+	if !ok || (key.ExpiresMillis > 0 && now.UnixMilli() >= key.ExpiresMillis) {
+		return "", false
+	}
+	return key.Workspace, true
+}
+
+// MayServe reports whether upstreams of a service may be announced; before the
+// first configuration any may.
+func (c *Config) MayServe(s ident.Service) bool {
+	_, known := c.State.Intent.Services[s]
+	return known || c.State.ConfirmedAt == 0
+}
+
 // Since returns the commands after a revision, if they are still kept.
 func (c *Config) Since(have ident.Revision) ([]Step, bool) {
 	if have == c.State.Revision {
@@ -119,11 +158,21 @@
 func routeTable(in intent.Intent) *match.Table {
 	entries := make([]match.Entry, 0, len(in.Routes))
 	for name, r := range in.Routes {
-		entries = append(entries, match.Entry{Method: r.Method, Pattern: r.Path, Route: name})
+		entries = append(entries, match.Entry{Host: r.Host, Method: r.Method, Pattern: r.Path, Prefix: r.Prefix, Route: name})
 	}
 	return match.NewTable(entries)
 }
 
+func keyIndex(in intent.Intent) map[ident.KeyDigest]ident.Workspace {
+	index := map[ident.KeyDigest]ident.Workspace{}
+	for name, w := range in.Workspaces {
+		for _, digest := range w.Keys {
+			index[digest] = name
+		}
+	}
+	return index
+}
+
 func grantIndex(in intent.Intent) map[ident.Workspace]map[ident.Route]ident.Grant {
 	index := map[ident.Workspace]map[ident.Route]ident.Grant{}
 	for name, g := range in.Grants {
--- a/core/intent/check.go
+++ b/core/intent/check.go
@@ -1,10 +1,13 @@
 package intent
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"chicorymast/core/ident"
 	"chicorymast/core/match"
@@ -16,6 +19,10 @@
 	MaxRetries = 16
 	MaxRate    = 10_000_000 // calls per second
 	MaxWeight  = 1000
+	// MaxTimeout is the longest that a call may be kept waiting.
+	MaxTimeout = 10 * time.Minute
+	// MaxTargetExcess is by how much a target may lie above the timeout.
+	MaxTargetExcess = time.Minute
 )
 
 var methods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
@@ -54,6 +61,9 @@
 	if l.BodyLimit <= 0 {
 		return c.fail("limits", "", "body_limit", "must be above zero")
 	}
+	if l.HeaderLimit < 0 || l.HeaderTimeout < 0 || l.IdleTimeout < 0 {
+		return c.fail("limits", "", "header_limit", "limits of connections can't be below zero")
+	}
 	return nil
 }
 
@@ -70,10 +80,41 @@
 }
 
 func (c checker) workspaces() error {
+	holders := map[ident.KeyDigest]ident.Workspace{}
 	for _, name := range sorted(c.in.Workspaces) {
-		home := c.in.Workspaces[name].Home
-		if _, ok := c.in.DataCentres[home]; home != "" && !ok {
-			return c.fail("workspace", string(name), "home", "no data centre %q", home)
+		w := c.in.Workspaces[name]
+		if err := c.workspace(string(name), w); err != nil {
+			return err
+		}
+		for _, key := range w.Keys {
+			if other, taken := holders[key]; taken && other != name {
+				return c.fail("workspace", string(name), "key_digests", "a key is already that of workspace %s", other)
+			}
+			holders[key] = name
+		}
+	}
+	return nil
+}
+
+func (c checker) workspace(name string, w WorkspaceSpec) error {
+	if _, ok := c.in.DataCentres[w.Home]; w.Home != "" && !ok {
+		return c.fail("workspace", name, "home", "no data centre %q", w.Home)
+	}
+	if w.Class != "" && !w.Class.Valid() {
+		return c.fail("workspace", name, "class", "%q is not one of %v", w.Class, ident.Classes)
+	}
+	if !(w.Rate >= 0 && w.Rate <= MaxRate) {
+		return c.fail("workspace", name, "rate", "%v is not between 0 and %d calls per second", w.Rate, MaxRate)
+	}
+	if !(w.Burst >= 0 && w.Burst <= MaxRate) {
+		return c.fail("workspace", name, "burst", "%v is not between 0 and %d calls", w.Burst, MaxRate)
+	}
+	if (w.Rate > 0 || w.Burst > 0) && !w.AllRoutes {
+		return c.fail("workspace", name, "rate", "holds with all_routes = true only; otherwise rates stand in grants")
+	}
+	for _, key := range w.Keys {
+		if len(key) != hex.EncodedLen(sha256.Size) {
+			return c.fail("workspace", name, "key_digests", "%q is not a SHA-256 in hex", key)
 		}
 	}
 	return nil
@@ -99,14 +140,11 @@
 }
 
 func (c checker) route(name string, r RouteSpec) error {
-	if !slices.Contains(methods, r.Method) {
-		return c.fail("route", name, "method", "%q is not one of %s", r.Method, strings.Join(methods, " "))
+	if err := c.routePlace(name, r); err != nil {
+		return err
 	}
-	if err := match.CheckPattern(r.Path); err != nil {
-		return c.fail("route", name, "path", "%v", err)
-	}
-	if _, ok := c.in.Services[r.Service]; !ok {
-		return c.fail("route", name, "service", "no service %q", r.Service)
+	if err := c.routeServices(name, r); err != nil {
+		return err
 	}
 	if !r.Class.Valid() {
 		return c.fail("route", name, "class", "%q is not one of %v", r.Class, ident.Classes)
@@ -117,6 +155,63 @@
 	if r.BodyLimit < 0 {
 		return c.fail("route", name, "body_limit", "can't be below zero")
 	}
+	if r.Attempts < 0 || r.Attempts > MaxRetries+1 {
+		return c.fail("route", name, "attempts", "%d is not between 0 and %d", r.Attempts, MaxRetries+1)
+	}
+	return c.routeTimes(name, r)
+}
+
+// routePlace checks where the calls of a route are found.
+func (c checker) routePlace(name string, r RouteSpec) error {
+	anyMethod := r.Method == "" && r.Prefix != ""
+	if !anyMethod && !slices.Contains(methods, r.Method) {
+		return c.fail("route", name, "method", "%q is not one of %s", r.Method, strings.Join(methods, " "))
+	}
+	if r.Prefix == "" {
+		if r.Host != "" {
+			return c.fail("route", name, "host", "needs a prefix, too")
+		}
+		if err := match.CheckPattern(r.Path); err != nil {
+			return c.fail("route", name, "path", "%v", err)
+		}
+		return nil
+	}
+	if r.Path != "" {
+		return c.fail("route", name, "path", "a route has either a path or a prefix")
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return c.fail("route", name, "prefix", "%q does not begin and end with /", r.Prefix)
+	}
+	return nil
+}
+
+func (c checker) routeServices(name string, r RouteSpec) error {
+	if len(r.Split) > 0 && r.Service != "" {
+		return c.fail("route", name, "split", "a route has either a service or a split")
+	}
+	total := 0
+	for _, part := range r.Services() {
+		if _, ok := c.in.Services[part.Service]; !ok {
+			return c.fail("route", name, "service", "no service %q", part.Service)
+		}
+		if part.Weight < 0 {
+			return c.fail("route", name, "split", "the weight of %s is below zero", part.Service)
+		}
+		total += part.Weight
+	}
+	if total == 0 {
+		return c.fail("route", name, "split", "no part has a weight")
+	}
+	return nil
+}
+
+func (c checker) routeTimes(name string, r RouteSpec) error {
+	if r.Timeout < 0 || r.Timeout > MaxTimeout {
+		return c.fail("route", name, "timeout", "%s is not between 0 and %s", r.Timeout, MaxTimeout)
+	}
+	if r.TargetLatency < 0 || r.TargetLatency >= c.in.RouteTimeout(r)+MaxTargetExcess {
+		return c.fail("route", name, "target_latency", "%s lies %s or more above the timeout", r.TargetLatency, MaxTargetExcess)
+	}
 	return nil
 }
 
@@ -124,7 +219,10 @@
 	seen := map[string]ident.Route{}
 	for _, name := range sorted(c.in.Routes) {
 		r := c.in.Routes[name]
-		shape := r.Method + " " + match.Shape(r.Path)
+		shape := r.Method + " " + strings.ToLower(r.Host) + match.Shape(r.Path)
+		if r.Prefix != "" {
+			shape = r.Method + " " + strings.ToLower(r.Host) + r.Prefix + "..."
+		}
 		if other, taken := seen[shape]; taken {
 			return c.fail("route", string(name), "path", "matches the same calls as route %s", other)
 		}
--- a/core/intent/intent.go
+++ b/core/intent/intent.go
@@ -12,8 +12,13 @@
 package intent
 
 import (
+	"bytes"
+	"errors"
+	"strconv"
+	"strings"
 	"time"
 
+	"chicorymast/core/fault"
 	"chicorymast/core/ident"
 	"chicorymast/core/rendez"
 )
@@ -42,6 +47,11 @@
 	Retries   int           `ini:"retries" json:"retries"`
 	Timeout   time.Duration `ini:"timeout" json:"timeout"`
 	BodyLimit int64         `ini:"body_limit" json:"body_limit"`
+	// HeaderLimit, in bytes, HeaderTimeout and IdleTimeout bound callers'
+	// connections; zero leaves them to each daemon's settings.
+	HeaderLimit   int           `ini:"header_limit" json:"header_limit,omitempty"`
+	HeaderTimeout time.Duration `ini:"header_timeout" json:"header_timeout,omitempty"`
+	IdleTimeout   time.Duration `ini:"idle_timeout" json:"idle_timeout,omitempty"`
 }
 
 // WorkspaceSpec is one tenant.
@@ -49,6 +59,17 @@
 	Title string `ini:"title" json:"title"`
 	// Home is the data centre that keeps the records of its actions.
 	Home ident.DataCentre `ini:"home" json:"home,omitempty"`
+	// AllRoutes lets the workspace call every route that is not internal.
+	AllRoutes bool `ini:"all_routes" json:"all_routes,omitempty"`
+	// Rate and Burst hold for all routes together, when AllRoutes is set. A
+	// rate of zero is no limit.
+	Rate  ident.Rate  `ini:"rate" json:"rate,omitempty"`
+	Burst ident.Burst `ini:"burst" json:"burst,omitempty"`
+	// Class goes before the class of the routes that the workspace calls.
+	Class ident.Class `ini:"class" json:"class,omitempty"`
+	// Keys are digests of keys that are valid as long as they stand here,
+	// besides those that operators grant one by one.
+	Keys []ident.KeyDigest `ini:"key_digests" json:"key_digests,omitempty"`
 }
 
 // DataCentreSpec is one data centre. Weight is its part of every rate and
@@ -66,11 +87,25 @@
 	ServiceTime time.Duration `ini:"service_time" json:"service_time"`
 }
 
-// RouteSpec is one kind of call.
+// RouteSpec is one kind of call. Either Path, a pattern, or Prefix says which
+// paths it takes; a prefix may leave the method open.
 type RouteSpec struct {
-	Method     string        `ini:"method" json:"method"`
-	Path       string        `ini:"path" json:"path"`
-	Service    ident.Service `ini:"service" json:"service"`
+	// Host is the caller's Host without a port; empty takes any.
+	Host    string        `ini:"host" json:"host,omitempty"`
+	Method  string        `ini:"method" json:"method,omitempty"`
+	Path    string        `ini:"path" json:"path,omitempty"`
+	Prefix  string        `ini:"prefix" json:"prefix,omitempty"`
+	Service ident.Service `ini:"service" json:"service,omitempty"`
+	// Split spreads the calls over several services, in place of Service.
+	Split []SplitPart `ini:"split" json:"split,omitempty"`
+	// Attempts is the most upstreams that one call may be sent to; zero
+	// leaves it to the retries of the limits.
+	Attempts int `ini:"attempts" json:"attempts,omitempty"`
+	// TargetLatency is the time in which an answer is of full use.
+	TargetLatency time.Duration `ini:"target_latency" json:"target_latency,omitempty"`
+	// UniqueIDs says that every request has an id of its own that never comes
+	// back: calls that are not idempotent then need no records.
+	UniqueIDs  bool          `ini:"unique_ids" json:"unique_ids,omitempty"`
 	Idempotent bool          `ini:"idempotent" json:"idempotent"`
 	Open       bool          `ini:"open" json:"open"`
 	Internal   bool          `ini:"internal" json:"internal"`
@@ -79,6 +114,37 @@
 	BodyLimit  int64         `ini:"body_limit" json:"body_limit"`
 }
 
+// SplitPart is one service of a split and its weight, written SERVICE:WEIGHT.
+type SplitPart struct {
+	Service ident.Service
+	Weight  int
+}
+
+// MarshalText writes SERVICE:WEIGHT.
+func (p SplitPart) MarshalText() ([]byte, error) {
+	return []byte(string(p.Service) + ":" + strconv.Itoa(p.Weight)), nil
+}
+
+// UnmarshalText reads SERVICE:WEIGHT.
+func (p *SplitPart) UnmarshalText(text []byte) (err error) {
+	defer fault.Note(&err, "split part %q", text)
+	at := bytes.LastIndexByte(text, ':')
+	if at < 0 {
+		return errors.New("want SERVICE:WEIGHT")
+	}
+	p.Service = ident.Service(text[:at])
+	p.Weight, err = strconv.Atoi(string(text[at+1:]))
+	return err
+}
+
+// Services lists where the calls of the route go.
+func (r RouteSpec) Services() []SplitPart {
+	if len(r.Split) > 0 {
+		return r.Split
+	}
+	return []SplitPart{{Service: r.Service, Weight: 1}}
+}
+
 // GroupSpec is a named set of routes.
 type GroupSpec struct {
 	Routes []ident.Route `ini:"routes" json:"routes"`
@@ -111,6 +177,28 @@
 	return Limits{Retries: DefaultRetries, Timeout: DefaultTimeout, BodyLimit: DefaultBodyLimit}
 }
 
+// wholePrefix begins the name of the grant of a workspace's own rate.
+const wholePrefix = "workspace/"
+
+// WholeGrant names the grant that covers all routes of a workspace.
+func WholeGrant(w ident.Workspace) ident.Grant {
+	return ident.Grant(wholePrefix + string(w))
+}
+
+// Grant returns a grant, or the one of a workspace's own rate.
+func (in Intent) Grant(name ident.Grant) GrantSpec {
+	label, whole := strings.CutPrefix(string(name), wholePrefix)
+	if !whole {
+		return in.Grants[name]
+	}
+	w := in.Workspaces[ident.Workspace(label)]
+	g := GrantSpec{Workspace: ident.Workspace(label), Rate: w.Rate, Burst: w.Burst}
+	if g.Burst == 0 {
+		g.Burst = ident.Burst(max(1, float64(w.Rate)))
+	}
+	return g
+}
+
 // GrantRoutes returns the routes that a grant covers, groups included.
 func (in Intent) GrantRoutes(g GrantSpec) []ident.Route {
 	routes := append([]ident.Route(nil), g.Routes...)
@@ -140,7 +228,7 @@
 // GrantHome returns the one data centre that holds a grant whose burst is too
 // small to be divided.
 func (in Intent) GrantHome(name ident.Grant) (home ident.DataCentre, single bool) {
-	burst := float64(in.Grants[name].Burst)
+	burst := float64(in.Grant(name).Burst)
 	if burst >= float64(smallBurst*len(in.DataCentres)) && len(in.DataCentres) > 0 {
 		return "", false
 	}
--- a/core/intent/plan.go
+++ b/core/intent/plan.go
@@ -130,6 +130,11 @@
 				}
 			}
 		}
+		for name, w := range in.Workspaces {
+			if w.AllRoutes {
+				set[name] = true
+			}
+		}
 	}
 	return sorted(set)
 }
@@ -145,7 +150,7 @@
 	warnings := reviewCapacity(in)
 	warnings = append(warnings, reviewRoutes(in)...)
 	for _, w := range sorted(in.Workspaces) {
-		if facts.Keys[w] == 0 {
+		if facts.Keys[w]+len(in.Workspaces[w].Keys) == 0 {
 			warnings = append(warnings, fmt.Sprintf("workspace %s has no key: it can call open routes only", w))
 		}
 	}
@@ -193,7 +198,9 @@
 func grantServices(in Intent, g GrantSpec) []ident.Service {
 	set := map[ident.Service]bool{}
 	for _, r := range in.GrantRoutes(g) {
-		set[in.Routes[r].Service] = true
+		for _, part := range in.Routes[r].Services() {
+			set[part.Service] = true
+		}
 	}
 	return sorted(set)
 }
--- a/core/match/match.go
+++ b/core/match/match.go
@@ -3,11 +3,13 @@
 // # Usage
 //
 //	table := match.NewTable(entries)
-//	route, ok := table.Find("GET", "/katalog/17")
+//	route, ok := table.Find(match.Call{Host: "shop.example", Method: "GET", Path: "/katalog/17"})
 //
 // A pattern is a path whose segments are literals, `{name}` for any one
 // segment, or, at the end only, `{name...}` for any rest. Literals win over
-// `{name}`, which wins over `{name...}`. Lookup takes time in the number of
+// `{name}`, which wins over `{name...}`. An entry may instead have a prefix,
+// and a host: the longest prefix of the host's that begins the path wins, and
+// goes before all patterns. Lookup takes time in the number of
 // segments and allocates nothing. A Table is immutable.
 package match
 
@@ -24,16 +26,23 @@
 
 // Entry is one route to be found.
 type Entry struct {
+	// Host and Method may be empty when Prefix is set: any host, any method.
+	Host    string
 	Method  string
 	Pattern string
+	Prefix  string
 	Route   ident.Route
 }
 
 // Table maps calls to routes.
 type Table struct {
-	roots map[string]*node
+	roots    map[string]*node
+	prefixes map[place]ident.Route
 }
 
+// place is where a prefix stands; the host is in lower case.
+type place struct{ host, method, prefix string }
+
 type node struct {
 	literal map[string]*node
 	any     *node
@@ -43,8 +52,12 @@
 
 // NewTable builds a table; patterns must have passed CheckPattern.
 func NewTable(entries []Entry) *Table {
-	t := &Table{roots: map[string]*node{}}
+	t := &Table{roots: map[string]*node{}, prefixes: map[place]ident.Route{}}
 	for _, e := range entries {
+		if e.Prefix != "" {
+			t.prefixes[place{strings.ToLower(e.Host), e.Method, e.Prefix}] = e.Route
+			continue
+		}
 		root := t.roots[e.Method]
 		if root == nil {
 			root = &node{}
@@ -79,16 +92,44 @@
 	}
 }
 
+// Call is what of a call decides on its route. The host may have a port.
+type Call struct {
+	Host   string
+	Method string
+	// Path is decoded, RawPath as it was sent: prefixes compare the latter.
+	Path    string
+	RawPath string
+}
+
 // Find returns the route of a call.
-func (t *Table) Find(method, path string) (ident.Route, bool) {
-	root := t.roots[method]
+func (t *Table) Find(c Call) (ident.Route, bool) {
+	if r, ok := t.findPrefix(c.Host, c.Method, c.RawPath); ok {
+		return r, true
+	}
+	root := t.roots[c.Method]
 	if root == nil {
 		return "", false
 	}
-	r := root.find(strings.TrimPrefix(path, "/"))
+	r := root.find(strings.TrimPrefix(c.Path, "/"))
 	return r, r != ""
 }
 
+func (t *Table) findPrefix(host, method, path string) (ident.Route, bool) {
+	if len(t.prefixes) == 0 {
+		return "", false
+	}
+	host, _, _ = strings.Cut(strings.ToLower(host), ":")
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		prefix := path[:end+1]
+		for _, at := range [...]place{{host, method, prefix}, {host, "", prefix}, {"", method, prefix}, {"", "", prefix}} {
+			if r, ok := t.prefixes[at]; ok {
+				return r, true
+			}
+		}
+	}
+	return "", false
+}
+
 func (n *node) find(path string) ident.Route {
 	if path == "" {
 		return firstOf(n.here, n.rest)
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -47,7 +47,9 @@
 	Service  ident.Service  `json:"service"`
 	Upstream ident.Upstream `json:"upstream"`
 	Slots    int            `json:"slots"`
-	Phase    Phase          `json:"phase"`
+	// ColdMs is how much longer the upstream is slow, as of the announcement.
+	ColdMs int64 `json:"cold_ms,omitempty"`
+	Phase  Phase `json:"phase"`
 }
 
 // Entry is what one VM says of itself.
@@ -59,6 +61,8 @@
 	Phase      Phase            `json:"phase"`
 	// Relay is set while other daemons announce themselves to this one.
 	Relay bool `json:"relay,omitempty"`
+	// Control is set for a daemon that keeps the configuration.
+	Control bool `json:"control,omitempty"`
 	// Crashes are requests that met crashes of upstreams, as seen by the VM.
 	Crashes []poison.Mark `json:"crashes,omitempty"`
 	// Version orders the announcements of one VM; it starts at the VM's start
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -8,6 +8,9 @@
 	"chicorymast/core/ident"
 )
 
+// Ticks is a span of time in the agreement's unit.
+type Ticks int
+
 // Config sets up a node. Times are in ticks.
 type Config struct {
 	ID             ident.Node
@@ -38,6 +41,8 @@
 	match, next Index
 	// heard is set when the follower answered since the last check.
 	heard bool
+	// heardAt is the tick of its last answer.
+	heardAt int
 	// round is the newest heartbeat that the follower answered.
 	round uint64
 	// snapshotAt is the tick at which a snapshot was sent last.
@@ -67,9 +72,11 @@
 	sentAt map[uint64]int
 	// confirmedAt is the tick of the newest round that a majority answered.
 	confirmedAt int
-	leaderAge   int
-	ageAt       int
-	forced      bool
+	// confirmed is that round.
+	confirmed uint64
+	leaderAge int
+	ageAt     int
+	forced    bool
 
 	effects []Effect
 }
@@ -293,6 +300,8 @@
 	AgeTicks int
 	// Match is how far each follower is, at the leader only.
 	Match map[ident.Node]Index
+	// Silent is for how long each follower has not answered, at the leader only.
+	Silent map[ident.Node]Ticks
 }
 
 // Status returns the node's state.
@@ -302,9 +311,9 @@
 		Commit: n.log.commit, Last: n.log.last(), Members: n.members, AgeTicks: n.age(),
 	}
 	if s.Leading {
-		s.Match = map[ident.Node]Index{}
+		s.Match, s.Silent = map[ident.Node]Index{}, map[ident.Node]Ticks{}
 		for id, p := range n.peers {
-			s.Match[id] = p.match
+			s.Match[id], s.Silent[id] = p.match, Ticks(n.tick-p.heardAt)
 		}
 	}
 	return s
--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -36,6 +36,25 @@
 	n.confirmRounds()
 }
 
+// BeginRead starts a round that shows whether this node still leads. When
+// Confirmed has reached the round, everything that was decided before the
+// read began is in what is committed here (Raft thesis, 6.4).
+func (n *Node) BeginRead() (effects []Effect, round uint64, err error) {
+	if n.role != roleLeader {
+		return nil, 0, ErrNotLeader
+	}
+	if t, _ := n.log.term(n.log.commit); t != n.hard.Term {
+		return nil, 0, ErrNotReady
+	}
+	n.heartbeat()
+	return n.take(), n.round, nil
+}
+
+// Confirmed returns the newest round that a majority answered.
+func (n *Node) Confirmed() uint64 {
+	return n.confirmed
+}
+
 func (n *Node) replicateAll() {
 	for _, p := range n.others() {
 		n.replicate(p.ID)
@@ -128,7 +147,7 @@
 	if n.role != roleLeader || p == nil {
 		return
 	}
-	p.heard = true
+	p.heard, p.heardAt = true, n.tick
 	p.round = max(p.round, m.Round)
 	n.confirmRounds()
 	if !m.Granted {
@@ -182,6 +201,7 @@
 	}
 	slices.Sort(rounds)
 	confirmed := rounds[len(rounds)-n.majority()]
+	n.confirmed = max(n.confirmed, confirmed)
 	if at, ok := n.sentAt[confirmed]; ok {
 		n.confirmedAt = max(n.confirmedAt, at)
 	}
--- a/core/schema/schema.go
+++ b/core/schema/schema.go
@@ -12,10 +12,12 @@
 //	err = schema.Decode("intent.ini", file.Section("limits"), &limits)
 //
 // Errors are *schema.Error values with file, section and key.
-// Supported fields: string kinds, ints, floats, bools, time.Duration, []string.
+// Supported fields: string kinds, ints, floats, bools, time.Duration, slices of
+// strings and of encoding.TextUnmarshaler.
 package schema
 
 import (
+	"encoding"
 	"fmt"
 	"math"
 	"reflect"
@@ -104,7 +106,7 @@
 	case reflect.Bool:
 		return assignBool(field, text)
 	case reflect.Slice:
-		assignList(field, text)
+		return assignList(field, text)
 	default:
 		return "has no readable form"
 	}
@@ -150,14 +152,23 @@
 	return ""
 }
 
-func assignList(field reflect.Value, text string) {
+func assignList(field reflect.Value, text string) (problem string) {
 	list := reflect.MakeSlice(field.Type(), 0, 0)
 	for part := range strings.SplitSeq(text, ",") {
 		part = strings.TrimSpace(part)
 		if part == "" {
 			continue
 		}
-		list = reflect.Append(list, reflect.ValueOf(part).Convert(field.Type().Elem()))
+		elem := reflect.New(field.Type().Elem())
+		if u, ok := elem.Interface().(encoding.TextUnmarshaler); ok {
+			if err := u.UnmarshalText([]byte(part)); err != nil {
+				return err.Error()
+			}
+		} else {
+			elem.Elem().SetString(part)
+		}
+		list = reflect.Append(list, elem.Elem())
 	}
 	field.Set(list)
+	return ""
 }
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -33,6 +33,9 @@
 	// Base is the revision of the confirmation that the plan was made on.
 	Base  ident.Revision `json:"base"`
 	Patch intent.Patch   `json:"patch"`
+	// Document is set when the intent was written as a document of its
+	// writer's own form, which is kept to be read back.
+	Document *DocumentChange `json:"document,omitempty"`
 }
 
 // GrantKey adds a key to a workspace.
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -70,10 +70,12 @@
 	// Groups are the replicas of actions' records in each data centre.
 	Groups map[ident.DataCentre][]Group `json:"groups"`
 	// ConfirmedBy is the change that last replaced the intent, at ConfirmedAt.
-	ConfirmedBy ident.ChangeID            `json:"confirmed_by"`
-	ConfirmedAt ident.Revision            `json:"confirmed_at"`
-	Results     map[ident.ChangeID]Result `json:"results"`
-	Trail       []ident.ChangeID          `json:"trail"`
+	ConfirmedBy ident.ChangeID `json:"confirmed_by"`
+	ConfirmedAt ident.Revision `json:"confirmed_at"`
+	// Document is the intent as its writer wrote it, if it was a document.
+	Document Document                  `json:"document"`
+	Results  map[ident.ChangeID]Result `json:"results"`
+	Trail    []ident.ChangeID          `json:"trail"`
 
 	items    sum
 	prepared bool
@@ -110,6 +112,7 @@
 	c.Groups = maps.Clone(s.Groups)
 	c.Results = map[ident.ChangeID]Result{}
 	c.Trail = nil
+	c.Document.Text = ""
 	return &c
 }
 
@@ -118,12 +121,18 @@
 	digest := commandDigest(c)
 	h := c.head()
 	if first, seen := s.Results[h.ChangeID]; seen {
+		if isDocument(c) {
+			return first // the change id stands for the content
+		}
 		return resent(first, digest)
 	}
 	r := s.execute(c)
 	r.ChangeID, r.Kind, r.Actor, r.AtMillis, r.Digest = h.ChangeID, KindOf(c), h.Actor, h.AtMillis, digest
 	r.Revision = s.Revision
-	s.record(r)
+	// A document that was refused may be sent again when its base is in force.
+	if r.Outcome == OutcomeAccepted || !isDocument(c) {
+		s.record(r)
+	}
 	return r
 }
 
@@ -163,7 +172,17 @@
 	return Result{Outcome: OutcomeAccepted}
 }
 
+func isDocument(c Command) bool {
+	confirm, ok := c.(Confirm)
+	return ok && confirm.Document != nil
+}
+
 func (s *State) confirm(c Confirm) Result {
+	if c.Document != nil {
+		if r, ok := s.checkDocument(c.Document); !ok {
+			return r
+		}
+	}
 	if c.Base != s.ConfirmedAt {
 		detail := fmt.Sprintf("planned on revision %d, but %d is in force", c.Base, s.ConfirmedAt)
 		return Result{Outcome: OutcomeConflict, Winner: s.ConfirmedBy, Detail: detail}
@@ -177,6 +196,9 @@
 	s.mixPatch(s.Intent, c.Patch)
 	s.Intent = want
 	s.ConfirmedBy, s.ConfirmedAt = c.ChangeID, s.Revision
+	if c.Document != nil {
+		s.takeDocument(c.Document)
+	}
 	s.dropOrphanKeys()
 	return r
 }
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -24,6 +24,7 @@
 	"chicorymast/core/board"
 	"chicorymast/core/ident"
 	"chicorymast/core/state"
+	"chicorymast/io/change"
 	"chicorymast/io/event"
 	"chicorymast/io/timer"
 	"chicorymast/io/wire"
@@ -46,6 +47,8 @@
 	Clock  timer.Clock
 	Log    *event.Log
 	Pool   *wire.Pool
+	// Changes is the way to the control daemon that leads.
+	Changes *change.Changes
 	// Relays are the control addresses of all relays.
 	Relays   func() []string
 	Gatherer prometheus.Gatherer
@@ -146,14 +149,27 @@
 	}
 }
 
-// notReady refuses to read the configuration while this daemon has not heard
-// of any confirmed configuration since its start.
+// notReady refuses to read the configuration on a daemon that has heard of no
+// confirmed configuration since its start. A plan, in addition, must stand on
+// all that was accepted before it, or its confirmation would be refused.
 func (a *api) notReady(r *http.Request) *Problem {
-	reads := r.Method == http.MethodGet || r.URL.Path == "/v1/plans"
-	if !reads || r.URL.Path == "/v1/status" || !a.opt.Board.Freshness.Read().AsOf.IsZero() {
+	plans := r.URL.Path == "/v1/plans"
+	if r.Method != http.MethodGet && !plans || r.URL.Path == "/v1/status" {
 		return nil
 	}
-	return problem(http.StatusServiceUnavailable, reasonNotReady, "this daemon has just started and has no confirmed configuration yet; ask another one")
+	if a.opt.Board.Freshness.Read().AsOf.IsZero() {
+		return problem(http.StatusServiceUnavailable, reasonNotReady, "this daemon has just started and has no confirmed configuration yet; ask another one")
+	}
+	if !plans {
+		return nil
+	}
+	const patience = 3 * time.Second
+	ctx, cancel := context.WithTimeout(r.Context(), patience)
+	defer cancel()
+	if err := a.opt.Changes.Sync(ctx); err != nil {
+		return problem(http.StatusServiceUnavailable, reasonNotReady, "this daemon can't tell whether it has the newest configuration (%v); ask another one", err)
+	}
+	return nil
 }
 
 func (a *api) operator(r *http.Request) (ident.Actor, config.OperatorRole, bool) {
@@ -196,11 +212,7 @@
 	const patience = 5 * time.Second
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	data, err := state.Encode(cmd)
-	if err != nil {
-		return nil, problem(http.StatusBadRequest, "bad_request", "%v", err)
-	}
-	result, err := Propose(ctx, a.opt.Pool, a.voters(), data)
+	result, err := a.opt.Changes.Propose(ctx, cmd)
 	if err != nil {
 		return nil, problem(http.StatusGatewayTimeout, "outcome_unknown",
 			"the change may or may not be accepted (%v); send it again with the same change_id to learn its outcome", err)
@@ -232,12 +244,3 @@
 		return nil, p
 	}
 }
-
-// voters lists the control addresses, this daemon's own first.
-func (a *api) voters() []string {
-	var addresses []string
-	for _, v := range a.opt.Config().Control.VoterList() {
-		addresses = append(addresses, v.Address)
-	}
-	return addresses
-}
--- a/io/admin/control.go
+++ b/io/admin/control.go
@@ -46,25 +46,15 @@
 // askLeader sends a request about control daemons to the one that leads. A
 // change that was begun is decided like any other; the list shows it.
 func (a *api) askLeader(ctx context.Context, q wire.MembersRequest) (any, *Problem) {
-	const patience, pause = 5 * time.Second, 100 * time.Millisecond
+	const patience = 5 * time.Second
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	hint := ""
-	for n := 0; ctx.Err() == nil; n++ {
-		address := a.voters()[n%len(a.voters())]
-		if hint != "" {
-			address = hint
-		}
-		reply, err := wire.Call[wire.MembersReply](ctx, a.opt.Pool, address, wire.MethodMembers, q)
-		if err == nil && reply.Refused != "" {
-			return nil, problem(http.StatusConflict, "refused", "%s", reply.Refused)
-		}
-		if err == nil && reply.Done {
-			return reply, nil
-		}
-		if hint = reply.Leader; hint == "" {
-			time.Sleep(pause)
-		}
+	reply, err := a.opt.Changes.Members(ctx, q)
+	if err != nil {
+		return nil, problem(http.StatusGatewayTimeout, "outcome_unknown", "%v; list the control daemons to see what was done", err)
 	}
-	return nil, problem(http.StatusGatewayTimeout, "outcome_unknown", "no control daemon leads at the moment; list the control daemons to see what was done")
+	if reply.Refused != "" {
+		return nil, problem(http.StatusConflict, "refused", "%s", reply.Refused)
+	}
+	return reply, nil
 }
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,7 +42,7 @@
 	// retryPause stands between two attempts that fail.
 	retryPause = 200 * time.Millisecond
 	// preferredPause stands between two attempts to go back to the first relay.
-	preferredPause   = 5 * time.Second
+	preferredPause   = 2 * time.Second
 	preferredTimeout = 500 * time.Millisecond
 	// staleTurnsMost bounds how the time between changes grows while every
 	// relay is stale: a data centre that is cut off gains nothing by changing.
@@ -63,6 +64,8 @@
 	Relays func() []string
 	// Acting reports whether this daemon is a relay for others.
 	Acting func() bool
+	// Control is set for a control daemon.
+	Control bool
 	// FollowConfig is false on control daemons, which hold the log themselves.
 	FollowConfig bool
 }
@@ -75,11 +78,14 @@
 	members map[ident.VM]member.Entry
 	mark    wire.Mark
 	relay   string
-	turn    int
+	// leaving is set when the present relay is to be left for the next one.
+	leaving bool
 	// sourceSince is when the present relay was chosen.
 	sourceSince time.Time
 	// preferredAt is when the preferred relay was tried last.
 	preferredAt time.Time
+	// candidate is which of the relays before the present one is tried next.
+	candidate int
 	// staleTurns counts relays left because they were stale.
 	staleTurns int
 
@@ -207,41 +213,70 @@
 	if len(relays) == 0 {
 		return
 	}
-	next := relays[a.turn%len(relays)]
+	next := a.nextOf(relays)
 	if next == a.relay {
 		return
 	}
+	a.switchTo(next)
+}
+
+func (a *Agent) switchTo(next string) {
 	a.mu.Lock()
 	a.relay = next
 	a.mu.Unlock()
+	a.leaving = false
 	a.sourceSince = a.opt.Clock.Now()
 	a.mark = wire.Mark{}
 	a.opt.Log.Emit(event.SourceChanged, zap.String("relay", next))
 }
 
+// nextOf keeps the present relay as long as it is one and works, whatever its
+// place in the list has become; otherwise it takes the one after it.
+func (a *Agent) nextOf(relays []string) string {
+	at := slices.Index(relays, a.relay)
+	if at >= 0 && !a.leaving {
+		return a.relay
+	}
+	a.leaving = false
+	return relays[(at+1)%len(relays)]
+}
+
 func (a *Agent) nextRelay() {
-	a.turn++
+	a.leaving = true
 	a.preferredAt = a.opt.Clock.Now()
 }
 
-// tryPreferred goes back to the first relay of the list when it answers again
-// with a configuration that is no older.
+// tryPreferred goes back to a relay that stands before the present one in the
+// list when it answers again with a configuration that is no older.
 func (a *Agent) tryPreferred(ctx context.Context) {
 	now := a.opt.Clock.Now()
 	relays := a.opt.Relays()
-	if len(relays) == 0 || relays[a.turn%len(relays)] == relays[0] || now.Sub(a.preferredAt) < preferredPause {
+	before := slices.Index(relays, a.relay)
+	if before <= 0 || now.Sub(a.preferredAt) < preferredPause {
 		return
 	}
 	a.preferredAt = now
 	ctx, cancel := context.WithTimeout(ctx, preferredTimeout)
 	defer cancel()
+	// One that is silent takes all the time, so the next attempt begins with
+	// the one after it.
+	for range before {
+		candidate := relays[a.candidate%before]
+		a.candidate++
+		if a.answersFresh(ctx, candidate) {
+			a.candidate = 0
+			a.switchTo(candidate)
+			return
+		}
+	}
+}
+
+func (a *Agent) answersFresh(ctx context.Context, relay string) bool {
 	q := a.request(0)
 	q.Directory = wire.Mark{}
-	reply, err := wire.Call[wire.SyncReply](ctx, a.opt.Pool, relays[0], wire.MethodSync, q)
-	fresh := time.Duration(reply.AgeMs)*time.Millisecond <= max(staleAfter, a.opt.Board.Freshness.Read().Age(now))
-	if err == nil && fresh {
-		a.turn = 0
-	}
+	reply, err := wire.Call[wire.SyncReply](ctx, a.opt.Pool, relay, wire.MethodSync, q)
+	age := a.opt.Board.Freshness.Read().Age(a.opt.Clock.Now())
+	return err == nil && time.Duration(reply.AgeMs)*time.Millisecond <= max(staleAfter, age)
 }
 
 func (a *Agent) request(wait time.Duration) wire.SyncRequest {
@@ -262,6 +297,7 @@
 		DataCentre: a.opt.DataCentre,
 		Addresses:  a.opt.Addresses,
 		Phase:      member.PhaseUp,
+		Control:    a.opt.Control,
 		Revision:   a.opt.Board.Config.Read().State.Revision,
 	}
 	if a.opt.Board.Life.Read().Phase == board.LifeStopping {
--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -51,7 +51,18 @@
 	Address string
 	Folder  string
 	// Voters are the first control daemons, this one included unless it joins.
+	// Where it is empty, the daemons at Seeds found the set.
 	Voters []raft.Peer
+	// Seeds are control addresses of first control daemons whose VMs are not
+	// known by name.
+	Seeds []string
+	// Bootstrap allows an empty folder to found together with the seeds.
+	Bootstrap bool
+	// Controls lists the control addresses of all known control daemons.
+	Controls func() []string
+	// Tolerate is how many voters may be lost at once; zero makes every
+	// control daemon that joins a voter.
+	Tolerate int
 	// Join makes a new folder wait until operators add it.
 	Join  bool
 	Clock timer.Clock
@@ -82,6 +93,7 @@
 	steps    []board.Step
 	applied  raft.Index
 	waiters  map[raft.Index]waiter
+	reads    []reader
 	broken   bool
 	keeper   keeper
 	// voters is how many voters the last decided members had.
@@ -123,6 +135,7 @@
 	wire.Handle(s, wire.MethodProbe, c.probe)
 	wire.Handle(s, wire.MethodMembers, c.members)
 	wire.Handle(s, wire.MethodRaft, c.receive)
+	wire.Handle(s, wire.MethodRead, c.read)
 }
 
 // Start begins to take part.
@@ -135,7 +148,10 @@
 	})
 	c.stops = append(c.stops,
 		c.opt.Clock.Every(TickInterval, func(now time.Time) { c.do(func() { c.tick(now) }) }),
-		c.opt.Clock.Every(foundInterval, func(time.Time) { c.found() }),
+		c.opt.Clock.Every(foundInterval, func(time.Time) {
+			c.found()
+			c.join()
+		}),
 	)
 }
 
@@ -196,7 +212,7 @@
 		}
 	}
 	if len(r.Snapshot.Members.Voters) == 0 && c.founders != nil {
-		r.Snapshot.Members = raft.Members{Voters: c.opt.Voters}
+		r.Snapshot.Members = raft.Members{Voters: c.firstVoters()}
 	}
 	c.applied = r.Snapshot.Index
 	c.voters = len(r.Snapshot.Members.Voters)
@@ -211,8 +227,9 @@
 		return
 	}
 	c.carryOut(c.node.Tick())
+	c.answerReads()
 	c.refresh(now)
-	c.promoteLearners()
+	c.keepVoters()
 	c.keepGroups(now)
 }
 
--- a/io/ctrl/effects.go
+++ b/io/ctrl/effects.go
@@ -19,6 +19,7 @@
 	c.do(func() {
 		if c.node != nil && !c.broken {
 			c.carryOut(c.node.Step(env.Message))
+			c.answerReads()
 		}
 	})
 	return struct{}{}, nil
@@ -114,13 +115,22 @@
 	if c.state.Revision == before {
 		return true // a refusal is part of the trail
 	}
-	c.steps = append(c.steps, board.Step{Revision: c.state.Revision, Command: e.Data})
+	c.steps = append(c.steps, board.Step{Revision: c.state.Revision, Command: passedOn(cmd, e.Data)})
 	if len(c.steps) > keptSteps {
 		c.steps = c.steps[len(c.steps)-keptSteps:]
 	}
 	return true
 }
 
+// passedOn is the command as daemons get it that keep no documents.
+func passedOn(cmd state.Command, data []byte) []byte {
+	short, err := state.Encode(state.WithoutDocument(cmd))
+	if err != nil {
+		return data
+	}
+	return short
+}
+
 // answer tells the proposer of an entry what became of it.
 func (c *Control) answer(e raft.Entry, r *state.Result) {
 	w, ok := c.waiters[e.Index]
@@ -160,6 +170,7 @@
 		id = event.LeaderLost
 	}
 	c.opt.Log.Emit(id, zap.Uint64("term", uint64(r.Term)), zap.String("leader", string(r.Leader)))
+	c.failReads()
 	if !r.Leading {
 		c.failWaiters()
 	}
--- a/io/ctrl/found.go
+++ b/io/ctrl/found.go
@@ -36,7 +36,7 @@
 		return err
 	}
 	if !ok || id.Token == "" {
-		id = store.Identity{Token: c.newToken()}
+		id = store.Identity{Token: c.newToken(), Bootstrap: c.opt.Bootstrap}
 		if err := c.store.SetIdentity(id); err != nil {
 			return err
 		}
@@ -47,7 +47,10 @@
 
 func (c *Control) probe(context.Context, wire.ProbeRequest) (reply wire.ProbeReply, err error) {
 	c.wait(func() {
-		reply = wire.ProbeReply{VM: c.opt.VM, Token: c.token, Node: c.identity.Node, Founders: c.founders}
+		reply = wire.ProbeReply{
+			VM: c.opt.VM, Token: c.token, Node: c.identity.Node, Founders: c.founders,
+			Addresses: c.identity.Addresses, Bootstrap: c.identity.Bootstrap,
+		}
 	})
 	return reply, nil
 }
@@ -59,17 +62,16 @@
 	if known {
 		return
 	}
-	if c.opt.Join {
+	addresses, mine := c.founderAddresses()
+	if c.opt.Join || !mine {
 		c.becomeJoiner()
 		return
 	}
 	tokens := map[ident.VM]string{c.opt.VM: c.token}
+	at := map[ident.VM]string{c.opt.VM: c.opt.Address}
 	// One that is set up is enough to learn from; founding needs all.
-	for _, p := range c.opt.Voters {
-		if vmOf(p.ID) == c.opt.VM {
-			continue
-		}
-		reply, err := c.probeOne(p.Address)
+	for _, address := range addresses {
+		reply, err := c.probeOne(address)
 		if err != nil {
 			continue
 		}
@@ -77,11 +79,44 @@
 			c.compareFounders(reply)
 			return
 		}
-		tokens[reply.VM] = reply.Token
+		if reply.Bootstrap || !c.bySeeds() {
+			tokens[reply.VM], at[reply.VM] = reply.Token, address
+		}
+	}
+	switch {
+	case c.bySeeds() && !c.identity.Bootstrap:
+		c.becomeJoiner()
+	case len(tokens) == len(addresses)+1 && sameOrigin(tokens):
+		c.becomeFounder(tokens, at)
+	}
+}
+
+// bySeeds reports whether the first voters are known by address only.
+func (c *Control) bySeeds() bool {
+	return len(c.opt.Voters) == 0
+}
+
+// founderAddresses lists the control addresses of the other founders, and
+// whether this daemon is one.
+func (c *Control) founderAddresses() (others []string, mine bool) {
+	if c.bySeeds() {
+		others = slices.DeleteFunc(slices.Clone(c.opt.Seeds), func(a string) bool { return a == c.opt.Address })
+		return others, len(others) < len(c.opt.Seeds)
+	}
+	for _, p := range c.opt.Voters {
+		if vmOf(p.ID) != c.opt.VM {
+			others = append(others, p.Address)
+		}
 	}
-	if len(tokens) == len(c.opt.Voters) && sameOrigin(tokens) {
-		c.becomeFounder(tokens)
+	return others, true
+}
+
+// firstVoters returns the members of a set that was just founded.
+func (c *Control) firstVoters() []raft.Peer {
+	if c.bySeeds() {
+		return FirstVoters(c.identity.Addresses)
 	}
+	return c.opt.Voters
 }
 
 // originOf is the part of a token that says what state a folder began with.
@@ -117,14 +152,18 @@
 // very folder.
 func (c *Control) compareFounders(other wire.ProbeReply) {
 	if other.Founders[c.opt.VM] == c.token {
-		c.becomeFounder(other.Founders)
+		c.becomeFounder(other.Founders, other.Addresses)
 		return
 	}
 	c.becomeJoiner()
 }
 
-func (c *Control) becomeFounder(tokens map[ident.VM]string) {
-	c.become(store.Identity{Node: ident.Node(c.opt.VM), Token: c.token, Cluster: clusterOf(tokens), Founders: tokens})
+func (c *Control) becomeFounder(tokens, addresses map[ident.VM]string) {
+	id := store.Identity{Node: ident.Node(c.opt.VM), Token: c.token, Cluster: clusterOf(tokens), Founders: tokens}
+	if c.bySeeds() {
+		id.Addresses = addresses
+	}
+	c.become(id)
 }
 
 func (c *Control) becomeJoiner() {
--- a/io/ctrl/members.go
+++ b/io/ctrl/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"chicorymast/core/raft"
 	"chicorymast/io/wire"
@@ -34,7 +33,7 @@
 	var err error
 	switch q.Op {
 	case wire.MembersAdd:
-		effects, err = c.node.AddLearner(joiner)
+		effects, err = c.addLearner(joiner)
 	case wire.MembersRemove:
 		effects, err = c.node.Remove(q.Node)
 	}
@@ -47,21 +46,6 @@
 	return reply
 }
 
-// promoteLearners gives a vote to learners that hold the whole log.
-func (c *Control) promoteLearners() {
-	st := c.node.Status()
-	if !st.Leading {
-		return
-	}
-	for _, p := range st.Members.Learners {
-		effects, err := c.node.Promote(p.ID)
-		c.carryOut(effects)
-		if err == nil || errors.Is(err, raft.ErrBusy) {
-			return
-		}
-	}
-}
-
 func (c *Control) listMembers() wire.MembersReply {
 	st := c.node.Status()
 	line := func(p raft.Peer) wire.Controller {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,7 @@
 	"chicorymast/core/member"
 	"chicorymast/io/admin"
 	"chicorymast/io/agent"
+	"chicorymast/io/change"
 	"chicorymast/io/ctrl"
 	"chicorymast/io/event"
 	"chicorymast/io/proxy"
@@ -63,6 +65,7 @@
 	records *record.Records
 	proxy   *proxy.Proxy
 	tracer  *trace.Tracer
+	changes *change.Changes
 	host    *host
 
 	listeners []*listener
@@ -106,7 +109,8 @@
 	if d.tracer, err = trace.Open(cfg.Trace, cfg.Daemon.VM); err != nil {
 		return nil, err
 	}
-	d.host = &host{vm: cfg.Daemon.VM, clock: d.clock, board: d.board, log: d.log}
+	d.host = &host{vm: cfg.Daemon.VM, clock: d.clock, board: d.board, log: d.log, lease: announcementLease(cfg.Platform)}
+	d.changes = change.New(change.Options{Board: d.board, Clock: d.clock, Pool: d.pool, Controls: d.controls})
 	if err := d.join(); err != nil {
 		return nil, err
 	}
@@ -137,6 +141,7 @@
 		Log:          d.log,
 		Relays:       d.relays,
 		Acting:       d.relay.Acting,
+		Control:      cfg.Daemon.Role == config.RoleControl,
 		FollowConfig: cfg.Daemon.Role != config.RoleControl,
 	})
 	d.ration = ration.New(ration.Options{
@@ -160,16 +165,20 @@
 		addresses[v.VM] = v.Address
 	}
 	d.control, err = ctrl.Open(ctrl.Options{
-		VM:      cfg.Daemon.VM,
-		Address: cfg.Listen.Control,
-		Folder:  cfg.Daemon.DataFolder,
-		Voters:  ctrl.FirstVoters(addresses),
-		Join:    cfg.Control.Join,
-		Clock:   d.clock,
-		Board:   d.board,
-		Pool:    d.pool,
-		Log:     d.log,
-		Seed:    uint64(d.clock.Now().UnixNano()),
+		VM:        cfg.Daemon.VM,
+		Address:   cfg.Listen.Control,
+		Folder:    cfg.Daemon.DataFolder,
+		Voters:    ctrl.FirstVoters(addresses),
+		Join:      cfg.Control.Join,
+		Seeds:     cfg.Control.SeedAddresses(),
+		Bootstrap: cfg.Control.Bootstrap,
+		Controls:  d.autoJoin(),
+		Tolerate:  cfg.Control.Tolerate,
+		Clock:     d.clock,
+		Board:     d.board,
+		Pool:      d.pool,
+		Log:       d.log,
+		Seed:      uint64(d.clock.Now().UnixNano()),
 	})
 	if err == nil {
 		d.control.Register(d.server)
@@ -178,6 +187,7 @@
 }
 
 func (d *Daemon) buildProxy() {
+	cfg := d.Config()
 	d.proxy = proxy.New(proxy.Options{
 		Config:  d.Config,
 		Clock:   d.clock,
@@ -189,6 +199,7 @@
 		Quota:   d.ration,
 		Records: d.records,
 		Dial:    d.dial,
+		Dialect: dialectOf(cfg.Platform),
 	})
 }
 
@@ -204,6 +215,8 @@
 		{"peer", cfg.Listen.Peer, d.proxy.Peer()},
 		{"local", cfg.Listen.Local, d.proxy.Local(d.host)},
 		{"admin", cfg.Listen.Admin, d.adminHandler()},
+		{"platform", cfg.Platform.API, d.platform().API()},
+		{"ready", cfg.Platform.Ready, d.platform().Ready()},
 	}
 	for _, h := range handlers {
 		if h.address == "" {
@@ -228,6 +241,7 @@
 		Clock:    d.clock,
 		Log:      d.log,
 		Pool:     d.pool,
+		Changes:  d.changes,
 		Relays:   d.allRelays,
 		Gatherer: d.reg,
 	})
@@ -308,12 +322,9 @@
 	d.board.Life.Write(&board.Life{Phase: board.LifeStopping})
 	ctx, cancel := context.WithTimeout(context.Background(), d.Config().Daemon.ShutdownTimeout)
 	defer cancel()
+	d.linger(ctx)
 	d.agent.Stop(ctx)
-	for _, l := range d.listeners {
-		if l.srv != nil {
-			_ = l.srv.Shutdown(ctx)
-		}
-	}
+	d.closeListeners(ctx)
 	for _, stop := range d.stops {
 		stop()
 	}
@@ -330,6 +341,33 @@
 	d.log.Emit(event.DaemonStopped)
 }
 
+// linger goes on serving until callers and peers have had time to learn that
+// this daemon stops. Answers ask callers to close their connections.
+func (d *Daemon) linger(ctx context.Context) {
+	for _, l := range d.listeners {
+		if l.name == "caller" {
+			l.srv.SetKeepAlivesEnabled(false)
+		}
+	}
+	t := time.NewTimer(d.Config().Daemon.ShutdownDelay)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// closeListeners finishes what runs, on all listeners at once.
+func (d *Daemon) closeListeners(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, l := range d.listeners {
+		if l.srv != nil {
+			wg.Go(func() { _ = l.srv.Shutdown(ctx) })
+		}
+	}
+	wg.Wait()
+}
+
 // Reload reads the settings file again. Settings that are not valid change
 // nothing. Identity and addresses stay until the next start.
 func (d *Daemon) Reload() (err error) {
@@ -345,7 +383,7 @@
 			return err
 		}
 	}
-	next.Daemon, next.Listen, next.Security = have.Daemon, have.Listen, have.Security
+	next.Daemon, next.Listen, next.Security, next.Platform = have.Daemon, have.Listen, have.Security, have.Platform
 	d.cfg.Store(&next)
 	d.log.SetLevel(next.Log.Level)
 	d.log.Emit(event.SettingsReloaded)
--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -14,7 +14,8 @@
 	"go.uber.org/zap"
 )
 
-// upstreamLease is how long an announcement lives without renewal.
+// upstreamLease is how long an announcement lives without renewal, where no
+// platform says how often it comes.
 const upstreamLease = 3 * time.Second
 
 // host is the controller of the board's section Served.
@@ -23,16 +24,27 @@
 	clock timer.Clock
 	board *board.Board
 	log   *event.Log
+	lease time.Duration
 
 	mu      sync.Mutex
 	renewed time.Time
+	// last is the newest announcement, also after its upstream has left.
+	last proxy.Announcement
 }
 
-// Announce takes or renews the upstream's announcement.
+// Announce takes or renews the upstream's announcement. One that was overtaken
+// by a later one of the same life, or by a later life, changes nothing.
 func (h *host) Announce(a proxy.Announcement) (lease time.Duration, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.renewed = h.clock.Now()
+	if h.overtaken(a) {
+		h.log.Emit(event.AnnouncementOvertaken, zap.String("upstream", string(a.Upstream)),
+			zap.Int64("started_ms", a.StartedMs), zap.Uint64("sequence", a.Sequence),
+			zap.String("newest", string(h.last.Upstream)), zap.Uint64("newest_sequence", h.last.Sequence))
+		return h.lease, nil
+	}
+	again := h.sameLife(a)
+	h.last, h.renewed = a, h.clock.Now()
 	have := h.board.Served.Read()
 	next := board.Served{
 		Served:     member.Served{Service: a.Service, Upstream: a.Upstream, Slots: a.Slots, Phase: member.PhaseUp},
@@ -41,32 +53,61 @@
 		LoadPath:   a.LoadPath,
 		Drained:    h.drained(),
 	}
-	// A renewal does not end a drain; only a new upstream does.
-	if have.Upstream == a.Upstream && have.Phase == member.PhaseDraining {
+	if a.ColdMs > 0 {
+		next.ColdMs = a.ColdMs
+		if again {
+			// What is left of it is counted from the first announcement.
+			next.ColdMs = have.ColdMs
+		}
+	}
+	// A renewal does not end a drain; only a new life of an upstream does.
+	if a.Draining || (again && have.Phase == member.PhaseDraining) {
 		next.Phase = member.PhaseDraining
 	}
-	if *have != next {
-		h.board.Served.Write(&next)
-		h.log.Emit(event.UpstreamAnnounced, zap.String("service", string(a.Service)), zap.String("upstream", string(a.Upstream)))
+	if *have == next {
+		return h.lease, nil
 	}
-	return upstreamLease, nil
+	h.board.Served.Write(&next)
+	id := event.UpstreamAnnounced
+	if next.Phase == member.PhaseDraining {
+		id = event.UpstreamDraining
+	}
+	h.log.Emit(id, zap.String("service", string(a.Service)), zap.String("upstream", string(a.Upstream)),
+		zap.String("address", a.Address), zap.Int("slots", a.Slots))
+	return h.lease, nil
+}
+
+// overtaken reports whether a later announcement has been taken already; the
+// mutex is held.
+func (h *host) overtaken(a proxy.Announcement) bool {
+	if a.StartedMs != h.last.StartedMs {
+		return a.StartedMs < h.last.StartedMs
+	}
+	return a.Upstream == h.last.Upstream && a.Sequence > 0 && a.Sequence <= h.last.Sequence
+}
+
+// sameLife reports whether the upstream is the one that was announced before;
+// the mutex is held.
+func (h *host) sameLife(a proxy.Announcement) bool {
+	return a.Upstream == h.last.Upstream && a.StartedMs == h.last.StartedMs
 }
 
 // Drain keeps new work away.
 func (h *host) Drain() {
-	h.setPhase(member.PhaseDraining, event.UpstreamDraining)
+	h.setPhase("", member.PhaseDraining, event.UpstreamDraining)
 }
 
-// Leave ends the announcement.
-func (h *host) Leave() {
-	h.setPhase(member.PhaseGone, event.UpstreamLeft)
+// Leave ends the announcement. The upstream goes on running for a moment, so
+// late announcements of the same life must not bring it back.
+func (h *host) Leave(u ident.Upstream) {
+	h.setPhase(u, member.PhaseGone, event.UpstreamLeft)
 }
 
-func (h *host) setPhase(p member.Phase, id event.ID) {
+func (h *host) setPhase(u ident.Upstream, p member.Phase, id event.ID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	next := *h.board.Served.Read()
-	if !next.Present() || next.Phase == p {
+	if !next.Present() || next.Phase == p || (u != "" && u != next.Upstream) {
 		return
 	}
 	next.Phase = p
@@ -78,10 +119,10 @@
 // drain of this VM.
 func (h *host) tick(now time.Time) {
 	h.mu.Lock()
-	lost := now.Sub(h.renewed) > upstreamLease
+	lost := now.Sub(h.renewed) > h.lease
 	h.mu.Unlock()
 	if lost {
-		h.setPhase(member.PhaseGone, event.UpstreamLost)
+		h.setPhase("", member.PhaseGone, event.UpstreamLost)
 	}
 	h.followDrain()
 }
--- a/io/daemon/relays.go
+++ b/io/daemon/relays.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"chicorymast/config"
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
 	"chicorymast/core/rendez"
@@ -25,10 +24,10 @@
 // itself, so that a data centre that is cut off keeps its members.
 func (d *Daemon) relays() []string {
 	cfg := d.Config()
-	if cfg.Daemon.Role == config.RoleControl {
+	named := cfg.Control.JoinAddresses()
+	if slices.Contains(named, cfg.Listen.Control) {
 		return []string{cfg.Listen.Control}
 	}
-	named := cfg.Control.JoinAddresses()
 	near, far := d.splitByDistance(named)
 	out := slices.Concat(near, d.standInsAbove(named), far)
 	return append(out, cfg.Listen.Control)
@@ -113,3 +112,24 @@
 	near, _ := d.splitByDistance(all)
 	return near
 }
+
+// controls lists the control addresses of all known control daemons: those of
+// the settings, then those that have announced themselves.
+func (d *Daemon) controls() []string {
+	out := slices.Clone(d.Config().Control.JoinAddresses())
+	for _, e := range d.board.Members.Read().Entries {
+		if e.Control && e.Phase != member.PhaseGone && !slices.Contains(out, e.Addresses.Control) {
+			out = append(out, e.Addresses.Control)
+		}
+	}
+	return out
+}
+
+// autoJoin returns where a control daemon asks to be taken in; nil where
+// operators do that.
+func (d *Daemon) autoJoin() func() []string {
+	if len(d.Config().Control.Voters) > 0 {
+		return nil
+	}
+	return d.controls
+}
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -9,38 +9,43 @@
 
 // The events. Numbers are never used again for another meaning.
 const (
-	DaemonStarted      ID = 1001
-	DaemonStopping     ID = 1002
-	DaemonStopped      ID = 1003
-	DaemonStopLate     ID = 1004
-	SettingsReloaded   ID = 1010
-	SettingsKept       ID = 1011
-	ListenerFailed     ID = 1020
-	UpstreamAnnounced  ID = 1101
-	UpstreamDraining   ID = 1102
-	UpstreamLeft       ID = 1103
-	UpstreamLost       ID = 1104
-	UpstreamCrashed    ID = 1105
-	CrashSuspectNamed  ID = 1106
-	ConfigApplied      ID = 1201
-	ConfigStale        ID = 1202
-	ConfigFresh        ID = 1203
-	SourceChanged      ID = 1204
-	DigestMismatch     ID = 1205
-	ChangeAccepted     ID = 1301
-	ChangeRefused      ID = 1302
-	LogTailCut         ID = 1401
-	LogCorrupt         ID = 1402
-	StoreFailed        ID = 1403
-	SnapshotWritten    ID = 1404
-	LeaderElected      ID = 1501
-	LeaderLost         ID = 1502
-	VoterAdded         ID = 1503
-	VoterRemoved       ID = 1504
-	MessageRefused     ID = 1601
-	AnswerIncomplete   ID = 1701
-	ActionUnknown      ID = 1702
-	ConnectionReplaced ID = 1703
+	DaemonStarted     ID = 1001
+	DaemonStopping    ID = 1002
+	DaemonStopped     ID = 1003
+	DaemonStopLate    ID = 1004
+	SettingsReloaded  ID = 1010
+	SettingsKept      ID = 1011
+	ListenerFailed    ID = 1020
+	UpstreamAnnounced ID = 1101
+	UpstreamDraining  ID = 1102
+	UpstreamLeft      ID = 1103
+	UpstreamLost      ID = 1104
+	UpstreamCrashed   ID = 1105
+	CrashSuspectNamed ID = 1106
+
+	AnnouncementOvertaken ID = 1107
+	AnnouncementRefused   ID = 1108
+	DocumentRefused       ID = 1303
+	DocumentAccepted      ID = 1304
+	ConfigApplied         ID = 1201
+	ConfigStale           ID = 1202
+	ConfigFresh           ID = 1203
+	SourceChanged         ID = 1204
+	DigestMismatch        ID = 1205
+	ChangeAccepted        ID = 1301
+	ChangeRefused         ID = 1302
+	LogTailCut            ID = 1401
+	LogCorrupt            ID = 1402
+	StoreFailed           ID = 1403
+	SnapshotWritten       ID = 1404
+	LeaderElected         ID = 1501
+	LeaderLost            ID = 1502
+	VoterAdded            ID = 1503
+	VoterRemoved          ID = 1504
+	MessageRefused        ID = 1601
+	AnswerIncomplete      ID = 1701
+	ActionUnknown         ID = 1702
+	ConnectionReplaced    ID = 1703
 )
 
 var catalogue = byID([]Definition{
@@ -57,6 +62,8 @@
 	{UpstreamLost, zapcore.WarnLevel, "The upstream on this VM did not renew its announcement in time."},
 	{UpstreamCrashed, zapcore.WarnLevel, "The upstream closed its connections while it ran calls."},
 	{CrashSuspectNamed, zapcore.WarnLevel, "A request was running at two crashes and is refused for a while."},
+	{AnnouncementOvertaken, zapcore.InfoLevel, "An announcement came late; a later one had been taken already."},
+	{AnnouncementRefused, zapcore.WarnLevel, "An announcement could not be read; what was known before holds."},
 	{ConfigApplied, zapcore.InfoLevel, "A configuration revision is in force on this VM."},
 	{ConfigStale, zapcore.WarnLevel, "The configuration could not be confirmed as current for too long."},
 	{ConfigFresh, zapcore.InfoLevel, "The configuration is confirmed as current again."},
@@ -64,6 +71,8 @@
 	{DigestMismatch, zapcore.ErrorLevel, "The configuration differs from that of the relay and is fetched whole."},
 	{ChangeAccepted, zapcore.InfoLevel, "A change was accepted."},
 	{ChangeRefused, zapcore.WarnLevel, "A change was refused."},
+	{DocumentRefused, zapcore.WarnLevel, "A document was refused; the configuration in force holds."},
+	{DocumentAccepted, zapcore.InfoLevel, "A document was accepted; it is in force, or was before."},
 	{LogTailCut, zapcore.WarnLevel, "An incomplete record at the end of the log was cut off."},
 	{LogCorrupt, zapcore.ErrorLevel, "The log is damaged before its end; the daemon does not start."},
 	{StoreFailed, zapcore.ErrorLevel, "Writing to the data folder failed; nothing more is acknowledged."},
--- a/io/hop/hop.go
+++ b/io/hop/hop.go
@@ -45,15 +45,17 @@
 
 // Call is what a daemon tells the next one about a call.
 type Call struct {
-	Action     ident.ActionID  `json:"action"`
-	Workspace  ident.Workspace `json:"workspace"`
-	Route      ident.Route     `json:"route"`
-	Service    ident.Service   `json:"service"`
-	Class      ident.Class     `json:"class"`
-	Rank       admit.Rank      `json:"rank"`
-	Inner      bool            `json:"inner,omitempty"`
-	Idempotent bool            `json:"idempotent,omitempty"`
-	Depth      int             `json:"depth"`
+	Action    ident.ActionID  `json:"action"`
+	Workspace ident.Workspace `json:"workspace"`
+	Route     ident.Route     `json:"route"`
+	// Caller is the service on whose VM the call began.
+	Caller     ident.Service `json:"caller,omitempty"`
+	Service    ident.Service `json:"service"`
+	Class      ident.Class   `json:"class"`
+	Rank       admit.Rank    `json:"rank"`
+	Inner      bool          `json:"inner,omitempty"`
+	Idempotent bool          `json:"idempotent,omitempty"`
+	Depth      int           `json:"depth"`
 	// Retries is lent to the call for all that it causes.
 	Retries   int   `json:"retries"`
 	TimeoutMs int64 `json:"timeout_ms"`
--- a/io/proof/control_test.go
+++ b/io/proof/control_test.go
@@ -236,11 +236,12 @@
 func TestWipedVoterDoesNotVote(t *testing.T) {
 	f := start(t, controlOnly(3))
 	f.mustRun(controls, "confirm", "--change-id", "c1", f.plan("control-1", "kept"))
+	next := f.plan("control-1", "kept", "more")
 	f.kill("control-1")
 	f.wipe("control-2")
 	f.startOne("control-2")
 	f.awaitJoiner("control-2")
-	out, err := f.run([]ident.VM{"control-2", "control-3"}, "confirm", "--change-id", "c2", f.plan("control-3", "kept", "more"))
+	out, err := f.run([]ident.VM{"control-2", "control-3"}, "confirm", "--change-id", "c2", next)
 	assert.Assert(t, err != nil, "%s", out)
 	f.startOne("control-1")
 	f.leader("control-3")
--- a/io/proxy/body.go
+++ b/io/proxy/body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 
 	"chicorymast/core/fault"
@@ -60,7 +61,7 @@
 	r.GetBody = nil
 	r.ContentLength = p.length
 	if p.whole && len(p.head) == 0 {
-		r.Body = http.NoBody
+		r.Body = emptyBody(r.Method)
 		r.ContentLength = 0
 		return
 	}
@@ -71,6 +72,17 @@
 	r.Body = onceBody{io.MultiReader(bytes.NewReader(p.head), p.rest)}
 }
 
+// emptyBody returns a body without content that net/http can't rewind: it
+// sends GET, HEAD, OPTIONS and TRACE again by itself when they have none, and
+// recognises that by identity. Other methods would go out chunked with it.
+func emptyBody(method string) io.ReadCloser {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return onceBody{strings.NewReader("")}
+	}
+	return http.NoBody
+}
+
 type onceBody struct{ io.Reader }
 
 func (onceBody) Close() error { return nil }
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -144,9 +144,11 @@
 func retryStatus(o *outbound, a attempt) bool {
 	switch a.answer.status {
 	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		return (o.call.Idempotent || a.answer.header.Get(hop.HeaderNotRun) == "true") && !a.deeper
+		if o.call.Idempotent && !a.deeper {
+			return true
+		}
 	}
-	return false
+	return a.answer.header.Get(hop.HeaderNotRun) == "true" && !a.deeper
 }
 
 // again decides on a retry and waits before it.
@@ -255,7 +257,9 @@
 	call.TimeoutMs = remaining(ctx, p.opt.Clock.Now()).Milliseconds()
 	hop.MoveAction(req.Header)
 	hop.PutCall(req.Header, call)
-	trace.Inject(ctx, req.Header, "")
+	if p.opt.Dialect.Trace {
+		trace.Inject(ctx, req.Header, "")
+	}
 	o.body.attach(req)
 	w.follow(req)
 	if !o.body.whole {
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -16,6 +16,7 @@
 	"chicorymast/core/fault"
 	"chicorymast/core/ident"
 	"chicorymast/core/intent"
+	"chicorymast/core/match"
 	"chicorymast/core/poison"
 	"chicorymast/io/event"
 	"chicorymast/io/hop"
@@ -37,6 +38,7 @@
 	workspace ident.Workspace
 	route     ident.Route
 	spec      intent.RouteSpec
+	service   ident.Service
 	config    *board.Config
 	action    ident.ActionID
 	body      *payload
@@ -62,7 +64,7 @@
 		p.run(ctx, w, r, in, began)
 		return
 	}
-	if in.spec.Idempotent {
+	if !in.recorded() {
 		if p.chargeOrRefuse(ctx, w, in, began) {
 			p.run(ctx, w, r, in, began)
 		}
@@ -71,17 +73,35 @@
 	p.runOnce(ctx, w, r, in, began)
 }
 
+// recorded reports whether replicas keep a record of the call, so that it does
+// not run again when it comes again.
+func (in *admitted) recorded() bool {
+	return !in.spec.Idempotent && !in.spec.UniqueIDs
+}
+
+// class is the workspace's, where it has one, or the route's.
+func (in *admitted) class() ident.Class {
+	if c := in.config.State.Intent.Workspaces[in.workspace].Class; c != "" {
+		return c
+	}
+	return in.spec.Class
+}
+
+func findRoute(c *board.Config, r *http.Request) (ident.Route, bool) {
+	return c.Table.Find(match.Call{Host: r.Host, Method: r.Method, Path: r.URL.Path, RawPath: r.URL.EscapedPath()})
+}
+
 // check finds the route, the workspace and the grant, and reads the start of
 // the body. Nothing has run when it refuses.
 func (p *Proxy) check(w http.ResponseWriter, r *http.Request) (*admitted, *fault.Refusal) {
-	if p.opt.Board.Life.Read().Phase == board.LifeStopping {
-		return nil, fault.Refuse(fault.ReasonDraining, "this daemon is stopping; call another one")
-	}
 	if p.opt.Board.Freshness.Read().AsOf.IsZero() {
 		return nil, fault.Refuse(fault.ReasonStaleConfig, "this daemon has just started and has no configuration yet")
 	}
 	in := &admitted{config: p.opt.Board.Config.Read()}
-	name, ok := in.config.Table.Find(r.Method, r.URL.Path)
+	if in.config.State.ConfirmedAt == 0 {
+		return nil, fault.Refuse(fault.ReasonStaleConfig, "no configuration has been confirmed yet")
+	}
+	name, ok := findRoute(in.config, r)
 	in.route, in.spec = name, in.config.State.Intent.Routes[name]
 	if !ok || in.spec.Internal {
 		return nil, fault.Refuse(fault.ReasonNoRoute, "no route for %s %s", r.Method, r.URL.Path)
@@ -92,9 +112,9 @@
 	if refusal := p.checkFresh(in.spec); refusal != nil {
 		return nil, refusal
 	}
-	in.action = ident.ActionID(r.Header.Get(hop.HeaderAction))
-	if !in.spec.Idempotent && in.action == "" {
-		return nil, fault.Refuse(fault.ReasonActionMissing, "route %s runs at most once and needs an %s", name, hop.HeaderAction)
+	in.action = ident.ActionID(r.Header.Get(p.opt.Dialect.Action))
+	if in.recorded() && in.action == "" {
+		return nil, fault.Refuse(fault.ReasonActionMissing, "route %s runs at most once and needs an %s", name, p.opt.Dialect.Action)
 	}
 	p.pace(w, r)
 	body, err := readPayload(r, p.opt.Config().Calls.ReplayLimit, in.config.State.Intent.RouteBodyLimit(in.spec))
@@ -102,6 +122,7 @@
 		return nil, asRefusal(err)
 	}
 	in.body = body
+	in.service = p.fleet.share(in.route, in.spec.Services())
 	return in, nil
 }
 
@@ -114,29 +135,33 @@
 }
 
 func (p *Proxy) authorise(r *http.Request, in *admitted) *fault.Refusal {
-	if in.spec.Open {
+	key, shown := p.key(r)
+	holder, known := ident.Workspace(""), false
+	if shown {
+		holder, known = in.config.Holder(ident.DigestKey(key), p.opt.Clock.Now())
+	}
+	if in.spec.Open || len(in.config.State.Intent.Workspaces) == 0 {
+		in.workspace = holder
 		return nil
 	}
-	key, ok := bearer(r)
-	if !ok {
-		return fault.Refuse(fault.ReasonKeyMissing, "show a key as Authorization: Bearer KEY")
+	if !shown {
+		return fault.Refuse(fault.ReasonKeyMissing, "show a key as Authorization: %s KEY", p.opt.Dialect.KeyScheme)
 	}
-	known, ok := in.config.State.Keys[ident.DigestKey(key)]
-	expired := known.ExpiresMillis > 0 && p.opt.Clock.Now().UnixMilli() >= known.ExpiresMillis
-	if !ok || expired {
+	if !known {
 		return fault.Refuse(fault.ReasonKeyUnknown, "the key is unknown, withdrawn or expired")
 	}
-	in.workspace = known.Workspace
-	if _, _, granted := in.config.Grant(known.Workspace, in.route); !granted {
-		return fault.Refuse(fault.ReasonNoGrant, "workspace %s may not call route %s", known.Workspace, in.route)
+	in.workspace = holder
+	if _, _, granted := in.config.Grant(holder, in.route); !granted {
+		return fault.Refuse(fault.ReasonNoGrant, "workspace %s may not call route %s", holder, in.route)
 	}
 	return nil
 }
 
-func bearer(r *http.Request) (key string, ok bool) {
+// key returns the key that a caller shows.
+func (p *Proxy) key(r *http.Request) (key string, ok bool) {
 	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
 	key = strings.TrimSpace(key)
-	return key, strings.EqualFold(scheme, "bearer") && key != ""
+	return key, strings.EqualFold(scheme, p.opt.Dialect.KeyScheme) && key != ""
 }
 
 // checkFresh refuses work for which the configuration is too old.
@@ -151,11 +176,11 @@
 // timeout is the route's, or less when the caller asks for less.
 func (p *Proxy) timeout(r *http.Request, in *admitted) time.Duration {
 	limit := in.config.State.Intent.RouteTimeout(in.spec)
-	seconds, err := strconv.ParseFloat(r.Header.Get(hop.HeaderTimeout), 64)
-	if err != nil || seconds <= 0 || seconds > limit.Seconds() {
+	left, ok := p.opt.Dialect.TimeLeft(r.Header)
+	if !ok || left > limit {
 		return limit
 	}
-	return time.Duration(seconds * float64(time.Second))
+	return left
 }
 
 // chargeOrRefuse counts the call against its grant.
@@ -172,14 +197,20 @@
 	if in.spec.Open {
 		return nil, 0
 	}
-	lane := admit.Lane(in.spec.Class, false)
-	if p.fleet.shedding(in.spec.Service, lane) && !p.probes() {
-		return fault.Refuse(fault.ReasonOverload, "service %s sheds calls of class %s", in.spec.Service, in.spec.Class), 0
+	lane := admit.Lane(in.class(), false)
+	if p.fleet.shedding(in.service, lane) && !p.probes() {
+		return fault.Refuse(fault.ReasonOverload, "service %s sheds calls of class %s", in.service, in.class()), 0
+	}
+	if in.workspace == "" {
+		return nil, 0 // nobody has a key yet
 	}
 	name, grant, ok := in.config.Grant(in.workspace, in.route)
 	if !ok {
 		return fault.Refuse(fault.ReasonNoGrant, "workspace %s may not call route %s", in.workspace, in.route), 0
 	}
+	if grant.Rate == 0 {
+		return nil, 0
+	}
 	wait, err := p.opt.Quota.Charge(ctx, name)
 	if err != nil {
 		return chargeRefusal(err), 0
@@ -323,18 +354,22 @@
 	header := r.Header.Clone()
 	hop.StripInbound(header)
 	header.Set("Host", r.Host)
-	addForwarded(header, r)
+	if p.opt.Dialect.Forwarded {
+		addForwarded(header, r)
+	}
 	return &outbound{
 		call: hop.Call{
 			Action:     action,
 			Workspace:  in.workspace,
 			Route:      in.route,
-			Service:    in.spec.Service,
-			Class:      in.spec.Class,
+			Service:    in.service,
+			Caller:     p.opt.Config().Daemon.Service,
+			Class:      in.class(),
 			Rank:       rankOf(in.workspace, action),
+			Inner:      in.inner(),
 			Idempotent: in.spec.Idempotent,
 			Depth:      1,
-			Retries:    in.config.State.Intent.Limits.Retries,
+			Retries:    in.retries(),
 		},
 		method: r.Method,
 		url:    r.URL,
@@ -344,6 +379,20 @@
 	}
 }
 
+// inner reports whether the call was made by an upstream for one of its own:
+// where workspaces call with keys, open routes are those between services.
+func (in *admitted) inner() bool {
+	return in.workspace == "" && in.spec.Open && len(in.config.State.Intent.Workspaces) > 0
+}
+
+// retries is how often the call may be sent again.
+func (in *admitted) retries() int {
+	if in.spec.Attempts > 0 {
+		return in.spec.Attempts - 1
+	}
+	return in.config.State.Intent.Limits.Retries
+}
+
 // printOf identifies the content of a request, whoever sends it.
 func printOf(r *http.Request, body *payload) poison.Print {
 	d := xxhash.New()
@@ -389,6 +438,6 @@
 
 func (p *Proxy) refuseEntry(w http.ResponseWriter, name ident.Route, r *fault.Refusal, wait time.Duration, began time.Time) {
 	p.opt.Meter.refused("entry", r.Reason)
-	p.opt.Meter.call("entry", name, strconv.Itoa(StatusOf(r.Reason)), p.opt.Clock.Now().Sub(began))
-	WriteProblem(w, r, wait)
+	p.opt.Meter.call("entry", name, strconv.Itoa(StatusOf(r)), p.opt.Clock.Now().Sub(began))
+	WriteProblem(w, p.opt.Dialect, r, wait)
 }
--- a/io/proxy/fleet.go
+++ b/io/proxy/fleet.go
@@ -8,14 +8,17 @@
 
 	"chicorymast/core/board"
 	"chicorymast/core/ident"
+	"chicorymast/core/intent"
 	"chicorymast/core/retry"
 	"chicorymast/core/route"
 )
 
-// Retries towards one service, as a share of its successes.
 const (
-	retriesPerSuccess = 0.1
-	retriesSaved      = 10
+	// retryDepth is how many hops of a call tree may each repeat: what the
+	// last one gets is the sum, so each keeps to its part of the ratio.
+	retryDepth = 4
+	// retriesLeast may always be saved up by a daemon.
+	retriesLeast = 1
 )
 
 // fleet keeps a balancer and a retry ratio for each service that is called.
@@ -24,6 +27,7 @@
 	mu       sync.Mutex
 	rng      *rand.Rand
 	services map[ident.Service]*serviceState
+	splits   map[ident.Route]*route.Split
 }
 
 type serviceState struct {
@@ -35,7 +39,22 @@
 }
 
 func newFleet(opt Options, rng *rand.Rand) *fleet {
-	return &fleet{opt: opt, rng: rng, services: map[ident.Service]*serviceState{}}
+	return &fleet{opt: opt, rng: rng, services: map[ident.Service]*serviceState{}, splits: map[ident.Route]*route.Split{}}
+}
+
+// share chooses the service of a route's next call, by weight.
+func (f *fleet) share(name ident.Route, parts []intent.SplitPart) ident.Service {
+	if len(parts) == 1 {
+		return parts[0].Service
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.splits[name]
+	if s == nil {
+		s = route.NewSplit(f.rng)
+		f.splits[name] = s
+	}
+	return s.Next(parts)
 }
 
 func newDialer(timeout time.Duration) *net.Dialer {
@@ -51,13 +70,21 @@
 		rng := rand.New(rand.NewPCG(f.rng.Uint64(), f.rng.Uint64()))
 		s = &serviceState{
 			balancer: route.New(f.opt.Config().Daemon.DataCentre, rng),
-			ratio:    retry.NewRatio(retriesPerSuccess, retriesSaved),
+			ratio:    f.ratio(),
 		}
 		f.services[name] = s
 	}
 	return s
 }
 
+// ratio is this daemon's part of the repetitions that the fleet may make.
+func (f *fleet) ratio() retry.Ratio {
+	calls := f.opt.Config().Calls
+	daemons := max(1, len(f.opt.Board.Members.Read().Entries))
+	saved := max(retriesLeast, float64(calls.RetrySlack)/float64(daemons))
+	return retry.NewRatio(calls.RetryRatio/retryDepth, saved)
+}
+
 func (f *fleet) pick(name ident.Service, lane int, tried map[ident.VM]bool) (route.Candidate, bool) {
 	s := f.service(name)
 	now := f.opt.Clock.Now()
--- a/io/proxy/local.go
+++ b/io/proxy/local.go
@@ -27,6 +27,15 @@
 	Slots      int            `json:"slots"`
 	HealthPath string         `json:"health_path,omitempty"`
 	LoadPath   string         `json:"load_path,omitempty"`
+	// Draining asks for no new work.
+	Draining bool `json:"draining,omitempty"`
+	// StartedMs is when this life of the upstream began, in Unix milliseconds,
+	// and Sequence grows with each announcement in it. With them, one that was
+	// delayed on the way changes nothing; without them the latest one counts.
+	StartedMs int64  `json:"started_ms,omitempty"`
+	Sequence  uint64 `json:"sequence,omitempty"`
+	// ColdMs is how much longer the upstream is slow after its start.
+	ColdMs int64 `json:"cold_ms,omitempty"`
 }
 
 // Lease is the answer to an announcement.
@@ -38,7 +47,8 @@
 type Host interface {
 	Announce(a Announcement) (lease time.Duration, err error)
 	Drain()
-	Leave()
+	// Leave ends the announcement of an upstream; an empty name means any.
+	Leave(u ident.Upstream)
 }
 
 // Local returns the handler for the upstream on this VM: its announcements
@@ -47,7 +57,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT "+UpstreamPath, func(w http.ResponseWriter, r *http.Request) { p.announce(w, r, h) })
 	mux.HandleFunc("DELETE "+UpstreamPath, func(w http.ResponseWriter, _ *http.Request) {
-		h.Leave()
+		h.Leave("")
 		w.WriteHeader(http.StatusNoContent)
 	})
 	mux.HandleFunc("POST "+UpstreamPath+"/drain", func(w http.ResponseWriter, _ *http.Request) {
@@ -64,23 +74,24 @@
 	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, most))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&a); err != nil {
-		WriteProblem(w, fault.Refuse(fault.ReasonBadRequest, "announcement: %v", err), 0)
+		WriteProblem(w, p.opt.Dialect, fault.Refuse(fault.ReasonBadRequest, "announcement: %v", err), 0)
 		return
 	}
-	if refusal := checkAnnouncement(a); refusal != nil {
-		WriteProblem(w, refusal, 0)
+	if refusal := CheckAnnouncement(a); refusal != nil {
+		WriteProblem(w, p.opt.Dialect, refusal, 0)
 		return
 	}
 	lease, err := h.Announce(a)
 	if err != nil {
-		WriteProblem(w, asRefusal(err), 0)
+		WriteProblem(w, p.opt.Dialect, asRefusal(err), 0)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(Lease{LeaseMs: lease.Milliseconds()})
 }
 
-func checkAnnouncement(a Announcement) *fault.Refusal {
+// CheckAnnouncement says what is missing in an announcement.
+func CheckAnnouncement(a Announcement) *fault.Refusal {
 	ap, err := netip.ParseAddrPort(a.Address)
 	switch {
 	case a.Service == "" || a.Upstream == "":
@@ -134,7 +145,7 @@
 // the deadline of its parent, and the higher class of the two.
 func (p *Proxy) childCall(w http.ResponseWriter, r *http.Request, parent *servedCall) (*outbound, *fault.Refusal) {
 	config := p.opt.Board.Config.Read()
-	name, ok := config.Table.Find(r.Method, r.URL.Path)
+	name, ok := findRoute(config, r)
 	if !ok {
 		return nil, fault.Refuse(fault.ReasonNoRoute, "no route for %s %s", r.Method, r.URL.Path)
 	}
@@ -145,7 +156,8 @@
 		return nil, asRefusal(err)
 	}
 	call := parent.call
-	call.Route, call.Service = name, spec.Service
+	call.Route, call.Service = name, p.fleet.share(name, spec.Services())
+	call.Caller = p.opt.Config().Daemon.Service
 	call.Idempotent = spec.Idempotent
 	call.Inner = true
 	call.Depth++
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -83,8 +83,8 @@
 	hop.PutAnswer(w.Header(), hop.Answer{
 		Load: p.gate.load(), Unspent: s.unspent, Reason: r.Reason, Detail: r.Detail, NotRun: r.NotRun, Deeper: s.deeper,
 	})
-	WriteProblem(w, r, 0)
-	return StatusOf(r.Reason)
+	WriteProblem(w, p.opt.Dialect, r, 0)
+	return StatusOf(r)
 }
 
 // forward runs the call at the upstream and passes the answer back.
@@ -104,7 +104,7 @@
 		sample.Own = now.Sub(began) - away
 		leave(sample)
 	}()
-	req, wrote := p.upstreamRequest(ctx, r, served, token)
+	req, wrote := p.upstreamRequest(ctx, r, call, served, token)
 	resp, err := p.transport.RoundTrip(req)
 	told.stop()
 	unspent, _, deeper := sc.summary(p.opt.Clock.Now())
@@ -118,27 +118,34 @@
 	}
 	sample.Shed = resp.StatusCode == http.StatusServiceUnavailable && !deeper
 	p.passBack(w, resp, hop.Answer{
-		Load: p.gate.load(), Unspent: unspent, Deeper: deeper, NotRun: resp.Header.Get(hop.HeaderNotRun) == "true",
+		Load: p.gate.load(), Unspent: unspent, Deeper: deeper, NotRun: p.opt.Dialect.ProvesNotRun(resp),
 	})
 	return resp.StatusCode
 }
 
-func (p *Proxy) upstreamRequest(ctx context.Context, r *http.Request, served *board.Served, token string) (*http.Request, *atomic.Bool) {
+func (p *Proxy) upstreamRequest(ctx context.Context, r *http.Request, call hop.Call, served *board.Served, token string) (*http.Request, *atomic.Bool) {
 	wrote := &atomic.Bool{}
 	left := remaining(ctx, p.opt.Clock.Now())
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }})
-	target := &url.URL{Scheme: "http", Host: served.Address, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery}
+	target := &url.URL{
+		Scheme: "http", Host: served.Address, Path: r.URL.Path, RawPath: r.URL.RawPath,
+		RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
+	}
 	req := &http.Request{Method: r.Method, URL: target, Header: r.Header.Clone(), Host: r.Host}
 	hop.StripHopByHop(req.Header)
 	hop.StripOwn(req.Header)
 	hop.StripSecrets(req.Header)
 	hop.MoveAction(req.Header)
-	req.Header.Set(hop.HeaderTimeout, strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
-	trace.Inject(ctx, req.Header, token)
+	p.opt.Dialect.PutUpstream(req.Header, hop.Upstream{
+		Left: left, Workspace: call.Workspace, Caller: call.Caller, Expect: served.Upstream,
+	})
+	if p.opt.Dialect.Trace {
+		trace.Inject(ctx, req.Header, token)
+	}
 	req.ContentLength = r.ContentLength
 	req.Body = onceBody{r.Body}
 	if r.ContentLength == 0 {
-		req.Body = http.NoBody
+		req.Body = emptyBody(r.Method)
 	}
 	return req.WithContext(ctx), wrote
 }
@@ -165,6 +172,14 @@
 		resp.Close = true
 		return fault.Failed(fault.ReasonAnswerIncomplete, "the upstream's answer has no length, so its end can't be told")
 	}
+	if !p.opt.Dialect.Belongs(req, resp) {
+		resp.Close = true
+		return fault.Failed(fault.ReasonAnswerIncomplete, "the upstream's answer belongs to another request")
+	}
+	if !p.opt.Dialect.Signed(resp) {
+		resp.Close = true
+		return fault.Failed(fault.ReasonAnswerIncomplete, "the upstream's answer is not signed")
+	}
 	echo, sent := resp.Header.Get("Traceresponse"), req.Header.Get("Traceparent")
 	if echo != "" && sent != "" && traceID(echo) != traceID(sent) {
 		return fault.Failed(fault.ReasonAnswerIncomplete, "the upstream's answer belongs to another request")
--- a/io/proxy/problem.go
+++ b/io/proxy/problem.go
@@ -4,10 +4,10 @@
 	"encoding/json"
 	"errors"
 	"net/http"
-	"strconv"
 	"time"
 
 	"chicorymast/core/fault"
+	"chicorymast/io/hop"
 )
 
 // statuses maps each reason to the status of its problem document.
@@ -61,17 +61,22 @@
 	NotRun bool         `json:"not_run"`
 }
 
-// StatusOf returns the HTTP status of a reason.
-func StatusOf(r fault.Reason) int {
-	if status, ok := statuses[r]; ok {
-		return status
+// StatusOf returns the HTTP status of a refusal. 429 and 503 say that the work
+// has not run; what may have run is a 502.
+func StatusOf(r *fault.Refusal) int {
+	status, ok := statuses[r.Reason]
+	switch {
+	case !ok:
+		return http.StatusInternalServerError
+	case !r.NotRun && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests):
+		return http.StatusBadGateway
 	}
-	return http.StatusInternalServerError
+	return status
 }
 
 // WriteProblem answers with a refusal.
-func WriteProblem(w http.ResponseWriter, r *fault.Refusal, wait time.Duration) {
-	status := StatusOf(r.Reason)
+func WriteProblem(w http.ResponseWriter, d hop.Dialect, r *fault.Refusal, wait time.Duration) {
+	status := StatusOf(r)
 	if wait == 0 {
 		wait = waits[r.Reason]
 	}
@@ -79,11 +84,10 @@
 	h.Set("Content-Type", "application/problem+json")
 	h.Set("Cache-Control", "no-store")
 	if wait > 0 {
-		seconds := int64((wait + time.Second - 1) / time.Second)
-		h.Set("Retry-After", strconv.FormatInt(seconds, 10))
+		h.Set("Retry-After", d.RetryAfter(wait))
 	}
 	if status == http.StatusUnauthorized {
-		h.Set("WWW-Authenticate", `Bearer realm="chicorymast"`)
+		h.Set("WWW-Authenticate", d.KeyScheme+` realm="chicorymast"`)
 	}
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(Problem{
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -29,6 +29,7 @@
 	"chicorymast/core/dedup"
 	"chicorymast/core/ident"
 	"chicorymast/io/event"
+	"chicorymast/io/hop"
 	"chicorymast/io/record"
 	"chicorymast/io/timer"
 	"chicorymast/io/trace"
@@ -43,6 +44,8 @@
 	Log    *event.Log
 	Trace  *trace.Tracer
 	Meter  *Meter
+	// Dialect says which headers callers and upstreams use.
+	Dialect hop.Dialect
 	// Dial connects to other daemons.
 	Dial wire.Dial
 	// Seed starts the random choices.
--- a/io/ration/owner.go
+++ b/io/ration/owner.go
@@ -104,7 +104,7 @@
 
 func (r *Ration) terms(g ident.Grant) (terms, float64) {
 	in := r.opt.Board.Config.Read().State.Intent
-	spec := in.Grants[g]
+	spec := in.Grant(g)
 	base := in.Share(r.opt.DataCentre)
 	if home, single := in.GrantHome(g); single {
 		base = 0
--- a/io/store/identity.go
+++ b/io/store/identity.go
@@ -18,6 +18,11 @@
 	Cluster string `json:"cluster,omitempty"`
 	// Founders are the tokens of all that were set up together.
 	Founders map[ident.VM]string `json:"founders,omitempty"`
+	// Addresses are the founders' control addresses, where settings name no VMs.
+	Addresses map[ident.VM]string `json:"addresses,omitempty"`
+	// Bootstrap is set in a folder that was first used while the whole fleet
+	// was set up: only such a folder may found.
+	Bootstrap bool `json:"bootstrap,omitempty"`
 }
 
 // Identity returns who this node is; ok is false in a new folder.
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -102,8 +102,21 @@
 	MethodMembers Method = "members"
 	// MethodReport asks a relay where a revision is in force.
 	MethodReport Method = "report"
+	// MethodRead asks the leader for the newest decided revision.
+	MethodRead Method = "read"
 )
 
+// ReadRequest asks for the newest decided revision.
+type ReadRequest struct{}
+
+// ReadReply says which revision was the newest when the read began.
+type ReadReply struct {
+	Revision ident.Revision `json:"revision"`
+	// Leader is the control address to ask instead.
+	Leader string `json:"leader,omitempty"`
+	Done   bool   `json:"done"`
+}
+
 // RaftEnvelope carries a message of the agreement and where to answer.
 type RaftEnvelope struct {
 	Address string       `json:"address"`
@@ -122,8 +135,12 @@
 	Token string `json:"token"`
 	// Node is empty while the daemon has not been set up.
 	Node ident.Node `json:"node,omitempty"`
-	// Founders are the tokens of those set up together, where known.
-	Founders map[ident.VM]string `json:"founders,omitempty"`
+	// Founders are the tokens of those set up together, where known, and
+	// Addresses where they are.
+	Founders  map[ident.VM]string `json:"founders,omitempty"`
+	Addresses map[ident.VM]string `json:"addresses,omitempty"`
+	// Bootstrap is set while the daemon may still found.
+	Bootstrap bool `json:"bootstrap,omitempty"`
 }
 
 // MembersOp is what to do with the control daemons.
@@ -281,3 +298,15 @@
 	Ready   bool           `json:"ready"`
 	Records []dedup.Record `json:"records,omitempty"`
 }
+
+// Outcome returns whether the change is decided, and who leads otherwise.
+func (r ProposeReply) Outcome() (done bool, leader string) { return r.Done, r.Leader }
+
+// Outcome returns whether the read is good, and who leads otherwise.
+func (r ReadReply) Outcome() (done bool, leader string) { return r.Done, r.Leader }
+
+// Outcome returns whether the request was taken or refused, and who leads
+// otherwise.
+func (r MembersReply) Outcome() (done bool, leader string) {
+	return r.Done || r.Refused != "", r.Leader
+}
