--- /dev/null
+++ b/io/daemon/mesh_test.go
@@ -0,0 +1,381 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"chicorymast/config"
+	"chicorymast/core/ident"
+	"chicorymast/core/member"
+	"chicorymast/io/event"
+	"chicorymast/io/proxy"
+	"chicorymast/io/stub"
+	"chicorymast/platform"
+
+	"gotest.tools/v3/assert"
+)
+
+// mesh is a fleet of daemons on a stand-in of the platform: their settings come
+// from the templates in deploy/, and each VM has a loopback address of its own.
+type mesh struct {
+	t        *testing.T
+	dir      string
+	seeds    []string
+	daemons  map[string]*meshVM
+	client   *http.Client
+	requests int
+}
+
+// meshVM is one VM with its daemon and, beside it, a server.
+type meshVM struct {
+	name, zone, ip string
+	run            *running
+	server         *stub.Server
+	listener       *httptest.Server
+	said           proxy.Announcement
+	api            platform.Client
+}
+
+const (
+	portControl  = 17000
+	portInbound  = 17001
+	portOutbound = 17002
+	portReady    = 17003
+	portAPI      = 17004
+)
+
+func (vm *meshVM) at(port int) string { return fmt.Sprintf("%s:%d", vm.ip, port) }
+
+func newMesh(t *testing.T) *mesh {
+	t.Helper()
+	m := &mesh{t: t, dir: t.TempDir(), daemons: map[string]*meshVM{}, client: &http.Client{Timeout: 10 * time.Second}}
+	// Every test process has loopback addresses of its own.
+	pid := os.Getpid()
+	for i, name := range []string{"core-1", "core-2", "core-3", "shop-1", "shop-2", "stock-1", "stock-2", "rate-1"} {
+		vm := &meshVM{name: name, zone: []string{"east", "west"}[i%2], ip: fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&0x7f, pid&0xff, i+1)}
+		vm.api = platform.Client{Address: vm.at(portAPI), HTTP: m.client}
+		m.daemons[name] = vm
+		if strings.HasPrefix(name, "core") {
+			m.seeds = append(m.seeds, vm.at(portAPI))
+		}
+	}
+	for _, vm := range m.daemons {
+		m.start(vm, true)
+	}
+	t.Cleanup(m.end)
+	return m
+}
+
+func (m *mesh) end() {
+	for _, vm := range m.daemons {
+		if vm.run != nil {
+			vm.run.end(m.t)
+		}
+		if vm.listener != nil {
+			vm.listener.Close()
+			assert.DeepEqual(m.t, vm.server.Faults(), []string(nil))
+		}
+	}
+	m.client.CloseIdleConnections()
+}
+
+// settings fills in a template as the platform does.
+func (m *mesh) settings(vm *meshVM, bootstrap bool) string {
+	file, dataDir := "daemon.ini", ""
+	if strings.HasPrefix(vm.name, "core") {
+		file, dataDir = "control.ini", filepath.Join(m.dir, vm.name)
+	}
+	text, err := os.ReadFile(filepath.Join("../../deploy", file))
+	assert.NilError(m.t, err)
+	service, _, _ := strings.Cut(vm.name, "-")
+	filled := strings.NewReplacer(
+		"{{node}}", vm.name, "{{zone}}", vm.zone, "{{service}}", service, "{{ip}}", vm.ip,
+		"{{bounds.grace}}", "6s", "{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.budget_slack}}", "49",
+		"{{bounds.budget_window}}", "10s", "{{fault_tolerance.machines}}", "1", "{{heartbeat}}", "500ms",
+		"{{listen.outbound}}", vm.at(portOutbound), "{{listen.inbound}}", vm.at(portInbound),
+		"{{listen.control}}", vm.at(portAPI), "{{listen.ready}}", vm.at(portReady),
+		"{{internal_ports.0}}", fmt.Sprint(portControl), "{{seeds}}", strings.Join(m.seeds, ","),
+		"{{#zones}}{{@}}{{,}}{{/zones}}", "east,west", "{{bootstrap}}", fmt.Sprint(bootstrap), "{{data_dir}}", dataDir,
+		"shutdown_delay = 2500ms", "shutdown_delay = 300ms",
+	).Replace(string(text))
+	assert.Assert(m.t, !strings.Contains(filled, "{{"), "%s", filled)
+	return filled
+}
+
+func (m *mesh) start(vm *meshVM, bootstrap bool) {
+	m.t.Helper()
+	cfg, err := config.Parse(vm.name+".ini", []byte(m.settings(vm, bootstrap)))
+	assert.NilError(m.t, err)
+	d, err := New(cfg, event.Discard())
+	assert.NilError(m.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	vm.run = &running{daemon: d, stop: cancel, done: make(chan error, 1)}
+	go func(r *running) { r.done <- d.Run(ctx) }(vm.run)
+}
+
+// serve starts the server beside a daemon and announces it.
+func (m *mesh) serve(name string, calls ...stub.ChildCall) {
+	m.t.Helper()
+	vm := m.daemons[name]
+	service, _, _ := strings.Cut(name, "-")
+	vm.server = stub.NewServer(stub.ServerOptions{
+		Dialect: platform.Dialect(), Service: ident.Service(service), Upstream: ident.Upstream("i-" + name), Slots: 8,
+		Work: 2 * time.Millisecond, Calls: calls, Outbound: vm.at(portOutbound), Client: m.client,
+	})
+	ln, err := net.Listen("tcp", vm.ip+":0")
+	assert.NilError(m.t, err)
+	vm.listener = &httptest.Server{Listener: ln, Config: &http.Server{Handler: vm.server}}
+	vm.listener.Start()
+	vm.said = proxy.Announcement{
+		Service: ident.Service(service), Upstream: ident.Upstream("i-" + name), Address: ln.Addr().String(), Slots: 8, StartedMs: 1000,
+	}
+	m.beat(vm)
+	stop := vm.run.daemon.clock.Every(300*time.Millisecond, func(time.Time) { m.beat(vm) })
+	m.t.Cleanup(stop)
+}
+
+func (m *mesh) beat(vm *meshVM) {
+	vm.said.Sequence++
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = vm.api.Announce(ctx, vm.said) // the next one follows soon
+}
+
+// document writes a configuration with the services of the mesh.
+func document(version, base int, keys string) []byte {
+	rule := func(host, kind, service string, public bool) string {
+		return fmt.Sprintf(`{"host":"%s.example","rules":[{"name":"r-%s","type":"%s","target_latency":"1s","priority":1,"public":%t,
+			"match":{"path_prefix":"/%s/"},"action":{"service":"%s","timeout":"3s","max_attempts":2}}]}`, host, host, kind, public, host, service)
+	}
+	return fmt.Appendf(nil, `{"version":%d,"base_version":%d,"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,
+		"header_timeout":"3s","idle_timeout":"15s"},
+		"tenants":[{"name":"mlyn","api_keys":[%s],"priority":1,"rate_per_s":1000,"burst":1000},
+		{"name":"hrad","api_keys":["key-hrad"],"priority":1,"rate_per_s":2,"burst":3}],
+		"listeners":[%s,%s,%s,%s],"clusters":[{"name":"shop"},{"name":"stock"},{"name":"rate"}]}`, version, base, keys,
+		rule("shop", "idempotent", "shop", false), rule("order", "non_idempotent", "shop", false),
+		rule("stock", "idempotent", "stock", true), rule("rate", "idempotent", "rate", true))
+}
+
+// put sends a document, again while there is no clear answer, and returns the
+// status.
+func (m *mesh) put(vm string, text []byte) (status int) {
+	m.t.Helper()
+	eventually(m.t, func() string {
+		var err error
+		status, err = m.daemons[vm].api.PutDocument(m.t.Context(), text)
+		if err != nil || status == http.StatusServiceUnavailable {
+			return fmt.Sprint(status, err)
+		}
+		return ""
+	})
+	return status
+}
+
+// meshAnswer is what a client of the mesh got.
+type meshAnswer struct {
+	id, body, signature string
+	status              int
+	header              http.Header
+}
+
+func (m *mesh) call(vm, method, host, path, key string, body []byte) (a meshAnswer) {
+	m.t.Helper()
+	d := platform.Dialect()
+	req, err := http.NewRequest(method, "http://"+m.daemons[vm].at(portOutbound)+path, bytes.NewReader(body))
+	assert.NilError(m.t, err)
+	m.requests++
+	a.id = fmt.Sprintf("attempt-%d", m.requests)
+	req.Host = host
+	req.Header.Set(d.Action, a.id)
+	req.Header.Set(d.Timeout, "2000")
+	req.Header.Set(d.Caller, "forged")
+	req.Header.Set(d.Workspace, "forged")
+	if key != "" {
+		req.Header.Set("Authorization", d.KeyScheme+" "+key)
+	}
+	resp, err := m.client.Do(req)
+	assert.NilError(m.t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(m.t, err)
+	a.status, a.header, a.signature, a.body = resp.StatusCode, resp.Header, resp.Header.Get(d.Signature), string(data)
+	return a
+}
+
+// ran returns how often a request was run by all servers.
+func (m *mesh) ran(id string) (total int) {
+	for _, vm := range m.daemons {
+		if vm.server != nil {
+			one, _ := vm.server.Runs(id)
+			total += one
+		}
+	}
+	return total
+}
+
+func (m *mesh) isReady(vm string) bool {
+	resp, err := m.client.Get("http://" + m.daemons[vm].at(portReady) + "/ready")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (m *mesh) allReady() {
+	m.t.Helper()
+	eventually(m.t, func() string {
+		for name := range m.daemons {
+			if !strings.HasPrefix(name, "core") && !m.isReady(name) {
+				return name + " is not ready"
+			}
+		}
+		return ""
+	})
+}
+
+// TestMesh plays the platform's operator, servers and clients against a whole
+// fleet that was set up from the deployment's own templates.
+func TestMesh(t *testing.T) {
+	m := newMesh(t)
+	assert.Assert(t, !m.isReady("shop-1"), "ready without a configuration")
+	m.serve("shop-1", stub.ChildCall{Host: "stock.example", Path: "/stock/x"})
+	m.serve("shop-2", stub.ChildCall{Host: "stock.example", Path: "/stock/x"})
+	m.serve("stock-1", stub.ChildCall{Host: "rate.example", Path: "/rate/y"}, stub.ChildCall{Host: "rate.example", Path: "/rate/z"})
+	m.serve("stock-2", stub.ChildCall{Host: "rate.example", Path: "/rate/y"}, stub.ChildCall{Host: "rate.example", Path: "/rate/z"})
+	m.serve("rate-1")
+	assert.Equal(t, m.put("core-1", document(3, 0, `"key-mlyn","key-old"`)), http.StatusOK)
+	m.allReady()
+	t.Run("a call goes three hops deep and comes back whole", func(t *testing.T) { m.testWhole(t) })
+	t.Run("documents", func(t *testing.T) { m.testDocuments(t) })
+	t.Run("refusals", func(t *testing.T) { m.testMeshRefusals(t) })
+	t.Run("a server that drains gets nothing new", func(t *testing.T) { m.testMeshDrain(t) })
+	t.Run("unreadable announcements change nothing", func(t *testing.T) { m.testForeign(t) })
+	t.Run("a planned stop loses nothing", func(t *testing.T) { m.testStop(t) })
+}
+
+func (m *mesh) testWhole(t *testing.T) {
+	const path = "/shop/a%2Fb//c%20d?q=%2F&empty="
+	eventually(t, func() string {
+		a := m.call("rate-1", "GET", "shop.example", path, "key-mlyn", nil)
+		if a.status != http.StatusOK {
+			return a.body // members are still being heard of
+		}
+		return ""
+	})
+	body := bytes.Repeat([]byte("x"), 100_000)
+	a := m.call("rate-1", "PATCH", "shop.example", path, "key-mlyn", body)
+	assert.Equal(t, a.status, http.StatusOK, "%s", a.body)
+	assert.Equal(t, a.body, "PATCH "+path+" 100000 mlyn rate")
+	assert.Assert(t, strings.HasSuffix(a.signature, "."+a.id), a.signature)
+	assert.Equal(t, m.ran(a.id), 1)
+	assert.Equal(t, m.ran(a.id+"-shop0"), 1)
+	assert.Equal(t, m.ran(a.id+"-shop0-stock1"), 1)
+}
+
+func (m *mesh) testDocuments(t *testing.T) {
+	first := document(3, 0, `"key-mlyn","key-old"`)
+	assert.Equal(t, m.put("core-2", first), http.StatusOK, "the same again is acknowledged again, anywhere")
+	assert.Equal(t, m.put("core-3", document(4, 2, `"other"`)), http.StatusPreconditionFailed)
+	assert.Equal(t, m.put("core-3", document(3, 3, `"other"`)), http.StatusBadRequest)
+	assert.Equal(t, m.put("core-3", []byte(`{"version":9,"base_version":3`)), http.StatusBadRequest)
+	next := document(7, 3, `"key-mlyn"`)
+	assert.Equal(t, m.put("core-3", next), http.StatusOK)
+	assert.Equal(t, m.put("core-1", next), http.StatusOK)
+	eventually(t, func() string {
+		if a := m.call("shop-1", "GET", "shop.example", "/shop/1", "key-old", nil); a.status != http.StatusUnauthorized {
+			return fmt.Sprint("a withdrawn key still gets ", a.status)
+		}
+		return ""
+	})
+	for _, core := range []string{"core-1", "core-2", "core-3"} {
+		text, status, err := m.daemons[core].api.GetDocument(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, string(text), string(compacted(t, next)))
+	}
+}
+
+func (m *mesh) testMeshRefusals(t *testing.T) {
+	assert.Equal(t, m.call("shop-1", "GET", "shop.example", "/shop/1", "", nil).status, http.StatusUnauthorized)
+	assert.Equal(t, m.call("shop-1", "GET", "shop.example", "/shop/1", "nobody's", nil).status, http.StatusUnauthorized)
+	assert.Equal(t, m.call("shop-1", "GET", "shop.example", "/other/1", "key-mlyn", nil).status, http.StatusNotFound)
+	assert.Equal(t, m.call("shop-1", "GET", "other.example", "/shop/1", "key-mlyn", nil).status, http.StatusNotFound)
+	assert.Equal(t, m.call("shop-1", "POST", "order.example", "/order/1", "key-mlyn", make([]byte, 2<<20)).status, http.StatusRequestEntityTooLarge)
+	over := 0
+	for range 40 {
+		a := m.call("shop-1", "POST", "order.example", "/order/1", "key-hrad", nil)
+		if a.status == http.StatusTooManyRequests {
+			over++
+			assert.Equal(t, m.ran(a.id), 0, "refused as not run, but it ran")
+			assert.Assert(t, a.header.Get("Retry-After") != "")
+		}
+	}
+	assert.Assert(t, over > 0, "a workspace above its rate was never refused")
+}
+
+func (m *mesh) testMeshDrain(t *testing.T) {
+	vm := m.daemons["shop-1"]
+	vm.said.Draining = true
+	m.beat(vm)
+	_, before := vm.server.Runs("")
+	for range 20 {
+		a := m.call("shop-1", "GET", "shop.example", "/shop/1", "key-mlyn", nil)
+		assert.Equal(t, a.status, http.StatusOK, "%s", a.body)
+	}
+	_, after := vm.server.Runs("")
+	assert.Equal(t, after, before)
+	// A new life of the server, under the same name, serves again.
+	vm.said.Draining, vm.said.StartedMs, vm.said.Sequence = false, vm.said.StartedMs+1, 0
+	m.beat(vm)
+	assert.Equal(t, vm.run.daemon.board.Served.Read().Phase, member.PhaseUp)
+}
+
+func (m *mesh) testForeign(t *testing.T) {
+	vm := m.daemons["stock-1"]
+	before := *vm.run.daemon.board.Served.Read()
+	for _, body := range []string{"", "{", `{"address":7}`, `{"address":"127.0.0.1:1","info":{"service":"nobody","slots":1},"status":{"state":"ready"}}`} {
+		req, err := http.NewRequest("PUT", "http://"+vm.at(portAPI)+"/instances/foreign", strings.NewReader(body))
+		assert.NilError(t, err)
+		resp, err := m.client.Do(req)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		assert.Equal(t, resp.StatusCode, http.StatusBadRequest, "%s", body)
+	}
+	assert.Equal(t, *vm.run.daemon.board.Served.Read(), before)
+}
+
+// testStop stops a daemon: it says so first, goes on serving those that still
+// come, and asks them to close their connections.
+func (m *mesh) testStop(t *testing.T) {
+	vm := m.daemons["shop-2"]
+	vm.run.stop()
+	eventually(t, func() string {
+		if m.isReady("shop-2") {
+			return "still ready"
+		}
+		return ""
+	})
+	a := m.call("shop-2", "GET", "shop.example", "/shop/1", "key-mlyn", nil)
+	assert.Equal(t, a.status, http.StatusOK, "%s", a.body)
+	assert.NilError(t, <-vm.run.done)
+	vm.run = nil
+}
+
+func compacted(t *testing.T, text []byte) []byte {
+	t.Helper()
+	var out bytes.Buffer
+	assert.NilError(t, json.Compact(&out, text))
+	return out.Bytes()
+}
--- a/io/proxy/body.go
+++ b/io/proxy/body.go
@@ -61,8 +61,7 @@
 	r.GetBody = nil
 	r.ContentLength = p.length
 	if p.whole && len(p.head) == 0 {
-		r.Body = emptyBody(r.Method)
-		r.ContentLength = 0
+		setNoBody(r)
 		return
 	}
 	if p.whole {
@@ -72,15 +71,19 @@
 	r.Body = onceBody{io.MultiReader(bytes.NewReader(p.head), p.rest)}
 }
 
-// emptyBody returns a body without content that net/http can't rewind: it
-// sends GET, HEAD, OPTIONS and TRACE again by itself when they have none, and
-// recognises that by identity. Other methods would go out chunked with it.
-func emptyBody(method string) io.ReadCloser {
-	switch method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		return onceBody{strings.NewReader("")}
+// setNoBody makes a request without a body that net/http never sends again by
+// itself. It does so with GET, HEAD and OPTIONS on a reused connection when
+// their body is absent, which it tells by identity; an empty one is not sent
+// either. TRACE would go out chunked with that, so it gets a connection of its
+// own.
+func setNoBody(r *http.Request) {
+	r.Body, r.ContentLength = http.NoBody, 0
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		r.Body = onceBody{strings.NewReader("")}
+	case http.MethodTrace:
+		r.Close = true
 	}
-	return http.NoBody
 }
 
 type onceBody struct{ io.Reader }
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -145,7 +145,7 @@
 	req.ContentLength = r.ContentLength
 	req.Body = onceBody{r.Body}
 	if r.ContentLength == 0 {
-		req.Body = emptyBody(r.Method)
+		setNoBody(req)
 	}
 	return req.WithContext(ctx), wrote
 }
--- /dev/null
+++ b/io/proxy/resend_test.go
@@ -0,0 +1,104 @@
+package proxy
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"chicorymast/config"
+	"chicorymast/io/hop"
+
+	"gotest.tools/v3/assert"
+)
+
+// closingServer answers the first request on each connection. It reads the
+// second one whole and then closes the connection, as if it had run it and its
+// answer were lost.
+type closingServer struct {
+	ln       net.Listener
+	received atomic.Int64
+}
+
+func newClosingServer(t *testing.T) *closingServer {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &closingServer{ln: ln}
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn)
+		}
+	}()
+	t.Cleanup(func() { _ = ln.Close() })
+	return s
+}
+
+func (s *closingServer) serve(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for n := range 2 {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := in.Discard(int(max(0, r.ContentLength))); err != nil {
+			return
+		}
+		s.received.Add(1)
+		if n == 0 {
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+		}
+	}
+}
+
+// net/http sends some requests again by itself when a reused connection ends
+// before the answer. None of our clients may: neither retry budgets nor at most
+// once would hold.
+func TestNoHiddenRepetition(t *testing.T) {
+	bodies := map[string]func(r *http.Request){
+		"towards a daemon": func(r *http.Request) { (&payload{whole: true}).attach(r) },
+		"towards a daemon, with a body": func(r *http.Request) {
+			(&payload{whole: true, head: []byte("body"), length: 4}).attach(r)
+		},
+		"towards an upstream": setNoBody,
+		"towards an upstream, with a body": func(r *http.Request) {
+			r.Body, r.ContentLength = onceBody{strings.NewReader("body")}, 4
+		},
+	}
+	for name, attach := range bodies {
+		for _, method := range []string{"GET", "HEAD", "OPTIONS", "TRACE", "POST", "PUT", "PATCH", "DELETE"} {
+			t.Run(name+" "+method, func(t *testing.T) { testNoRepetition(t, method, attach) })
+		}
+	}
+}
+
+func testNoRepetition(t *testing.T, method string, attach func(*http.Request)) {
+	s := newClosingServer(t)
+	transport := newTransport(config.Default().Calls)
+	defer transport.CloseIdleConnections()
+	send := func() error {
+		r, err := http.NewRequest(method, "http://"+s.ln.Addr().String()+"/", nil)
+		assert.NilError(t, err)
+		r.Header.Set(hop.HeaderAction, "order-1")
+		hop.MoveAction(r.Header)
+		attach(r)
+		resp, err := transport.RoundTrip(r)
+		if err != nil {
+			return err
+		}
+		drain(resp)
+		return nil
+	}
+	assert.NilError(t, send())
+	// TRACE gets a connection of its own and thus an answer.
+	lost := send() != nil
+	assert.Equal(t, lost, method != http.MethodTrace || strings.Contains(t.Name(), "with_a_body"))
+	assert.Equal(t, s.received.Load(), int64(2), "sent again by net/http")
+}
