--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -50,7 +50,9 @@
 	Class     ident.Class
 	Rank      Rank
 	// Inner is set for a call made on behalf of a call admitted earlier.
-	Inner    bool
+	Inner bool
+	// Admitted is set when the entry has weighed the load of this upstream.
+	Admitted bool
 	Deadline time.Time
 }
 
@@ -98,6 +100,7 @@
 	queuedSince time.Time
 	own         time.Duration
 	shed        shedMark
+	pressure    pressure
 }
 
 // shedMark remembers the best lane from which a call was shed lately.
@@ -121,14 +124,18 @@
 )
 
 // Lane returns the position of a call in the order of service, from 0.
-func Lane(c ident.Class, inner bool) int {
+func Lane(c ident.Class, admitted bool) int {
 	n := 2 * c.Index()
-	if !inner {
+	if !admitted {
 		n++
 	}
 	return n
 }
 
+func (r Request) lane() int {
+	return Lane(r.Class, r.Inner || r.Admitted)
+}
+
 // New returns a gate with nothing running.
 func New(cfg Config) *Gate {
 	return &Gate{
@@ -141,10 +148,12 @@
 
 // Arrive offers a call.
 func (g *Gate) Arrive(now time.Time, r Request) []Effect {
+	g.pressure.advance(now, len(g.running))
 	if g.cannotFinish(now, r) {
+		g.pressure.refused++
 		return []Effect{Refuse{Ticket: r.Ticket, Reason: fault.ReasonDeadline}}
 	}
-	n := Lane(r.Class, r.Inner)
+	n := r.lane()
 	if g.waiting == 0 && len(g.running) < g.limit.current() {
 		return []Effect{g.start(r.Ticket)}
 	}
@@ -166,6 +175,7 @@
 	for g.waiting >= g.room(now) {
 		victim, at := g.victim(n, r)
 		g.markShed(now, at)
+		g.pressure.refused++
 		effects = append(effects, Refuse{Ticket: victim, Reason: fault.ReasonOverload})
 		if victim == r.Ticket {
 			return effects, false
@@ -200,6 +210,7 @@
 	if _, ran := g.running[t]; !ran {
 		return nil
 	}
+	g.pressure.advance(now, len(g.running))
 	g.limit.observe(now, s, len(g.running))
 	g.own = mean(g.own, s.Own)
 	delete(g.running, t)
@@ -209,9 +220,12 @@
 // Tick refuses waiting calls whose time is up and starts what fits.
 func (g *Gate) Tick(now time.Time) []Effect {
 	var effects []Effect
+	g.pressure.advance(now, len(g.running))
+	defer func() { g.pressure.close(now, g.limit.current(), g.waiting, g.own) }()
 	for i := range g.lanes {
 		for _, r := range g.lanes[i].expired(now.Add(g.own)) {
 			g.waiting--
+			g.pressure.refused++
 			effects = append(effects, Refuse{Ticket: r.Ticket, Reason: fault.ReasonDeadline})
 		}
 	}
@@ -269,7 +283,7 @@
 func (g *Gate) cannotFinish(now time.Time, r Request) bool {
 	ahead := 0
 	if len(g.running) >= g.limit.current() {
-		for i := range Lane(r.Class, r.Inner) + 1 {
+		for i := range r.lane() + 1 {
 			ahead += g.lanes[i].size
 		}
 	}
--- a/core/admit/lane.go
+++ b/core/admit/lane.go
@@ -85,13 +85,22 @@
 func (l *lane) worst() (w ident.Workspace, at int) {
 	w = l.longest()
 	for i, r := range l.queues[w] {
-		if r.Rank >= l.queues[w][at].Rank {
+		if worse(r, l.queues[w][at]) {
 			at = i
 		}
 	}
 	return w, at
 }
 
+// worse reports whether r should be shed rather than other: one for which
+// nothing was done yet, then the one of the higher rank.
+func worse(r, other Request) bool {
+	if r.Inner != other.Inner {
+		return !r.Inner
+	}
+	return r.Rank >= other.Rank
+}
+
 func (l *lane) dropWorst() Request {
 	w, at := l.worst()
 	r := l.queues[w][at]
@@ -113,5 +122,5 @@
 	if w != r.Workspace && mine+1 > longest {
 		return false
 	}
-	return r.Rank < l.queues[w][at].Rank
+	return !worse(r, l.queues[w][at])
 }
--- /dev/null
+++ b/core/inflow/profile.go
@@ -0,0 +1,87 @@
+package inflow
+
+import (
+	"time"
+
+	"chicorymast/core/ident"
+)
+
+// Profiles is what the daemon beside an upstream learns of the routes that run
+// there: how long a run holds a slot, and which calls it makes.
+type Profiles struct {
+	routes map[ident.Route]*profile
+}
+
+type profile struct {
+	runs  decayed
+	held  decayed
+	calls map[ident.Route]*decayed
+}
+
+// NewProfiles returns profiles without a run.
+func NewProfiles() *Profiles {
+	return &Profiles{routes: map[ident.Route]*profile{}}
+}
+
+func (p *Profiles) route(r ident.Route) *profile {
+	have := p.routes[r]
+	if have == nil {
+		have = &profile{runs: decayed{over: profileMemory}, held: decayed{over: profileMemory}, calls: map[ident.Route]*decayed{}}
+		p.routes[r] = have
+	}
+	return have
+}
+
+// Ran notes a run that held a slot for a time.
+func (p *Profiles) Ran(now time.Time, r ident.Route, held time.Duration) {
+	have := p.route(r)
+	have.runs.add(now, 1)
+	have.held.add(now, held.Seconds())
+}
+
+// Called notes a call that a run of a route made to another service.
+func (p *Profiles) Called(now time.Time, r, child ident.Route) {
+	have := p.route(r)
+	calls := have.calls[child]
+	if calls == nil {
+		calls = &decayed{over: profileMemory}
+		have.calls[child] = calls
+	}
+	calls.add(now, 1)
+}
+
+// Needs returns what one call of a route needs, of the upstream's own service
+// and of what its calls need, as far as anything is to be refused there.
+func (p *Profiles) Needs(now time.Time, r ident.Route, service ident.Service, refuse float64, tree *Tree) []Need {
+	have := p.routes[r]
+	if have == nil {
+		return nil
+	}
+	have.runs.fade(now)
+	have.held.fade(now)
+	runs := max(1, have.runs.sum)
+	sum := map[ident.Service]Need{}
+	if refuse >= refuseLeast {
+		sum[service] = Need{Service: service, Cost: have.held.sum / runs, Refuse: refuse}
+	}
+	for child, calls := range have.calls {
+		calls.fade(now)
+		for _, n := range tree.Needs(now, child) {
+			merge(sum, n, calls.sum/runs)
+		}
+	}
+	out := make([]Need, 0, len(sum))
+	for _, n := range sum {
+		out = append(out, n)
+	}
+	return out
+}
+
+// merge adds what some calls of a child need.
+func merge(sum map[ident.Service]Need, n Need, calls float64) {
+	have := sum[n.Service]
+	have.Service = n.Service
+	have.Cost += calls * n.Cost
+	have.Refuse = max(have.Refuse, n.Refuse)
+	sum[n.Service] = have
+}
--- a/io/hop/hop.go
+++ b/io/hop/hop.go
@@ -21,6 +21,7 @@
 	"chicorymast/core/admit"
 	"chicorymast/core/fault"
 	"chicorymast/core/ident"
+	"chicorymast/core/inflow"
 )
 
 // Header names.
@@ -49,13 +50,18 @@
 	Workspace ident.Workspace `json:"workspace"`
 	Route     ident.Route     `json:"route"`
 	// Caller is the service on whose VM the call began.
-	Caller     ident.Service `json:"caller,omitempty"`
-	Service    ident.Service `json:"service"`
-	Class      ident.Class   `json:"class"`
-	Rank       admit.Rank    `json:"rank"`
-	Inner      bool          `json:"inner,omitempty"`
-	Idempotent bool          `json:"idempotent,omitempty"`
-	Depth      int           `json:"depth"`
+	Caller  ident.Service `json:"caller,omitempty"`
+	Service ident.Service `json:"service"`
+	Class   ident.Class   `json:"class"`
+	Rank    admit.Rank    `json:"rank"`
+	Inner   bool          `json:"inner,omitempty"`
+	// Admitted is set when the entry has weighed the load of the call's tree.
+	Admitted bool `json:"admitted,omitempty"`
+	// Payer is the workspace whose share of the upstream the call takes: that
+	// of the action, also where Workspace is not shown to the upstream.
+	Payer      ident.Workspace `json:"payer,omitempty"`
+	Idempotent bool            `json:"idempotent,omitempty"`
+	Depth      int             `json:"depth"`
 	// Retries is lent to the call for all that it causes.
 	Retries   int   `json:"retries"`
 	TimeoutMs int64 `json:"timeout_ms"`
@@ -69,6 +75,8 @@
 	Reason fault.Reason `json:"reason,omitempty"`
 	Detail string       `json:"detail,omitempty"`
 	NotRun bool         `json:"not_run,omitempty"`
+	// Needs are what the call's tree needs of services that are full.
+	Needs []inflow.Need `json:"needs,omitempty"`
 	// Deeper is set when the failure came from a hop further on, which has
 	// done its own retries.
 	Deeper bool `json:"deeper,omitempty"`
--- a/io/proxy/calls.go
+++ b/io/proxy/calls.go
@@ -54,6 +54,27 @@
 	return s.budget.Left(), away, s.deeper
 }
 
+// deadlineMatch is how far the deadline of a call may lie from that of the call
+// that it was made for: the time left travels in whole milliseconds, and takes
+// a moment to arrive.
+const deadlineMatch = 15 * time.Millisecond
+
+// byDeadline finds the call that the upstream most likely made another one for,
+// where upstreams pass no trace context on: calls of theirs end at the deadline
+// of the call that they are made for.
+func (t *callTable) byDeadline(deadline time.Time) *servedCall {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var best *servedCall
+	nearest := deadlineMatch
+	for _, c := range t.calls {
+		if off := c.deadline.Sub(deadline).Abs(); off < nearest {
+			best, nearest = c, off
+		}
+	}
+	return best
+}
+
 // callTable finds the calls that run at the upstream.
 type callTable struct {
 	mu    sync.Mutex
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -132,7 +132,7 @@
 }
 
 func (p *Proxy) pick(c hop.Call, tried map[ident.VM]bool) (route.Candidate, bool) {
-	lane := admit.Lane(c.Class, c.Inner)
+	lane := admit.Lane(c.Class, c.Inner || c.Admitted)
 	vm, ok := p.fleet.pick(c.Service, lane, tried)
 	if !ok && len(tried) > 0 && p.passThrough() {
 		return p.fleet.pick(c.Service, lane, nil)
@@ -166,12 +166,31 @@
 		pause(ctx, suspectHold)
 		return false
 	}
+	if a.gateRefused() && n < gateTries {
+		return true // no upstream has seen the call
+	}
 	if !budget.Spend() || !p.fleet.mayRetry(o.call.Service) {
 		return false
 	}
 	return p.backoff(ctx, n)
 }
 
+// gateTries is how many further VMs are asked when gates have no room.
+const gateTries = 2
+
+// gateRefused reports whether the daemon beside an upstream refused the call:
+// asking another one costs no upstream anything.
+func (a attempt) gateRefused() bool {
+	if a.refusal == nil || !a.refusal.NotRun || a.deeper {
+		return false
+	}
+	switch a.refusal.Reason {
+	case fault.ReasonOverload, fault.ReasonDraining, fault.ReasonNoUpstream:
+		return true
+	}
+	return false
+}
+
 func retryable(o *outbound, r *fault.Refusal) bool {
 	switch r.Reason {
 	case fault.ReasonCancelled, fault.ReasonDeadline, fault.ReasonBodyTooLarge, fault.ReasonBadRequest:
@@ -226,6 +245,7 @@
 		p.report(o, vm, r, nil)
 		return attempt{refusal: r}
 	}
+	p.intake.learn(o.call.Route, answer.Needs)
 	if answer.Reason != "" {
 		defer stop()
 		drain(resp)
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -42,6 +43,12 @@
 	config    *board.Config
 	action    ident.ActionID
 	body      *payload
+	// parentClass is that of the call that this one was made for, if known.
+	parentClass ident.Class
+	// payer is the workspace of the action that the call belongs to.
+	payer ident.Workspace
+	// weighed is set when the load of the call's tree was known at entry.
+	weighed bool
 	// charged is the grant that has paid for the call.
 	charged ident.Grant
 }
@@ -79,8 +86,11 @@
 	return !in.spec.Idempotent && !in.spec.UniqueIDs
 }
 
-// class is the workspace's, where it has one, or the route's.
+// class is that of the call that this one serves, or the workspace's, where it has one, or the route's.
 func (in *admitted) class() ident.Class {
+	if in.parentClass != "" {
+		return in.parentClass
+	}
 	if c := in.config.State.Intent.Workspaces[in.workspace].Class; c != "" {
 		return c
 	}
@@ -123,6 +133,7 @@
 	}
 	in.body = body
 	in.service = p.fleet.share(in.route, in.spec.Services())
+	p.tie(r, in)
 	return in, nil
 }
 
@@ -197,9 +208,10 @@
 	if in.spec.Open {
 		return nil, 0
 	}
-	lane := admit.Lane(in.class(), false)
-	if p.fleet.shedding(in.service, lane) && !p.probes() {
-		return fault.Refuse(fault.ReasonOverload, "service %s sheds calls of class %s", in.service, in.class()), 0
+	refuses, weighed := p.intake.refuses(in.route, in.class(), p.draw())
+	in.weighed = weighed
+	if refuses {
+		return p.refuseInflow(in, remaining(ctx, p.opt.Clock.Now()))
 	}
 	if in.workspace == "" {
 		return nil, 0 // nobody has a key yet
@@ -240,15 +252,6 @@
 	}
 }
 
-// probes lets a few calls through to a service that sheds, so that its
-// recovery is noticed.
-func (p *Proxy) probes() bool {
-	const share = 0.05
-	p.rngMu.Lock()
-	defer p.rngMu.Unlock()
-	return p.rng.Float64() < share
-}
-
 // runOnce runs an action that must not run twice.
 func (p *Proxy) runOnce(ctx context.Context, w http.ResponseWriter, r *http.Request, in *admitted, began time.Time) {
 	id := dedup.ID{Workspace: in.workspace, Action: in.action}
@@ -367,6 +370,8 @@
 			Class:      in.class(),
 			Rank:       rankOf(in.workspace, action),
 			Inner:      in.inner(),
+			Admitted:   in.weighed,
+			Payer:      cmp.Or(in.payer, in.workspace),
 			Idempotent: in.spec.Idempotent,
 			Depth:      1,
 			Retries:    in.retries(),
@@ -379,6 +384,21 @@
 	}
 }
 
+// tie finds the call that the upstream on this VM made this one for. It tells
+// how important this one is, and what calls of that route need.
+func (p *Proxy) tie(r *http.Request, in *admitted) {
+	left, ok := p.opt.Dialect.TimeLeft(r.Header)
+	if !in.inner() || !ok {
+		return
+	}
+	parent := p.calls.byDeadline(p.opt.Clock.Now().Add(left))
+	if parent == nil {
+		return
+	}
+	in.parentClass, in.payer = parent.call.Class, parent.call.Payer
+	p.intake.called(parent.call.Route, in.route)
+}
+
 // inner reports whether the call was made by an upstream for one of its own:
 // where workspaces call with keys, open routes are those between services.
 func (in *admitted) inner() bool {
--- a/io/proxy/fleet.go
+++ b/io/proxy/fleet.go
@@ -94,16 +94,6 @@
 	return s.balancer.Pick(now, lane, tried)
 }
 
-// shedding reports whether the whole service refuses a lane at the moment.
-func (f *fleet) shedding(name ident.Service, lane int) bool {
-	s := f.service(name)
-	now := f.opt.Clock.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.refresh(now, f.opt.Board, name)
-	return s.balancer.Shedding(now, lane)
-}
-
 // refresh takes over the members when the blackboard has new ones.
 func (s *serviceState) refresh(now time.Time, b *board.Board, name ident.Service) {
 	members, config := b.Members.Read(), b.Config.Read()
--- a/io/proxy/gate.go
+++ b/io/proxy/gate.go
@@ -47,10 +47,11 @@
 	g.waiters[g.next] = verdict
 	effects := g.core.Arrive(now, admit.Request{
 		Ticket:    g.next,
-		Workspace: c.Workspace,
+		Workspace: c.Payer,
 		Class:     c.Class,
 		Rank:      c.Rank,
 		Inner:     c.Inner,
+		Admitted:  c.Admitted,
 		Deadline:  now.Add(time.Duration(c.TimeoutMs) * time.Millisecond),
 	})
 	g.apply(effects)
@@ -126,6 +127,13 @@
 	}
 }
 
+// refuse returns the share of the work for this upstream that should not enter.
+func (g *gate) refuse() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.Refuse()
+}
+
 func (g *gate) load() admit.Load {
 	now := g.opt.Clock.Now()
 	g.mu.Lock()
--- a/io/proxy/local.go
+++ b/io/proxy/local.go
@@ -160,6 +160,7 @@
 	call.Caller = p.opt.Config().Daemon.Service
 	call.Idempotent = spec.Idempotent
 	call.Inner = true
+	call.Payer = parent.call.Payer
 	call.Depth++
 	if spec.Class.Above(call.Class) {
 		call.Class = spec.Class
@@ -167,5 +168,6 @@
 	header := r.Header.Clone()
 	hop.StripInbound(header)
 	header.Set("Host", r.Host)
+	p.intake.called(parent.call.Route, name)
 	return &outbound{call: call, method: r.Method, url: r.URL, header: header, body: body, print: printOf(r, body)}, nil
 }
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -36,7 +36,7 @@
 	call, err := hop.GetCall(r.Header)
 	if err != nil {
 		p.opt.Log.Emit(event.MessageRefused, zap.String("from", r.RemoteAddr))
-		p.refusePeer(w, settlement{}, fault.Refuse(fault.ReasonNotMember, "this address is for daemons"))
+		p.refusePeer(w, call, settlement{}, fault.Refuse(fault.ReasonNotMember, "this address is for daemons"))
 		return
 	}
 	ctx, span := p.opt.Trace.Start(trace.Extract(r), "serve",
@@ -51,7 +51,7 @@
 func (p *Proxy) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, call hop.Call) (status int) {
 	served := p.opt.Board.Served.Read()
 	if r := p.unavailable(served, call); r != nil {
-		return p.refusePeer(w, settlement{unspent: call.Retries}, r)
+		return p.refusePeer(w, call, settlement{unspent: call.Retries}, r)
 	}
 	if p.passThrough() {
 		return p.forward(ctx, w, r, call, served, startProgress(w), func(admit.Sample) {})
@@ -61,7 +61,7 @@
 	ticket, refusal := p.gate.enter(ctx, call, served.Slots)
 	if refusal != nil {
 		told.stop()
-		return p.refusePeer(w, settlement{unspent: call.Retries}, refusal)
+		return p.refusePeer(w, call, settlement{unspent: call.Retries}, refusal)
 	}
 	return p.forward(ctx, w, r, call, served, told, func(s admit.Sample) { p.gate.leave(ticket, s) })
 }
@@ -78,10 +78,11 @@
 }
 
 // refusePeer answers another daemon in place of the upstream.
-func (p *Proxy) refusePeer(w http.ResponseWriter, s settlement, r *fault.Refusal) (status int) {
+func (p *Proxy) refusePeer(w http.ResponseWriter, call hop.Call, s settlement, r *fault.Refusal) (status int) {
 	p.opt.Meter.refused("serve", r.Reason)
 	hop.PutAnswer(w.Header(), hop.Answer{
 		Load: p.gate.load(), Unspent: s.unspent, Reason: r.Reason, Detail: r.Detail, NotRun: r.NotRun, Deeper: s.deeper,
+		Needs: p.intake.needs(call.Route, p.gate.refuse()),
 	})
 	WriteProblem(w, p.opt.Dialect, r, 0)
 	return StatusOf(r)
@@ -102,6 +103,7 @@
 		now := p.opt.Clock.Now()
 		_, away, _ := sc.summary(now)
 		sample.Own = now.Sub(began) - away
+		p.intake.ran(call.Route, now.Sub(began))
 		leave(sample)
 	}()
 	req, wrote := p.upstreamRequest(ctx, r, call, served, token)
@@ -110,15 +112,16 @@
 	unspent, _, deeper := sc.summary(p.opt.Clock.Now())
 	if err != nil {
 		refusal := p.upstreamRefusal(ctx, err, wrote.Load())
-		return p.refusePeer(w, settlement{unspent, deeper}, refusal)
+		return p.refusePeer(w, call, settlement{unspent, deeper}, refusal)
 	}
 	defer resp.Body.Close()
 	if bad := p.doubtful(req, resp); bad != nil {
-		return p.refusePeer(w, settlement{unspent, deeper}, bad)
+		return p.refusePeer(w, call, settlement{unspent, deeper}, bad)
 	}
 	sample.Shed = resp.StatusCode == http.StatusServiceUnavailable && !deeper
 	p.passBack(w, resp, hop.Answer{
 		Load: p.gate.load(), Unspent: unspent, Deeper: deeper, NotRun: p.opt.Dialect.ProvesNotRun(resp),
+		Needs: p.intake.needs(call.Route, p.gate.refuse()),
 	})
 	return resp.StatusCode
 }
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -79,6 +79,7 @@
 	fleet    *fleet
 	gate     *gate
 	calls    *callTable
+	intake   *intake
 	suspects *suspects
 	running  atomic.Int64
 	rngMu    sync.Mutex
@@ -100,6 +101,7 @@
 	}
 	p.fleet = newFleet(opt, rand.New(rand.NewPCG(opt.Seed+1, opt.Seed)))
 	p.gate = newGate(opt)
+	p.intake = newIntake(opt)
 	p.suspects = newSuspects(opt)
 	return p
 }
