--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -47,12 +47,17 @@
 type Request struct {
 	Ticket    Ticket
 	Workspace ident.Workspace
-	Class     ident.Class
-	Rank      Rank
+	// Route tells calls apart that take different times.
+	Route ident.Route
+	Class ident.Class
+	Rank  Rank
 	// Inner is set for a call made on behalf of a call admitted earlier.
 	Inner bool
 	// Admitted is set when the entry has weighed the load of this upstream.
 	Admitted bool
+	// Share is which part of the calls of its kind the entry let in; zero means
+	// all.
+	Share    float64
 	Deadline time.Time
 }
 
@@ -75,6 +80,9 @@
 type Sample struct {
 	// Own is the time that the upstream itself took, child calls left out.
 	Own time.Duration
+	// Held is for how long it held its slot, child calls included; zero means
+	// the same as Own.
+	Held time.Duration
 	// Shed is set when the upstream refused the call as overloaded.
 	Shed bool
 }
@@ -94,13 +102,16 @@
 	cfg     Config
 	limit   limiter
 	lanes   [laneCount]lane
-	running map[Ticket]struct{}
+	running map[Ticket]ident.Route
 	waiting int
 	// queuedSince is since when at least one call has waited.
 	queuedSince time.Time
-	own         time.Duration
-	shed        shedMark
-	pressure    pressure
+	// held is how long a call holds its slot, in the mean, and heldBy the same
+	// for each route.
+	held     time.Duration
+	heldBy   map[ident.Route]time.Duration
+	shed     shedMark
+	pressure pressure
 }
 
 // shedMark remembers the best lane from which a call was shed lately.
@@ -119,8 +130,8 @@
 	burstQueue   = 4
 	// shedMemory is how long a shed call keeps the level down.
 	shedMemory = 300 * time.Millisecond
-	// ownWeight is the weight of a new sample in the mean of own times.
-	ownWeight = 0.1
+	// heldWeight is the weight of a new sample in the mean times.
+	heldWeight = 0.1
 )
 
 // Lane returns the position of a call in the order of service, from 0.
@@ -141,21 +152,21 @@
 	return &Gate{
 		cfg:     cfg,
 		limit:   newLimiter(cfg.Slots),
-		running: map[Ticket]struct{}{},
+		running: map[Ticket]ident.Route{},
+		heldBy:  map[ident.Route]time.Duration{},
 		shed:    shedMark{lane: LevelOpen},
 	}
 }
 
 // Arrive offers a call.
 func (g *Gate) Arrive(now time.Time, r Request) []Effect {
-	g.pressure.advance(now, len(g.running))
+	g.pressure.arrived(now, g.heldBy[r.Route], r.Share)
 	if g.cannotFinish(now, r) {
-		g.pressure.refused++
 		return []Effect{Refuse{Ticket: r.Ticket, Reason: fault.ReasonDeadline}}
 	}
 	n := r.lane()
 	if g.waiting == 0 && len(g.running) < g.limit.current() {
-		return []Effect{g.start(r.Ticket)}
+		return []Effect{g.start(r)}
 	}
 	effects, in := g.makeRoom(now, n, r)
 	if !in {
@@ -175,7 +186,6 @@
 	for g.waiting >= g.room(now) {
 		victim, at := g.victim(n, r)
 		g.markShed(now, at)
-		g.pressure.refused++
 		effects = append(effects, Refuse{Ticket: victim, Reason: fault.ReasonOverload})
 		if victim == r.Ticket {
 			return effects, false
@@ -207,12 +217,14 @@
 
 // Finish takes back the slot of a call that ran.
 func (g *Gate) Finish(now time.Time, t Ticket, s Sample) []Effect {
-	if _, ran := g.running[t]; !ran {
+	route, ran := g.running[t]
+	if !ran {
 		return nil
 	}
-	g.pressure.advance(now, len(g.running))
-	g.limit.observe(now, s, len(g.running))
-	g.own = mean(g.own, s.Own)
+	g.limit.observe(now, route, s, len(g.running))
+	held := max(s.Held, s.Own)
+	g.held = mean(g.held, held)
+	g.heldBy[route] = mean(g.heldBy[route], held)
 	delete(g.running, t)
 	return g.fill(now)
 }
@@ -220,12 +232,9 @@
 // Tick refuses waiting calls whose time is up and starts what fits.
 func (g *Gate) Tick(now time.Time) []Effect {
 	var effects []Effect
-	g.pressure.advance(now, len(g.running))
-	defer func() { g.pressure.close(now, g.limit.current(), g.waiting, g.own) }()
 	for i := range g.lanes {
-		for _, r := range g.lanes[i].expired(now.Add(g.own)) {
+		for _, r := range g.lanes[i].expired(func(r Request) bool { return g.tooLate(now, r) }) {
 			g.waiting--
-			g.pressure.refused++
 			effects = append(effects, Refuse{Ticket: r.Ticket, Reason: fault.ReasonDeadline})
 		}
 	}
@@ -250,20 +259,25 @@
 	return Load{Running: len(g.running), Waiting: g.waiting, Limit: g.limit.current(), Level: level}
 }
 
-func (g *Gate) start(t Ticket) Effect {
-	g.running[t] = struct{}{}
-	return Start{Ticket: t}
+func (g *Gate) start(r Request) Effect {
+	g.running[r.Ticket] = r.Route
+	return Start{Ticket: r.Ticket}
+}
+
+// tooLate reports whether a call that starts now would pass its deadline.
+func (g *Gate) tooLate(now time.Time, r Request) bool {
+	return now.Add(g.heldBy[r.Route]).After(r.Deadline)
 }
 
 func (g *Gate) fill(now time.Time) []Effect {
 	var effects []Effect
 	for g.waiting > 0 && len(g.running) < g.limit.current() {
 		r := g.pop()
-		if now.Add(g.own).After(r.Deadline) {
+		if g.tooLate(now, r) {
 			effects = append(effects, Refuse{Ticket: r.Ticket, Reason: fault.ReasonDeadline})
 			continue
 		}
-		effects = append(effects, g.start(r.Ticket))
+		effects = append(effects, g.start(r))
 	}
 	return effects
 }
@@ -287,8 +301,8 @@
 			ahead += g.lanes[i].size
 		}
 	}
-	wait := g.own * time.Duration(ahead) / time.Duration(max(1, g.limit.current()))
-	return now.Add(wait + g.own).After(r.Deadline)
+	wait := g.held * time.Duration(ahead) / time.Duration(max(1, g.limit.current()))
+	return g.tooLate(now.Add(wait), r)
 }
 
 // victim chooses whom to shed for an arriving call of lane n, possibly the
@@ -318,5 +332,5 @@
 	if have == 0 {
 		return sample
 	}
-	return have + time.Duration(ownWeight*float64(sample-have))
+	return have + time.Duration(heldWeight*float64(sample-have))
 }
--- a/core/admit/lane.go
+++ b/core/admit/lane.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"chicorymast/core/ident"
 )
@@ -59,11 +58,12 @@
 	return false
 }
 
-func (l *lane) expired(now time.Time) []Request {
+// expired takes out the calls that are too late.
+func (l *lane) expired(late func(Request) bool) []Request {
 	var gone []Request
 	for _, w := range slices.Clone(l.turn) {
 		for i := len(l.queues[w]) - 1; i >= 0; i-- {
-			if r := l.queues[w][i]; now.After(r.Deadline) {
+			if r := l.queues[w][i]; late(r) {
 				gone = append(gone, r)
 				l.cut(w, i)
 			}
--- a/core/admit/limit.go
+++ b/core/admit/limit.go
@@ -1,23 +1,30 @@
 package admit
 
-import "time"
+import (
+	"time"
+
+	"chicorymast/core/ident"
+)
 
 // limiter learns how many calls an upstream takes at once, never above its
-// slots. Latency that has doubled, or a call that the upstream shed, lowers
+// slots. Each call is compared with the usual time of its own route, so that a
+// change of the mix does not look like a slow upstream. Latency that has doubled, or a call that the upstream shed, lowers
 // the limit by a tenth; a full window without either raises it by one.
 type limiter struct {
-	slots    int
-	limit    float64
-	baseline time.Duration
-	window   window
+	slots     int
+	limit     float64
+	baselines map[ident.Route]time.Duration
+	window    window
 }
 
 type window struct {
 	began   time.Time
 	samples int
-	total   time.Duration
-	shed    bool
-	full    bool
+	// total and counts are of the own times of each route.
+	total  map[ident.Route]time.Duration
+	counts map[ident.Route]int
+	shed   bool
+	full   bool
 }
 
 const (
@@ -36,20 +43,25 @@
 
 func newLimiter(slots int) limiter {
 	slots = max(1, slots)
-	return limiter{slots: slots, limit: float64(slots)}
+	return limiter{slots: slots, limit: float64(slots), baselines: map[ident.Route]time.Duration{}, window: newWindow()}
 }
 
 func (l *limiter) current() int {
 	return max(1, int(l.limit))
 }
 
-func (l *limiter) observe(now time.Time, s Sample, running int) {
+func newWindow() window {
+	return window{total: map[ident.Route]time.Duration{}, counts: map[ident.Route]int{}}
+}
+
+func (l *limiter) observe(now time.Time, r ident.Route, s Sample, running int) {
 	w := &l.window
 	if w.samples == 0 {
 		w.began = now
 	}
 	w.samples++
-	w.total += s.Own
+	w.total[r] += s.Own
+	w.counts[r]++
 	w.shed = w.shed || s.Shed
 	w.full = w.full || running >= l.current()
 	if w.samples >= windowSamples && now.Sub(w.began) >= windowLength {
@@ -59,10 +71,8 @@
 
 func (l *limiter) closeWindow() {
 	w := l.window
-	l.window = window{}
-	average := w.total / time.Duration(w.samples)
-	slow := l.baseline > 0 && float64(average) > slowdown*float64(l.baseline)
-	l.follow(average)
+	l.window = newWindow()
+	slow := l.slower(w) > slowdown
 	switch {
 	case w.shed:
 		l.limit = max(1, l.limit*decrease)
@@ -73,10 +83,28 @@
 	}
 }
 
-func (l *limiter) follow(average time.Duration) {
-	if l.baseline == 0 || average < l.baseline {
-		l.baseline = average
-		return
+// slower returns how many times as long as usual the calls of a window took,
+// and lets the usual times follow.
+func (l *limiter) slower(w window) float64 {
+	ratio, calls := 0.0, 0
+	for r, n := range w.counts {
+		average := w.total[r] / time.Duration(n)
+		usual := l.baselines[r]
+		if usual > 0 {
+			ratio += float64(n) * float64(average) / float64(usual)
+			calls += n
+		}
+		l.baselines[r] = follow(usual, average)
+	}
+	if calls == 0 {
+		return 1
+	}
+	return ratio / float64(calls)
+}
+
+func follow(usual, average time.Duration) time.Duration {
+	if usual == 0 || average < usual {
+		return average
 	}
-	l.baseline = min(average, time.Duration(baselineDrift*float64(l.baseline)))
+	return min(average, time.Duration(baselineDrift*float64(usual)))
 }
--- a/core/admit/pressure.go
+++ b/core/admit/pressure.go
@@ -1,79 +1,52 @@
 package admit
 
 import (
-	"math"
 	"time"
+
+	"chicorymast/core/meter"
 )
 
 // pressure learns which share of the work that is meant for an upstream should
-// enter the fleet, so that the upstream is kept just below saturation: an
-// integral controller on the logarithm of the share. What is offered counts
-// what was refused here and what the queue has grown by, besides what ran.
+// not enter the fleet, so that the upstream is kept just below saturation. Each
+// call says at which share its kind was let in, so what was kept out is known
+// from what came: a call let in at one in four stands for four. That makes the
+// answer independent of what is refused at the moment, and it does not swing.
 type pressure struct {
-	share float64
-	began time.Time
-	last  time.Time
-	// busy is the integral of the running calls over time, in call seconds.
-	busy    float64
-	refused int
-	// waiting is the length of the queue when the window began.
-	waiting int
+	// demand is the work that would come if all were let in, in slot seconds.
+	demand meter.Meter
 }
 
 const (
-	pressureWindow = 100 * time.Millisecond
+	// demandMemory is over how long the demand is averaged: a few hundred calls
+	// of the smallest upstreams.
+	demandMemory = time.Second
 	// busyTarget is the part of the slots to be kept busy; the rest is room for
 	// what comes unevenly.
-	busyTarget = 0.92
-	// pressureGain is how much of a deviation each window corrects. Its effect
-	// shows after a call tree has run, in about a second, so about ten windows
-	// together must not correct it more than once.
-	pressureGain = 0.08
-	// shareLeast keeps some work coming, whose fate tells when there is room.
-	shareLeast = 0.03
+	busyTarget = 0.95
 	// drainTime is in which a standing queue should be gone.
 	drainTime = time.Second
+	// shareLeast bounds what one call may stand for.
+	shareLeast = 0.03
 )
 
-// advance integrates up to a time; call it before the running calls change.
-func (p *pressure) advance(now time.Time, running int) {
-	if p.last.IsZero() {
-		p.last, p.began, p.share = now, now, 1
-		return
-	}
-	if passed := now.Sub(p.last); passed > 0 {
-		p.busy += float64(running) * passed.Seconds()
-		p.last = now
-	}
-}
-
-// close ends a window that is long enough and corrects the share.
-func (p *pressure) close(now time.Time, limit, waiting int, held time.Duration) {
-	span := now.Sub(p.began).Seconds()
-	if span < pressureWindow.Seconds() {
-		return
-	}
-	capacity := float64(limit) * span
-	work := p.busy + float64(p.refused)*held.Seconds()
-	work += max(0, float64(waiting-p.waiting)) * held.Seconds()
-	offered := work / capacity
-	if waiting > 0 && p.waiting > 0 {
-		offered += float64(waiting) * held.Seconds() / (float64(limit) * drainTime.Seconds())
+// arrived counts a call that holds a slot for a time, let in at a share.
+func (p *pressure) arrived(now time.Time, held time.Duration, share float64) {
+	if p.demand == (meter.Meter{}) {
+		p.demand = meter.New(demandMemory)
 	}
-	if offered > 0 {
-		p.share *= math.Pow(busyTarget/offered, pressureGain)
-	} else {
-		p.share = 1
+	if share <= 0 {
+		share = 1
 	}
-	p.share = min(1, max(shareLeast, p.share))
-	p.began, p.busy, p.refused, p.waiting = now, 0, 0, waiting
+	p.demand.Add(now, held.Seconds()/max(share, shareLeast))
 }
 
 // Refuse returns the share of the work for this upstream that should not enter
 // the fleet, from 0 to 1.
-func (g *Gate) Refuse() float64 {
-	if g.pressure.share == 0 {
+func (g *Gate) Refuse(now time.Time) float64 {
+	demand := g.pressure.demand.Rate(now)
+	room := busyTarget*float64(g.limit.current()) - float64(g.waiting)*g.held.Seconds()/drainTime.Seconds()
+	if demand <= room {
 		return 0
 	}
-	return 1 - g.pressure.share
+	return 1 - max(shareLeast, room/demand)
 }
--- a/core/inflow/inflow.go
+++ b/core/inflow/inflow.go
@@ -31,6 +31,7 @@
 	"time"
 
 	"chicorymast/core/ident"
+	"chicorymast/core/meter"
 )
 
 // Need is what one call of a route needs of one service in its tree.
@@ -65,7 +66,7 @@
 
 type routeState struct {
 	class  ident.Class
-	demand decayed
+	demand meter.Meter
 	needs  map[ident.Service]need
 }
 
@@ -82,7 +83,7 @@
 func (t *Tree) route(r ident.Route) *routeState {
 	s := t.routes[r]
 	if s == nil {
-		s = &routeState{demand: decayed{over: demandMemory}, needs: map[ident.Service]need{}}
+		s = &routeState{demand: meter.New(demandMemory), needs: map[ident.Service]need{}}
 		t.routes[r] = s
 	}
 	return s
@@ -148,7 +149,7 @@
 func (t *Tree) Offered(now time.Time, r ident.Route, c ident.Class) {
 	s := t.route(r)
 	s.class = c
-	s.demand.add(now, 1)
+	s.demand.Add(now, 1)
 }
 
 // RefuseShare returns the share of a route's new calls that should be refused
@@ -174,7 +175,7 @@
 	total := 0.0
 	for _, s := range t.routes {
 		if n, uses := s.needs[svc]; uses {
-			work := s.demand.rate(now) * n.cost
+			work := s.demand.Rate(now) * n.cost
 			demand[s.class.Index()] += work
 			total += work
 		}
@@ -189,30 +190,3 @@
 	}
 	return min(1, left/own)
 }
-
-// decayed is a sum whose parts fade away.
-type decayed struct {
-	over time.Duration
-	sum  float64
-	at   time.Time
-}
-
-func (d *decayed) add(now time.Time, n float64) {
-	d.fade(now)
-	d.sum += n
-}
-
-func (d *decayed) fade(now time.Time) {
-	if passed := now.Sub(d.at); passed > 0 {
-		if !d.at.IsZero() {
-			d.sum *= math.Exp(-passed.Seconds() / d.over.Seconds())
-		}
-		d.at = now
-	}
-}
-
-// rate returns the mean per second.
-func (d *decayed) rate(now time.Time) float64 {
-	d.fade(now)
-	return d.sum / d.over.Seconds()
-}
--- a/core/inflow/profile.go
+++ b/core/inflow/profile.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chicorymast/core/ident"
+	"chicorymast/core/meter"
 )
 
 // Profiles is what the daemon beside an upstream learns of the routes that run
@@ -13,9 +14,9 @@
 }
 
 type profile struct {
-	runs  decayed
-	held  decayed
-	calls map[ident.Route]*decayed
+	runs  meter.Meter
+	held  meter.Meter
+	calls map[ident.Route]*meter.Meter
 }
 
 // NewProfiles returns profiles without a run.
@@ -26,7 +27,7 @@
 func (p *Profiles) route(r ident.Route) *profile {
 	have := p.routes[r]
 	if have == nil {
-		have = &profile{runs: decayed{over: profileMemory}, held: decayed{over: profileMemory}, calls: map[ident.Route]*decayed{}}
+		have = &profile{runs: meter.New(profileMemory), held: meter.New(profileMemory), calls: map[ident.Route]*meter.Meter{}}
 		p.routes[r] = have
 	}
 	return have
@@ -35,8 +36,8 @@
 // Ran notes a run that held a slot for a time.
 func (p *Profiles) Ran(now time.Time, r ident.Route, held time.Duration) {
 	have := p.route(r)
-	have.runs.add(now, 1)
-	have.held.add(now, held.Seconds())
+	have.runs.Add(now, 1)
+	have.held.Add(now, held.Seconds())
 }
 
 // Called notes a call that a run of a route made to another service.
@@ -44,10 +45,11 @@
 	have := p.route(r)
 	calls := have.calls[child]
 	if calls == nil {
-		calls = &decayed{over: profileMemory}
+		m := meter.New(profileMemory)
+		calls = &m
 		have.calls[child] = calls
 	}
-	calls.add(now, 1)
+	calls.Add(now, 1)
 }
 
 // Needs returns what one call of a route needs, of the upstream's own service
@@ -57,17 +59,14 @@
 	if have == nil {
 		return nil
 	}
-	have.runs.fade(now)
-	have.held.fade(now)
-	runs := max(1, have.runs.sum)
+	runs := max(1, have.runs.Sum(now))
 	sum := map[ident.Service]Need{}
 	if refuse >= refuseLeast {
-		sum[service] = Need{Service: service, Cost: have.held.sum / runs, Refuse: refuse}
+		sum[service] = Need{Service: service, Cost: have.held.Sum(now) / runs, Refuse: refuse}
 	}
 	for child, calls := range have.calls {
-		calls.fade(now)
 		for _, n := range tree.Needs(now, child) {
-			merge(sum, n, calls.sum/runs)
+			merge(sum, n, calls.Sum(now)/runs)
 		}
 	}
 	out := make([]Need, 0, len(sum))
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"chicorymast/core/meter"
 )
 
 // fetchTime is for how long of its demand a daemon wants to hold tokens.
@@ -12,7 +14,7 @@
 type Holder struct {
 	tokens float64
 	until  time.Time
-	demand meter
+	demand meter.Meter
 	// used is what was spent since the owner was asked last.
 	used float64
 	// refund counts calls that were charged and have not run.
@@ -25,8 +27,10 @@
 
 // Take spends one token, if there is one.
 func (h *Holder) Take(now time.Time) bool {
-	h.demand.over = holderMemory
-	h.demand.add(now, 1)
+	if h.demand == (meter.Meter{}) {
+		h.demand = meter.New(holderMemory)
+	}
+	h.demand.Add(now, 1)
 	return h.Retry(now)
 }
 
@@ -64,10 +68,7 @@
 
 // ahead is how many tokens to have for later calls.
 func (h *Holder) ahead(now time.Time) float64 {
-	if h.demand.over == 0 {
-		return 0
-	}
-	return math.Floor(h.demand.rate(now) * fetchTime.Seconds())
+	return math.Floor(h.demand.Rate(now) * fetchTime.Seconds())
 }
 
 // Low reports whether it is time to fetch ahead of the demand.
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chicorymast/core/ident"
+	"chicorymast/core/meter"
 )
 
 const (
@@ -84,7 +85,7 @@
 	seen map[ident.VM]uint64
 	// spending are tokens on their way to calls that wait, oldest first.
 	spending []held
-	demand   meter
+	demand   meter.Meter
 	// idleUntil is the end of the wait after a takeover.
 	idleUntil time.Time
 }
@@ -108,7 +109,7 @@
 	return &Owner{
 		rate: float64(rate), burst: float64(burst), base: base, at: idleUntil,
 		out: map[ident.VM]held{}, seen: map[ident.VM]uint64{}, idleUntil: idleUntil,
-		demand: meter{over: ownerMemory},
+		demand: meter.New(ownerMemory),
 	}
 }
 
@@ -155,7 +156,7 @@
 		o.tokens += max(0, w.Refund)
 		o.cap()
 	}
-	o.demand.add(now, w.Used)
+	o.demand.Add(now, w.Used)
 	if now.Before(o.idleUntil) && o.tokens < 1 {
 		// Only tokens that others have lent can lie here before that time.
 		return Lease{WaitMs: ceilMs(o.idleUntil.Sub(now))}
@@ -330,7 +331,7 @@
 // Idle reports whether nothing was asked for lately and nothing is lent.
 func (o *Owner) Idle(now time.Time) bool {
 	o.advance(now)
-	return o.demand.rate(now) < epsilon && len(o.lent)+len(o.borrowed)+len(o.out)+len(o.spending) == 0
+	return o.demand.Rate(now) < epsilon && len(o.lent)+len(o.borrowed)+len(o.out)+len(o.spending) == 0
 }
 
 func (o *Owner) ownShare() float64 {
@@ -344,7 +345,7 @@
 // needed is the share of the whole rate that the demand here amounts to, with
 // some room.
 func (o *Owner) needed(now time.Time, room float64) float64 {
-	return min(1, room*o.demand.rate(now)/o.rate)
+	return min(1, room*o.demand.Rate(now)/o.rate)
 }
 
 // advance lets time pass: tokens accrue, loans and leases end, each at its
@@ -404,30 +405,3 @@
 func ceilMs(d time.Duration) int64 {
 	return int64((d + time.Millisecond - 1) / time.Millisecond)
 }
-
-// meter averages what is asked for over time.
-type meter struct {
-	over time.Duration
-	sum  float64
-	at   time.Time
-}
-
-func (m *meter) add(now time.Time, n float64) {
-	m.decay(now)
-	m.sum += n
-}
-
-// rate returns tokens per second.
-func (m *meter) rate(now time.Time) float64 {
-	m.decay(now)
-	return m.sum / m.over.Seconds()
-}
-
-func (m *meter) decay(now time.Time) {
-	if !m.at.IsZero() && now.After(m.at) {
-		m.sum *= math.Exp(-now.Sub(m.at).Seconds() / m.over.Seconds())
-	}
-	if now.After(m.at) {
-		m.at = now
-	}
-}
--- a/io/hop/hop.go
+++ b/io/hop/hop.go
@@ -55,8 +55,9 @@
 	Class   ident.Class   `json:"class"`
 	Rank    admit.Rank    `json:"rank"`
 	Inner   bool          `json:"inner,omitempty"`
-	// Admitted is set when the entry has weighed the load of the call's tree.
-	Admitted bool `json:"admitted,omitempty"`
+	// Share is which part of the calls of its kind the entry lets in at the
+	// moment, having weighed the load of the call's tree; 1 is all.
+	Share float64 `json:"share"`
 	// Payer is the workspace whose share of the upstream the call takes: that
 	// of the action, also where Workspace is not shown to the upstream.
 	Payer      ident.Workspace `json:"payer,omitempty"`
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -43,12 +42,10 @@
 	config    *board.Config
 	action    ident.ActionID
 	body      *payload
-	// parentClass is that of the call that this one was made for, if known.
-	parentClass ident.Class
-	// payer is the workspace of the action that the call belongs to.
-	payer ident.Workspace
-	// weighed is set when the load of the call's tree was known at entry.
-	weighed bool
+	// parent is the call that this one was made for, if it is known.
+	parent *servedCall
+	// share is which part of the calls of its kind is let in at the moment.
+	share float64
 	// charged is the grant that has paid for the call.
 	charged ident.Grant
 }
@@ -88,8 +85,8 @@
 
 // class is that of the call that this one serves, or the workspace's, where it has one, or the route's.
 func (in *admitted) class() ident.Class {
-	if in.parentClass != "" {
-		return in.parentClass
+	if in.parent != nil {
+		return in.parent.call.Class
 	}
 	if c := in.config.State.Intent.Workspaces[in.workspace].Class; c != "" {
 		return c
@@ -208,9 +205,8 @@
 	if in.spec.Open {
 		return nil, 0
 	}
-	refuses, weighed := p.intake.refuses(in.route, in.class(), p.draw())
-	in.weighed = weighed
-	if refuses {
+	in.share = p.intake.share(in.route, in.class())
+	if p.draw() >= in.share {
 		return p.refuseInflow(in, remaining(ctx, p.opt.Clock.Now()))
 	}
 	if in.workspace == "" {
@@ -340,7 +336,7 @@
 }
 
 func (p *Proxy) run(ctx context.Context, w http.ResponseWriter, r *http.Request, in *admitted, began time.Time) {
-	answer, _, refusal := p.dispatch(ctx, p.outbound(r, in))
+	answer, refusal := p.send(ctx, p.outbound(r, in), in.parent)
 	if refusal != nil {
 		p.refund(in, refusal)
 		p.refuseEntry(w, in.route, refusal, 0, began)
@@ -370,8 +366,8 @@
 			Class:      in.class(),
 			Rank:       rankOf(in.workspace, action),
 			Inner:      in.inner(),
-			Admitted:   in.weighed,
-			Payer:      cmp.Or(in.payer, in.workspace),
+			Share:      in.letIn(),
+			Payer:      in.payer(),
 			Idempotent: in.spec.Idempotent,
 			Depth:      1,
 			Retries:    in.retries(),
@@ -395,7 +391,7 @@
 	if parent == nil {
 		return
 	}
-	in.parentClass, in.payer = parent.call.Class, parent.call.Payer
+	in.parent = parent
 	p.intake.called(parent.call.Route, in.route)
 }
 
@@ -405,6 +401,25 @@
 	return in.workspace == "" && in.spec.Open && len(in.config.State.Intent.Workspaces) > 0
 }
 
+// letIn is the share at which the action was let in that the call belongs to.
+func (in *admitted) letIn() float64 {
+	switch {
+	case in.parent != nil:
+		return in.parent.call.Share
+	case in.share > 0:
+		return in.share
+	}
+	return 1
+}
+
+// payer is the workspace of the action that the call belongs to.
+func (in *admitted) payer() ident.Workspace {
+	if in.parent != nil {
+		return in.parent.call.Payer
+	}
+	return in.workspace
+}
+
 // retries is how often the call may be sent again.
 func (in *admitted) retries() int {
 	if in.spec.Attempts > 0 {
--- a/io/proxy/gate.go
+++ b/io/proxy/gate.go
@@ -48,10 +48,12 @@
 	effects := g.core.Arrive(now, admit.Request{
 		Ticket:    g.next,
 		Workspace: c.Payer,
+		Route:     c.Route,
 		Class:     c.Class,
 		Rank:      c.Rank,
 		Inner:     c.Inner,
-		Admitted:  c.Admitted,
+		Admitted:  c.Share < 1,
+		Share:     c.Share,
 		Deadline:  now.Add(time.Duration(c.TimeoutMs) * time.Millisecond),
 	})
 	g.apply(effects)
@@ -131,7 +133,7 @@
 func (g *gate) refuse() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.core.Refuse()
+	return g.core.Refuse(g.opt.Clock.Now())
 }
 
 func (g *gate) load() admit.Load {
--- a/io/proxy/inflow.go
+++ b/io/proxy/inflow.go
@@ -22,14 +22,13 @@
 	return &intake{opt: opt, tree: inflow.NewTree(), profiles: inflow.NewProfiles()}
 }
 
-// refuses reports whether a new call should not enter, and whether any service
-// of its tree asks to refuse some. The draw is from 0 to 1.
-func (i *intake) refuses(r ident.Route, c ident.Class, draw float64) (refuse, weighed bool) {
+// share returns which part of the new calls of a route to let in.
+func (i *intake) share(r ident.Route, c ident.Class) float64 {
 	now := i.opt.Clock.Now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.tree.Offered(now, r, c)
-	return draw < i.tree.RefuseShare(now, r), len(i.tree.Needs(now, r)) > 0
+	return 1 - i.tree.RefuseShare(now, r)
 }
 
 // learn takes what an answer told of its tree.
--- a/io/proxy/local.go
+++ b/io/proxy/local.go
@@ -125,7 +125,7 @@
 		p.refuseEntry(w, "", refusal, 0, began)
 		return
 	}
-	answer, refusal := p.dispatchChild(ctx, o, parent)
+	answer, refusal := p.send(ctx, o, parent)
 	if refusal != nil {
 		p.refuseEntry(w, o.call.Route, refusal, 0, began)
 		return
@@ -133,11 +133,18 @@
 	p.write(w, o.call.Route, answer, began)
 }
 
-func (p *Proxy) dispatchChild(ctx context.Context, o *outbound, parent *servedCall) (*answered, *fault.Refusal) {
+// send dispatches a call. One that was made for another has its retries from
+// that one's budget, and its time does not count as the parent's own.
+func (p *Proxy) send(ctx context.Context, o *outbound, parent *servedCall) (*answered, *fault.Refusal) {
+	if parent == nil {
+		answer, _, refusal := p.dispatch(ctx, o)
+		return answer, refusal
+	}
 	lent := parent.lend(p.opt.Clock.Now())
-	o.call.Retries = lent
+	o.call.Retries = min(o.call.Retries, lent)
+	kept := lent - o.call.Retries
 	answer, s, refusal := p.dispatch(ctx, o)
-	parent.settle(p.opt.Clock.Now(), lent, s.unspent, refusal != nil || s.deeper)
+	parent.settle(p.opt.Clock.Now(), lent, kept+s.unspent, refusal != nil || s.deeper)
 	return answer, refusal
 }
 
@@ -156,6 +163,7 @@
 		return nil, asRefusal(err)
 	}
 	call := parent.call
+	call.Retries = config.State.Intent.Limits.Retries
 	call.Route, call.Service = name, p.fleet.share(name, spec.Services())
 	call.Caller = p.opt.Config().Daemon.Service
 	call.Idempotent = spec.Idempotent
