--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -17,7 +17,7 @@
 	// an answer that comes later is of no use for them.
 	SpendTime = 50 * time.Millisecond
 	// LoanTime is how long one data centre may use another's share.
-	LoanTime = 4 * time.Second
+	LoanTime = 1500 * time.Millisecond
 	// TokenLoanTime is how long tokens that calls wait for are lent.
 	TokenLoanTime = 500 * time.Millisecond
 	// holderMargin of a lease's time is kept back by who received it, for
