--- a/config/control.go
+++ b/config/control.go
@@ -68,10 +68,15 @@
 	return addresses
 }
 
-func (c *Control) check(cfg *Config) (key, problem string) {
+func (c *Control) checkSeeds() (key, problem string) {
 	if len(c.Voters)+len(c.Seeds) == 0 {
 		return "voters", "is missing: name at least one control daemon as VM=IP:port, or seeds"
 	}
+	for _, address := range c.Seeds {
+		if problem := checkAddress(address); problem != "" {
+			return "seeds", problem
+		}
+	}
 	if c.SeedPort < 0 || c.SeedPort > math.MaxUint16 {
 		return "seed_port", "is not a port"
 	}
@@ -79,6 +84,13 @@
 	if c.Tolerate < 0 || c.Tolerate > mostLost {
 		return "tolerate", "must be between 0 and 10"
 	}
+	return "", ""
+}
+
+func (c *Control) check(cfg *Config) (key, problem string) {
+	if key, problem := c.checkSeeds(); problem != "" {
+		return key, problem
+	}
 	seen := map[string]bool{}
 	for _, text := range c.Voters {
 		vm, address, ok := strings.Cut(text, "=")
@@ -93,11 +105,6 @@
 		}
 		seen[vm], seen[address] = true, true
 	}
-	for _, address := range c.Seeds {
-		if problem := checkAddress(address); problem != "" {
-			return "seeds", problem
-		}
-	}
 	if len(c.Voters) > 0 && cfg.Daemon.Role == RoleControl && !c.Join && !seen[string(cfg.Daemon.VM)] {
 		return "voters", fmt.Sprintf("does not name this control daemon, %s; set join = true to have it added later", cfg.Daemon.VM)
 	}
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -308,3 +308,29 @@
 		}
 	}
 }
+
+// A read at a leader that was replaced meanwhile is never confirmed, so that it
+// can't answer with what the others have changed since.
+func TestReadNeedsAMajority(t *testing.T) {
+	c := newCluster(3, 0, 5)
+	c.run(4 * testElection)
+	lead := mustLead(t, c)
+	node := c.hosts[lead].node
+	_, round, err := node.BeginRead()
+	assert.NilError(t, err)
+	c.run(testElection)
+	assert.Assert(t, node.Confirmed() >= round)
+
+	c.isolate(lead, true, true)
+	_, round, err = node.BeginRead()
+	assert.NilError(t, err)
+	c.run(6 * testElection)
+	assert.Assert(t, node.Confirmed() < round, "an isolated leader confirmed a read")
+	for _, id := range c.names {
+		if id != mustLead(t, c) {
+			_, _, err := c.hosts[id].node.BeginRead()
+			assert.ErrorIs(t, err, ErrNotLeader)
+		}
+	}
+	mustSound(t, c)
+}
--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -30,6 +30,8 @@
 	renewed time.Time
 	// last is the newest announcement, also after its upstream has left.
 	last proxy.Announcement
+	// left is set when that upstream has said that it leaves.
+	left bool
 }
 
 // Announce takes or renews the upstream's announcement. One that was overtaken
@@ -45,6 +47,10 @@
 	}
 	again := h.sameLife(a)
 	h.last, h.renewed = a, h.clock.Now()
+	if again && h.left && a.StartedMs > 0 {
+		return h.lease, nil // sent before it left
+	}
+	h.left = false
 	have := h.board.Served.Read()
 	next := board.Served{
 		Served:     member.Served{Service: a.Service, Upstream: a.Upstream, Slots: a.Slots, Phase: member.PhaseUp},
@@ -100,6 +106,9 @@
 // Leave ends the announcement. The upstream goes on running for a moment, so
 // late announcements of the same life must not bring it back.
 func (h *host) Leave(u ident.Upstream) {
+	h.mu.Lock()
+	h.left = h.left || u == "" || u == h.last.Upstream
+	h.mu.Unlock()
 	h.setPhase(u, member.PhaseGone, event.UpstreamLeft)
 }
 
--- a/io/hop/dialect.go
+++ b/io/hop/dialect.go
@@ -113,7 +113,8 @@
 		return strconv.FormatInt(int64((wait+time.Second-1)/time.Second), 10)
 	}
 	const decimals = 3
-	return strconv.FormatFloat((wait + time.Millisecond - 1).Seconds(), 'f', decimals, 64)
+	up := (wait + time.Millisecond - 1).Truncate(time.Millisecond)
+	return strconv.FormatFloat(up.Seconds(), 'f', decimals, 64)
 }
 
 func set(h http.Header, name, value string) {
