--- a/core/intent/intent_test.go
+++ b/core/intent/intent_test.go
@@ -121,3 +121,54 @@
 		assert.Assert(t, Diff(in, in).Empty())
 	})
 }
+
+const byPrefix = `
+[data_centre a]
+[service s]
+[service s2]
+[route r]
+host = h.example
+prefix = /p/
+split = s:90, s2:10
+attempts = 2
+target_latency = 500ms
+unique_ids = true
+[workspace w]
+all_routes = true
+rate = 20
+class = low
+key_digests = ` + someDigest + `
+`
+
+const someDigest = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+
+func TestPrefixesSplitsAndWholeWorkspaces(t *testing.T) {
+	in, err := Parse("intent.ini", []byte(byPrefix))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, in.Routes["r"].Split, []SplitPart{{Service: "s", Weight: 90}, {Service: "s2", Weight: 10}})
+	g := in.Grant(WholeGrant("w"))
+	assert.Equal(t, g.Rate, ident.Rate(20))
+	assert.Equal(t, g.Burst, ident.Burst(20), "a second's worth when no burst is given")
+	for name, c := range map[string]struct{ from, to, why string }{
+		"path and prefix":      {"prefix = /p/", "prefix = /p/\npath = /p", "either a path or a prefix"},
+		"host without prefix":  {"prefix = /p/", "path = /p\nmethod = GET", "needs a prefix"},
+		"prefix without slash": {"prefix = /p/", "prefix = /p", "begin and end with /"},
+		"split and service":    {"split =", "service = s\nsplit =", "either a service or a split"},
+		"split without weight": {"s2:10", "s2", "split"},
+		"unknown part":         {"s2:10", "s3:10", `no service "s3"`},
+		"no weight at all":     {"s:90, s2:10", "s:0", "no part has a weight"},
+		"too many attempts":    {"attempts = 2", "attempts = 99", "attempts"},
+		"target above timeout": {"500ms", "66s", "target_latency"},
+		"timeout too long":     {"500ms", "500ms\ntimeout = 601s", "timeout"},
+		"rate without routes":  {"all_routes = true", "", "all_routes"},
+		"odd class":            {"class = low", "class = lowest", "class"},
+		"not a digest":         {someDigest, "secret", "SHA-256"},
+		"key of two":           {"[workspace w]", "[workspace v]\nkey_digests = " + someDigest + "\n[workspace w]", "already that of workspace"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Assert(t, strings.Contains(byPrefix, c.from), "the case changes nothing")
+			_, err := Parse("intent.ini", []byte(strings.Replace(byPrefix, c.from, c.to, 1)))
+			assert.ErrorContains(t, err, c.why)
+		})
+	}
+}
