--- a/config/calls.go
+++ b/config/calls.go
@@ -17,11 +17,10 @@
 	// HeaderTimeout is how long a caller may take to send its header.
 	HeaderTimeout time.Duration `ini:"header_timeout"`
 	// RetryRatio and RetrySlack bound the repetitions towards each service over
-	// the whole fleet: a share of its calls, and a number besides within
-	// RetryWindow. Every daemon keeps to its part of both.
-	RetryRatio  float64       `ini:"retry_ratio"`
-	RetrySlack  int           `ini:"retry_slack"`
-	RetryWindow time.Duration `ini:"retry_window"`
+	// the whole fleet: a share of its calls, and a number besides that is saved
+	// up. Every daemon keeps to its part of both.
+	RetryRatio float64 `ini:"retry_ratio"`
+	RetrySlack int     `ini:"retry_slack"`
 	// Connections is how many connections the caller's listener takes.
 	Connections int `ini:"connections"`
 }
@@ -36,7 +35,6 @@
 		HeaderTimeout:   5 * time.Second,
 		RetryRatio:      0.1,
 		RetrySlack:      100,
-		RetryWindow:     10 * time.Second,
 		Connections:     4096,
 	}
 }
@@ -59,8 +57,6 @@
 		return "retry_ratio", "must be between 0 and 1"
 	case c.RetrySlack < 0:
 		return "retry_slack", "can't be below zero"
-	case c.RetryWindow <= 0:
-		return "retry_window", "must be above zero"
 	case c.Connections < 1:
 		return "connections", "must be at least 1"
 	}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -123,17 +123,6 @@
 	return p.Candidate, true
 }
 
-// Shedding reports whether every VM of the service says that it sheds work
-// of a lane at the moment.
-func (b *Balancer) Shedding(now time.Time, lane int) bool {
-	for _, p := range b.order {
-		if !p.shedding(now, lane) {
-			return false
-		}
-	}
-	return len(b.order) > 0
-}
-
 // Done takes a call's result.
 func (b *Balancer) Done(now time.Time, vm ident.VM, r Report) {
 	p := b.peers[vm]
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -128,9 +128,11 @@
 	for _, vm := range []ident.VM{"near-0", "near-1"} {
 		b.Done(epoch, vm, Report{Outcome: OutcomeRefused, Load: &load})
 	}
-	assert.Assert(t, b.Shedding(epoch, 5))
-	assert.Assert(t, !b.Shedding(epoch, 3), "more important work still has a chance")
-	assert.Assert(t, !b.Shedding(epoch.Add(time.Second), 5))
+	for _, p := range b.order {
+		assert.Assert(t, p.shedding(epoch, 5))
+		assert.Assert(t, !p.shedding(epoch, 3), "more important work still has a chance")
+		assert.Assert(t, !p.shedding(epoch.Add(time.Second), 5))
+	}
 }
 
 func BenchmarkPick(b *testing.B) {
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -20,11 +20,9 @@
 	"time"
 
 	"chicorymast/core/board"
-	"chicorymast/core/fault"
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
 	"chicorymast/core/poison"
-	"chicorymast/core/state"
 	"chicorymast/io/event"
 	"chicorymast/io/timer"
 	"chicorymast/io/wire"
@@ -328,116 +326,3 @@
 	}
 	return a.version
 }
-
-func (a *Agent) take(reply wire.SyncReply) {
-	a.takeMembers(reply)
-	if !a.opt.FollowConfig {
-		return
-	}
-	if reply.Config != nil {
-		a.takeConfig(*reply.Config)
-	}
-	a.takeFreshness(reply)
-}
-
-func (a *Agent) takeMembers(reply wire.SyncReply) {
-	a.mark = reply.Directory
-	if reply.Whole {
-		a.members = make(map[ident.VM]member.Entry, len(reply.Members))
-	}
-	if !reply.Whole && len(reply.Members) == 0 {
-		return
-	}
-	for _, e := range reply.Members {
-		a.members[e.VM] = e
-		a.outbid(e)
-	}
-	entries := make([]member.Entry, 0, len(a.members))
-	for vm, e := range a.members {
-		if e.Phase == member.PhaseGone {
-			delete(a.members, vm)
-			continue
-		}
-		entries = append(entries, e)
-	}
-	a.opt.Board.Members.Write(board.NewMembers(entries))
-}
-
-// outbid raises the own version above one that an earlier life of this VM
-// has left behind under a clock that ran ahead.
-func (a *Agent) outbid(e member.Entry) {
-	if e.VM != a.opt.VM {
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if e.Version > a.version {
-		a.version = e.Version + 1
-	}
-}
-
-func (a *Agent) takeConfig(d wire.ConfigDelta) {
-	next, err := applyDelta(a.opt.Board.Config.Read(), d)
-	if err == nil && next.Digest() == d.Digest {
-		a.opt.Board.Config.Write(next)
-		a.opt.Log.Emit(event.ConfigApplied, zap.Uint64("revision", uint64(next.State.Revision)))
-		return
-	}
-	a.opt.Log.Emit(event.DigestMismatch, zap.Uint64("revision", uint64(d.Revision)), zap.Error(err))
-	if have := a.opt.Board.Config.Read(); d.Snapshot == nil {
-		// A digest that fits nothing makes the next sync bring a snapshot.
-		a.opt.Board.Config.Write(have.Mistrusted())
-	}
-}
-
-func applyDelta(have *board.Config, d wire.ConfigDelta) (next *board.Config, err error) {
-	defer fault.Note(&err, "apply configuration delta to revision %d", d.Revision)
-	if d.Snapshot != nil {
-		return board.NewConfig(d.Snapshot, nil), nil
-	}
-	st := have.State.Clone()
-	recent := have.Recent
-	for _, raw := range d.Commands {
-		cmd, err := state.Decode(raw)
-		if err != nil {
-			return nil, err
-		}
-		st.Follow(cmd)
-		recent = append(recent[:len(recent):len(recent)], board.Step{Revision: st.Revision, Command: raw})
-	}
-	if len(recent) > keptSteps {
-		recent = recent[len(recent)-keptSteps:]
-	}
-	return have.Next(st, recent), nil
-}
-
-func (a *Agent) takeFreshness(reply wire.SyncReply) {
-	now := a.opt.Clock.Now()
-	have := a.opt.Board.Freshness.Read()
-	asOf := now.Add(-time.Duration(reply.AgeMs) * time.Millisecond)
-	if asOf.After(have.AsOf) {
-		a.opt.Board.Freshness.Write(&board.Freshness{AsOf: asOf, Source: reply.Relay})
-	}
-	stale := a.opt.Board.Freshness.Read().Age(now) > staleAfter
-	a.noteStale(stale)
-	if !stale {
-		a.staleTurns = 0
-		return
-	}
-	if now.Sub(a.sourceSince) > staleAfter<<a.staleTurns {
-		a.staleTurns = min(a.staleTurns+1, staleTurnsMost)
-		a.nextRelay()
-	}
-}
-
-func (a *Agent) noteStale(stale bool) {
-	if stale == a.stale {
-		return
-	}
-	a.stale = stale
-	if stale {
-		a.opt.Log.Emit(event.ConfigStale)
-		return
-	}
-	a.opt.Log.Emit(event.ConfigFresh)
-}
--- a/io/daemon/mesh_test.go
+++ b/io/daemon/mesh_test.go
@@ -102,7 +102,7 @@
 	filled := strings.NewReplacer(
 		"{{node}}", vm.name, "{{zone}}", vm.zone, "{{service}}", service, "{{ip}}", vm.ip,
 		"{{bounds.grace}}", "6s", "{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.budget_slack}}", "49",
-		"{{bounds.budget_window}}", "10s", "{{fault_tolerance.machines}}", "1", "{{heartbeat}}", "500ms",
+		"{{fault_tolerance.machines}}", "1", "{{heartbeat}}", "500ms",
 		"{{listen.outbound}}", vm.at(portOutbound), "{{listen.inbound}}", vm.at(portInbound),
 		"{{listen.control}}", vm.at(portAPI), "{{listen.ready}}", vm.at(portReady),
 		"{{internal_ports.0}}", fmt.Sprint(portControl), "{{seeds}}", strings.Join(m.seeds, ","),
