--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -37,22 +37,18 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	reloadOnHangup(ctx, d)
+	reloadOnHangup(d)
 	return d.Run(ctx)
 }
 
-func reloadOnHangup(ctx context.Context, d *daemon.Daemon) {
+// reloadOnHangup takes SIGHUP until the process ends: left to its default, the
+// signal would end a daemon that is finishing what runs.
+func reloadOnHangup(d *daemon.Daemon) {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	go func() {
-		defer signal.Stop(hangup)
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-hangup:
-				_ = d.Reload() // the daemon logs the error and goes on
-			}
+		for range hangup {
+			_ = d.Reload() // the daemon logs the error and goes on
 		}
 	}()
 }
--- a/contrib/fleet.sh
+++ b/contrib/fleet.sh
@@ -38,7 +38,7 @@
 		fi
 		sleep 0.2
 	done
-	echo "the fleet did not come up; see $dir/*.log" >&2
+	echo "the fleet did not come up; see $dir/*.out" >&2
 	return 1
 }
 
--- a/contrib/run.sh
+++ b/contrib/run.sh
@@ -29,8 +29,8 @@
 "$BIN" load --out "$dir/managed.json" "$dir/load.ini" >/dev/null || fail "managed load"
 echo "== stopping everything"
 fleet_stop || fail "a process did not stop gracefully"
-grep -l '"level":"error"' "$dir"/*.log >&2 && fail "errors in the logs named above"
-if grep -qF -f <(cat "$dir"/key-* "$dir/token") "$dir"/*.log "$dir"/*.spans; then
+grep -l '"level":"error"' "$dir"/*.log "$dir"/*.out >&2 && fail "errors in the logs named above"
+if grep -qF -f <(cat "$dir"/key-* "$dir/token") "$dir"/*.log "$dir"/*.out "$dir"/*.spans; then
 	fail "a key or the token stands in a log or a trace"
 fi
 echo "== report"
--- a/contrib/slopes.sh
+++ b/contrib/slopes.sh
@@ -97,7 +97,7 @@
 	kill -TERM "$(pid_of control-3)"
 	wait "$(pid_of control-3)"
 	t=$(now_ms)
-	"$BIN" daemon --config "$dir/control-3.ini" 2>>"$dir/control-3.log" &
+	"$BIN" daemon --config "$dir/control-3.ini" >>"$dir/control-3.out" 2>&1 &
 	for i in "${!FLEET_NAMES[@]}"; do [ "${FLEET_NAMES[$i]}" = control-3 ] && FLEET_PIDS[i]=$!; done
 	until "$BIN" status --server "$(setting control-3 admin)" 2>/dev/null | grep -q 'in force'; do sleep 0.02; done
 	echo "restart_ms=$(($(now_ms) - t)) folder_kb=$(du -sk "$dir/data/control-3" | awk '{print $1}')"
@@ -111,7 +111,7 @@
 	t=$(now_ms)
 	"$BIN" changes --count 1 --label "leader-$t" >/dev/null
 	echo "accepted_again_after_ms=$(($(now_ms) - t))"
-	"$BIN" daemon --config "$dir/$leader.ini" 2>>"$dir/$leader.log" &
+	"$BIN" daemon --config "$dir/$leader.ini" >>"$dir/$leader.out" 2>&1 &
 	for i in "${!FLEET_NAMES[@]}"; do [ "${FLEET_NAMES[$i]}" = "$leader" ] && FLEET_PIDS[i]=$!; done
 	sleep 3
 done
--- a/io/daemon/mesh_test.go
+++ b/io/daemon/mesh_test.go
@@ -360,6 +360,13 @@
 // come, and asks them to close their connections.
 func (m *mesh) testStop(t *testing.T) {
 	vm := m.daemons["shop-2"]
+	eventually(t, func() string {
+		// The other server has just come back from its drain.
+		if n := len(vm.run.daemon.board.Members.Read().ByService["shop"]); n != 2 {
+			return fmt.Sprintf("%d servers of shop are known", n)
+		}
+		return ""
+	})
 	vm.run.stop()
 	eventually(t, func() string {
 		if m.isReady("shop-2") {
--- a/io/proof/proof_test.go
+++ b/io/proof/proof_test.go
@@ -82,7 +82,7 @@
 	log, err := os.OpenFile(filepath.Join(f.files.Dir, string(vm)+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	assert.NilError(f.t, err)
 	cmd := exec.Command(binary, "daemon", "--config", filepath.Join(f.files.Dir, string(vm)+".ini"))
-	cmd.Stderr = log
+	cmd.Stdout, cmd.Stderr = log, log
 	assert.NilError(f.t, cmd.Start())
 	assert.NilError(f.t, log.Close())
 	f.procs[vm] = cmd
@@ -233,3 +233,45 @@
 	f.mustRun([]ident.VM{at}, "plan", "--out", path, f.intentWith(extra...))
 	return path
 }
+
+// Signals come in series. A daemon that is finishing what runs goes on when it
+// gets SIGHUP or a second SIGTERM, and ends gracefully.
+func TestSignalsDuringAPlannedStop(t *testing.T) {
+	f := start(t, controlOnly(1))
+	const vm = ident.VM("katalog-1")
+	path := filepath.Join(f.files.Dir, string(vm)+".ini")
+	text, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	const delay = "[daemon]\nshutdown_delay = 2s\n"
+	assert.NilError(t, os.WriteFile(path, []byte(strings.Replace(string(text), "[daemon]\n", delay, 1)), 0o644))
+	f.kill(vm)
+	f.startOne(vm)
+	log := filepath.Join(f.files.Dir, string(vm)+".log")
+	logged := func(event string) func() string {
+		return func() string {
+			data, err := os.ReadFile(log)
+			if err != nil || !strings.Contains(string(data), event) {
+				return fmt.Sprintf("no %s in the log: %v", event, err)
+			}
+			return ""
+		}
+	}
+	eventually(t, func() string {
+		_, err := f.status(vm)
+		return errorText(err)
+	})
+	f.signal(vm, syscall.SIGTERM)
+	eventually(t, logged(`"event":1002`))
+	f.signal(vm, syscall.SIGHUP)
+	f.signal(vm, syscall.SIGTERM)
+	assert.NilError(t, f.procs[vm].Wait())
+	delete(f.procs, vm)
+	assert.Equal(t, logged(`"event":1003`)(), "")
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
