--- a/io/daemon/relays.go
+++ b/io/daemon/relays.go
@@ -17,17 +17,18 @@
 	perStandIn = 50
 )
 
-// relays lists where this daemon may synchronise, the best first: the relays
-// that the settings name, those of the own data centre before the others; in
-// a data centre where none of these answers, the first VMs in rendezvous
+// relays lists where this daemon may synchronise, the best first: the control
+// daemons, those of the own data centre before the others, whether the settings
+// name them or they have announced themselves; in a data centre where none of
+// these answers, the first VMs in rendezvous
 // order stand in. A stand-in itself asks the relays elsewhere, and at last
 // itself, so that a data centre that is cut off keeps its members.
 func (d *Daemon) relays() []string {
 	cfg := d.Config()
-	named := cfg.Control.JoinAddresses()
-	if slices.Contains(named, cfg.Listen.Control) {
+	if slices.Contains(cfg.Control.JoinAddresses(), cfg.Listen.Control) {
 		return []string{cfg.Listen.Control}
 	}
+	named := slices.DeleteFunc(d.controls(), func(a string) bool { return a == cfg.Listen.Control })
 	near, far := d.splitByDistance(named)
 	out := slices.Concat(near, d.standInsAbove(named), far)
 	return append(out, cfg.Listen.Control)
