agent, route, proxy: leave a stale relay in time; serve while stopping

Ruled out: a relay that served an older revision (each one it could reach said how old it was), a daemon that went back (revisions 65, 70 only rise). A probe asks for the age only; the old way back to a preferred relay asked for the whole directory.

Change: a daemon that stops goes on serving peers until its listener closes, and such daemons are called when a service has no other.

--- a/core/board/board_test.go
+++ b/core/board/board_test.go
@@ -96,3 +96,23 @@
 		NewConfig(st, nil)
 	}
 }
+
+// Only an upstream that takes new work is listed; one whose daemon stops is kept
+// apart, for calls that nobody else can take.
+func TestMembersByPhase(t *testing.T) {
+	entry := func(vm ident.VM, daemon, upstream member.Phase) member.Entry {
+		return member.Entry{VM: vm, Phase: daemon, Served: &member.Served{Service: "s", Phase: upstream}}
+	}
+	m := NewMembers([]member.Entry{
+		entry("up", member.PhaseUp, member.PhaseUp),
+		entry("stopping", member.PhaseDraining, member.PhaseUp),
+		entry("drained", member.PhaseUp, member.PhaseDraining),
+		entry("both", member.PhaseDraining, member.PhaseDraining),
+		entry("gone", member.PhaseGone, member.PhaseUp),
+		{VM: "none", Phase: member.PhaseUp},
+	})
+	assert.Equal(t, len(m.ByService["s"]), 1)
+	assert.Equal(t, m.ByService["s"][0].VM, ident.VM("up"))
+	assert.Equal(t, len(m.Stopping["s"]), 1)
+	assert.Equal(t, m.Stopping["s"][0].VM, ident.VM("stopping"))
+}
--- a/core/board/daemon.go
+++ b/core/board/daemon.go
@@ -208,6 +208,9 @@
 	Entries []member.Entry
 	// ByService lists those that serve each service.
 	ByService map[ident.Service][]member.Entry
+	// Stopping lists, by service, those whose upstream works but whose daemon
+	// stops: they still serve for a moment what nobody else can.
+	Stopping map[ident.Service][]member.Entry
 	// ByVM finds the entry of a VM.
 	ByVM map[ident.VM]member.Entry
 	// Crashes adds up the crashes that requests met at other VMs.
@@ -216,11 +219,25 @@
 	ByDataCentre map[ident.DataCentre][]ident.VM
 }
 
+func (m *Members) addServer(e member.Entry) {
+	if e.Served == nil || e.Served.Phase != member.PhaseUp {
+		return
+	}
+	service := e.Served.Service
+	switch e.Phase {
+	case member.PhaseUp:
+		m.ByService[service] = append(m.ByService[service], e)
+	case member.PhaseDraining:
+		m.Stopping[service] = append(m.Stopping[service], e)
+	}
+}
+
 // NewMembers indexes entries by service.
 func NewMembers(entries []member.Entry) *Members {
 	m := &Members{
 		Entries:      entries,
 		ByService:    map[ident.Service][]member.Entry{},
+		Stopping:     map[ident.Service][]member.Entry{},
 		ByVM:         make(map[ident.VM]member.Entry, len(entries)),
 		ByDataCentre: map[ident.DataCentre][]ident.VM{},
 		Crashes:      map[ident.VM]map[poison.Print]int{},
@@ -231,9 +248,7 @@
 		if e.Phase == member.PhaseUp {
 			m.ByDataCentre[e.DataCentre] = append(m.ByDataCentre[e.DataCentre], e.VM)
 		}
-		if e.Served != nil && e.Serves(e.Served.Service) {
-			m.ByService[e.Served.Service] = append(m.ByService[e.Served.Service], e)
-		}
+		m.addServer(e)
 	}
 	return m
 }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -73,11 +73,6 @@
 	AgeMs    int64          `json:"age_ms"`
 }
 
-// Serves reports whether new calls of a service may be sent to the entry.
-func (e Entry) Serves(svc ident.Service) bool {
-	return e.Phase == PhaseUp && e.Served != nil && e.Served.Service == svc && e.Served.Phase == PhaseUp
-}
-
 type record struct {
 	entry   Entry
 	renewed time.Time
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -16,6 +16,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"chicorymast/core/admit"
@@ -109,9 +110,13 @@
 	b.peers, b.order = next, order
 }
 
-// Pick takes a VM for a call of an admission lane, leaving out those tried.
+// Pick takes a VM for a call of an admission lane, leaving out those tried. When
+// all others are set aside, one of these is better than none.
 func (b *Balancer) Pick(now time.Time, lane int, tried map[ident.VM]bool) (Candidate, bool) {
 	usable := b.usable(now, tried)
+	if len(usable) == 0 {
+		usable = b.untried(tried)
+	}
 	if len(usable) == 0 {
 		return Candidate{}, false
 	}
@@ -160,14 +165,17 @@
 }
 
 func (b *Balancer) usable(now time.Time, tried map[ident.VM]bool) []*peer {
-	usable := make([]*peer, 0, len(b.order))
+	return slices.DeleteFunc(b.untried(tried), func(p *peer) bool { return now.Before(p.aside) || p.probing })
+}
+
+func (b *Balancer) untried(tried map[ident.VM]bool) []*peer {
+	untried := make([]*peer, 0, len(b.order))
 	for _, p := range b.order {
-		if tried[p.VM] || now.Before(p.aside) || p.probing {
-			continue
+		if !tried[p.VM] {
+			untried = append(untried, p)
 		}
-		usable = append(usable, p)
 	}
-	return usable
+	return untried
 }
 
 // choose prefers the own data centre while one of its two drawn VMs has room.
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -143,3 +143,26 @@
 		bal.Done(epoch, c.VM, Report{Outcome: OutcomeAnswered})
 	}
 }
+
+// One failing VM of two must not be out of reach when the other has been tried.
+func TestOneSetAsideIsBetterThanNone(t *testing.T) {
+	b := newBalancer(2, 0)
+	for range failuresToEject {
+		b.Done(epoch, "near-0", Report{Outcome: OutcomeFailed})
+	}
+	assert.Equal(t, pickMany(t, b, epoch, 20)["near-0"], 0)
+	c, ok := b.Pick(epoch, 0, map[ident.VM]bool{"near-1": true})
+	assert.Assert(t, ok)
+	assert.Equal(t, c.VM, ident.VM("near-0"))
+	_, ok = b.Pick(epoch, 0, map[ident.VM]bool{"near-0": true, "near-1": true})
+	assert.Assert(t, !ok)
+}
+
+// A service whose only VM has failed must not be called one by one.
+func TestOnlyVMKeepsTakingCallsAtOnce(t *testing.T) {
+	b := newBalancer(1, 0)
+	for range failuresToEject {
+		b.Done(epoch, "near-0", Report{Outcome: OutcomeFailed})
+	}
+	assert.Equal(t, pickMany(t, b, epoch, 8)["near-0"], 8)
+}
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -15,7 +15,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -33,18 +32,21 @@
 const (
 	// syncWait is how long a relay may hold a sync that brings nothing new.
 	syncWait = time.Second
-	// syncTimeout makes a relay silent.
-	syncTimeout = syncWait + time.Second
-	// staleAfter makes a relay's configuration stale.
-	staleAfter = 2 * time.Second
+	// syncTimeout makes a relay silent: the wait, and a slow way there and back.
+	syncTimeout = syncWait + 400*time.Millisecond
+	// hurriedWait replaces syncWait while the relay's configuration ages, so
+	// that one that is cut off is left before a change could be missed.
+	hurriedWait = 200 * time.Millisecond
+	// agingAfter is older than what a relay in touch with a leader ever says.
+	agingAfter = 500 * time.Millisecond
+	// staleAfter makes a relay's configuration stale: with the search it leaves
+	// time to have a change in force within 2 s, which operators were promised.
+	staleAfter = 800 * time.Millisecond
 	// retryPause stands between two attempts that fail.
 	retryPause = 200 * time.Millisecond
-	// preferredPause stands between two attempts to go back to the first relay.
-	preferredPause   = 2 * time.Second
-	preferredTimeout = 500 * time.Millisecond
-	// staleTurnsMost bounds how the time between changes grows while every
-	// relay is stale: a data centre that is cut off gains nothing by changing.
-	staleTurnsMost = 4
+	// preferredPause stands between two attempts to go back to a relay that
+	// stands before the present one in the list.
+	preferredPause = 2 * time.Second
 	// keptSteps is how many commands are kept to be passed on as deltas.
 	keptSteps = 1024
 )
@@ -73,19 +75,17 @@
 	opt     Options
 	cancel  context.CancelFunc
 	done    chan struct{}
-	members map[ident.VM]member.Entry
+	members *member.View
 	mark    wire.Mark
 	relay   string
-	// leaving is set when the present relay is to be left for the next one.
-	leaving bool
-	// sourceSince is when the present relay was chosen.
-	sourceSince time.Time
-	// preferredAt is when the preferred relay was tried last.
-	preferredAt time.Time
-	// candidate is which of the relays before the present one is tried next.
-	candidate int
-	// staleTurns counts relays left because they were stale.
-	staleTurns int
+	// failed is set when the present relay gave no answer.
+	failed bool
+	// age is how old the present relay's configuration was at its last answer.
+	age time.Duration
+	// searchedAt is when other relays were asked last, searched where in the
+	// list the next search begins.
+	searchedAt time.Time
+	searched   int
 
 	mu      sync.Mutex
 	version uint64
@@ -108,7 +108,7 @@
 	return &Agent{
 		opt:     opt,
 		done:    make(chan struct{}),
-		members: map[ident.VM]member.Entry{},
+		members: member.NewView(member.DefaultLease),
 		version: uint64(opt.Clock.Now().UnixMilli()),
 	}
 }
@@ -136,13 +136,11 @@
 }
 
 func (a *Agent) round(ctx context.Context) {
-	a.tryPreferred(ctx)
-	a.chooseRelay()
-	wait := syncWait
-	if a.mark.Epoch == "" {
-		wait = 0
+	if !a.choose(ctx) {
+		a.pause(ctx)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, syncTimeout)
+	wait := a.waitFor()
+	callCtx, cancel := context.WithTimeout(ctx, wait+syncTimeout-syncWait)
 	defer cancel()
 	stopWatch := a.interruptOnChange(callCtx, cancel)
 	sent := a.opt.Clock.Now()
@@ -154,15 +152,26 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		a.opt.Log.Emit(event.ConnectionReplaced, zap.String("relay", a.relay))
 	}
+	a.failed = err != nil
 	if err != nil {
-		a.nextRelay()
-		a.pause(ctx)
 		return
 	}
 	a.opt.Board.Contact.Write(&board.Contact{At: sent})
 	a.take(reply)
 }
 
+// waitFor returns how long the relay may hold the next sync.
+func (a *Agent) waitFor() time.Duration {
+	switch {
+	case a.mark.Epoch == "":
+		return 0
+	case a.age > agingAfter:
+		return hurriedWait
+	default:
+		return syncWait
+	}
+}
+
 // interruptOnChange ends a waiting sync when this VM has something to
 // announce, so that a drain is known at once.
 func (a *Agent) interruptOnChange(ctx context.Context, cancel context.CancelFunc) (stop func() bool) {
@@ -206,77 +215,6 @@
 	}
 }
 
-func (a *Agent) chooseRelay() {
-	relays := a.opt.Relays()
-	if len(relays) == 0 {
-		return
-	}
-	next := a.nextOf(relays)
-	if next == a.relay {
-		return
-	}
-	a.switchTo(next)
-}
-
-func (a *Agent) switchTo(next string) {
-	a.mu.Lock()
-	a.relay = next
-	a.mu.Unlock()
-	a.leaving = false
-	a.sourceSince = a.opt.Clock.Now()
-	a.mark = wire.Mark{}
-	a.opt.Log.Emit(event.SourceChanged, zap.String("relay", next))
-}
-
-// nextOf keeps the present relay as long as it is one and works, whatever its
-// place in the list has become; otherwise it takes the one after it.
-func (a *Agent) nextOf(relays []string) string {
-	at := slices.Index(relays, a.relay)
-	if at >= 0 && !a.leaving {
-		return a.relay
-	}
-	a.leaving = false
-	return relays[(at+1)%len(relays)]
-}
-
-func (a *Agent) nextRelay() {
-	a.leaving = true
-	a.preferredAt = a.opt.Clock.Now()
-}
-
-// tryPreferred goes back to a relay that stands before the present one in the
-// list when it answers again with a configuration that is no older.
-func (a *Agent) tryPreferred(ctx context.Context) {
-	now := a.opt.Clock.Now()
-	relays := a.opt.Relays()
-	before := slices.Index(relays, a.relay)
-	if before <= 0 || now.Sub(a.preferredAt) < preferredPause {
-		return
-	}
-	a.preferredAt = now
-	ctx, cancel := context.WithTimeout(ctx, preferredTimeout)
-	defer cancel()
-	// One that is silent takes all the time, so the next attempt begins with
-	// the one after it.
-	for range before {
-		candidate := relays[a.candidate%before]
-		a.candidate++
-		if a.answersFresh(ctx, candidate) {
-			a.candidate = 0
-			a.switchTo(candidate)
-			return
-		}
-	}
-}
-
-func (a *Agent) answersFresh(ctx context.Context, relay string) bool {
-	q := a.request(0)
-	q.Directory = wire.Mark{}
-	reply, err := wire.Call[wire.SyncReply](ctx, a.opt.Pool, relay, wire.MethodSync, q)
-	age := a.opt.Board.Freshness.Read().Age(a.opt.Clock.Now())
-	return err == nil && time.Duration(reply.AgeMs)*time.Millisecond <= max(staleAfter, age)
-}
-
 func (a *Agent) request(wait time.Duration) wire.SyncRequest {
 	c := a.opt.Board.Config.Read()
 	return wire.SyncRequest{
--- a/io/agent/take.go
+++ b/io/agent/take.go
@@ -5,7 +5,6 @@
 
 	"chicorymast/core/board"
 	"chicorymast/core/fault"
-	"chicorymast/core/ident"
 	"chicorymast/core/member"
 	"chicorymast/core/state"
 	"chicorymast/io/event"
@@ -27,25 +26,12 @@
 
 func (a *Agent) takeMembers(reply wire.SyncReply) {
 	a.mark = reply.Directory
-	if reply.Whole {
-		a.members = make(map[ident.VM]member.Entry, len(reply.Members))
-	}
-	if !reply.Whole && len(reply.Members) == 0 {
-		return
-	}
 	for _, e := range reply.Members {
-		a.members[e.VM] = e
 		a.outbid(e)
 	}
-	entries := make([]member.Entry, 0, len(a.members))
-	for vm, e := range a.members {
-		if e.Phase == member.PhaseGone {
-			delete(a.members, vm)
-			continue
-		}
-		entries = append(entries, e)
+	if a.members.Take(a.opt.Clock.Now(), reply.Whole, reply.Members) {
+		a.opt.Board.Members.Write(board.NewMembers(a.members.Entries()))
 	}
-	a.opt.Board.Members.Write(board.NewMembers(entries))
 }
 
 // outbid raises the own version above one that an earlier life of this VM
@@ -103,16 +89,8 @@
 	if asOf.After(have.AsOf) {
 		a.opt.Board.Freshness.Write(&board.Freshness{AsOf: asOf, Source: reply.Relay})
 	}
-	stale := a.opt.Board.Freshness.Read().Age(now) > staleAfter
-	a.noteStale(stale)
-	if !stale {
-		a.staleTurns = 0
-		return
-	}
-	if now.Sub(a.sourceSince) > staleAfter<<a.staleTurns {
-		a.staleTurns = min(a.staleTurns+1, staleTurnsMost)
-		a.nextRelay()
-	}
+	a.age = time.Duration(reply.AgeMs) * time.Millisecond
+	a.noteStale(a.opt.Board.Freshness.Read().Age(now) > syncWait+staleAfter)
 }
 
 func (a *Agent) noteStale(stale bool) {
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -34,6 +34,7 @@
 func (p *Proxy) serveEntry(w http.ResponseWriter, r *http.Request) {
 	p.running.Add(1)
 	defer p.running.Add(-1)
+	defer watchBody(r).finish(w)
 	began := p.opt.Clock.Now()
 	ctx, span := p.opt.Trace.Start(trace.Extract(r), "entry")
 	defer span.End()
--- a/io/proxy/fleet.go
+++ b/io/proxy/fleet.go
@@ -9,6 +9,7 @@
 	"chicorymast/core/board"
 	"chicorymast/core/ident"
 	"chicorymast/core/intent"
+	"chicorymast/core/member"
 	"chicorymast/core/retry"
 	"chicorymast/core/route"
 )
@@ -101,8 +102,16 @@
 		return
 	}
 	s.members, s.config = members, config
-	var candidates []route.Candidate
-	for _, e := range members.ByService[name] {
+	candidates := undrained(members.ByService[name], config)
+	if len(candidates) == 0 {
+		candidates = undrained(members.Stopping[name], config)
+	}
+	s.balancer.Update(now, candidates)
+}
+
+// undrained leaves out what operators drain.
+func undrained(entries []member.Entry, config *board.Config) (candidates []route.Candidate) {
+	for _, e := range entries {
 		if config.State.Drains[e.VM] {
 			continue
 		}
@@ -110,7 +119,7 @@
 			VM: e.VM, DataCentre: e.DataCentre, Address: e.Addresses.Peer, Slots: e.Served.Slots,
 		})
 	}
-	s.balancer.Update(now, candidates)
+	return candidates
 }
 
 func (f *fleet) done(name ident.Service, vm ident.VM, r route.Report) {
--- /dev/null
+++ b/io/proxy/fleet_test.go
@@ -0,0 +1,35 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"chicorymast/core/board"
+	"chicorymast/core/ident"
+	"chicorymast/core/member"
+	"chicorymast/core/route"
+	"chicorymast/core/state"
+
+	"gotest.tools/v3/assert"
+)
+
+// A service whose only daemon restarts is served until its listener closes.
+func TestStoppingDaemonsServeWhatNobodyElseCan(t *testing.T) {
+	const service = ident.Service("shop")
+	b := board.New()
+	b.Config.Write(board.NewConfig(state.New(), nil))
+	entry := func(vm ident.VM, phase member.Phase) member.Entry {
+		return member.Entry{VM: vm, Phase: phase, Served: &member.Served{Service: service, Slots: 4, Phase: member.PhaseUp}}
+	}
+	picked := func(entries ...member.Entry) (vm ident.VM) {
+		b.Members.Write(board.NewMembers(entries))
+		s := &serviceState{balancer: route.New("east", rand.New(rand.NewPCG(1, 2)))}
+		s.refresh(time.Unix(1, 0), b, service)
+		c, _ := s.balancer.Pick(time.Unix(1, 0), 0, nil)
+		return c.VM
+	}
+	assert.Equal(t, picked(entry("a", member.PhaseDraining)), ident.VM("a"))
+	assert.Equal(t, picked(entry("a", member.PhaseDraining), entry("b", member.PhaseUp)), ident.VM("b"))
+	assert.Equal(t, picked(entry("a", member.PhaseGone)), ident.VM(""))
+}
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -70,8 +70,9 @@
 	if served.Service != call.Service || !served.Present() {
 		return fault.Refuse(fault.ReasonDraining, "service %s is not on this VM", call.Service)
 	}
-	leaving := served.Phase != member.PhaseUp || served.Drained
-	if leaving || p.opt.Board.Life.Read().Phase == board.LifeStopping {
+	// A daemon that stops goes on while its listener is open: what still comes
+	// is from those that have not heard of it or know of nobody else.
+	if served.Phase != member.PhaseUp || served.Drained {
 		return fault.Refuse(fault.ReasonDraining, "the upstream on this VM takes no new work")
 	}
 	return nil
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -105,6 +105,9 @@
 }
 
 func (r *Relay) sync(ctx context.Context, q wire.SyncRequest) (wire.SyncReply, error) {
+	if q.Probe {
+		return wire.SyncReply{Relay: r.opt.VM, AgeMs: r.age(r.opt.Clock.Now())}, nil
+	}
 	r.announce(q.Entry)
 	wait := min(time.Duration(q.WaitMs)*time.Millisecond, longestWait)
 	r.await(ctx, q, wait)
@@ -166,7 +169,7 @@
 	reply := wire.SyncReply{
 		Relay:  r.opt.VM,
 		Config: configDelta(r.opt.Board.Config.Read(), q.HaveRevision, q.HaveDigest),
-		AgeMs:  r.opt.Board.Freshness.Read().Age(now).Milliseconds(),
+		AgeMs:  r.age(now),
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -175,6 +178,11 @@
 	return reply
 }
 
+// age returns how old the configuration here is, in milliseconds.
+func (r *Relay) age(now time.Time) int64 {
+	return r.opt.Board.Freshness.Read().Age(now).Milliseconds()
+}
+
 func since(now time.Time, d *member.Directory, epoch string, have wire.Mark) (entries []member.Entry, whole bool) {
 	if have.Epoch != epoch {
 		return d.Entries(now), true
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -30,6 +30,8 @@
 	Directory    Mark           `json:"directory"`
 	// WaitMs is how long the relay may wait for something new.
 	WaitMs int64 `json:"wait_ms"`
+	// Probe asks only how old the relay's configuration is.
+	Probe bool `json:"probe,omitempty"`
 }
 
 // Mark is a place in the stream of changes of one directory.
