raft, agent, quota: a shorter gap after all daemons are lost

Between 43.2 and 44.0 daemons said "no configuration has been confirmed yet" instead of "has just started": the age of a relay without any configuration saturates at 292 years and passed as a confirmation. Ruled out: the announcements of servers (all in by 43.3), the relays' choice of stand-ins. Change: a node that has just started waits 0.3 to 0.8 s for a leader; a stale source is searched every 0.25 s; loans last 1 s; an age without end confirms nothing. Conclusion: what binds now is the wait for the loans, and the empty buckets.

--- a/core/board/daemon.go
+++ b/core/board/daemon.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"math"
 	"reflect"
 	"time"
 
@@ -193,7 +194,11 @@
 	Source ident.VM
 }
 
-// Age returns for how long the configuration has not been confirmed.
+// Never is the age of a configuration that was not confirmed since the start.
+const Never = time.Duration(math.MaxInt64)
+
+// Age returns for how long the configuration has not been confirmed; time.Time
+// lets the age of one that never was saturate at Never.
 func (f Freshness) Age(now time.Time) time.Duration {
 	return now.Sub(f.AsOf)
 }
--- a/core/quota/owner.go
+++ b/core/quota/owner.go
@@ -16,8 +16,10 @@
 	// SpendTime is how long tokens for calls that wait may take to be spent;
 	// an answer that comes later is of no use for them.
 	SpendTime = 50 * time.Millisecond
-	// LoanTime is how long one data centre may use another's share.
-	LoanTime = 1500 * time.Millisecond
+	// LoanTime is how long one data centre may use another's share: two
+	// attempts to renew it, and as little as that, since a new owner waits for
+	// the loans of the one before it.
+	LoanTime = time.Second
 	// TokenLoanTime is how long tokens that calls wait for are lent.
 	TokenLoanTime = 500 * time.Millisecond
 	// holderMargin of a lease's time is kept back by who received it, for
--- a/core/raft/elect.go
+++ b/core/raft/elect.go
@@ -88,6 +88,7 @@
 
 func (n *Node) becomeLeader() {
 	n.role, n.leader, n.votes, n.forced = roleLeader, n.cfg.ID, nil, false
+	n.settled = true
 	n.elapsed = 0
 	n.peers = map[ident.Node]*progress{}
 	n.sentAt = map[uint64]int{}
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -77,6 +77,8 @@
 	leaderAge int
 	ageAt     int
 	forced    bool
+	// settled is set once a leader was known since the start.
+	settled bool
 
 	effects []Effect
 }
@@ -204,15 +206,24 @@
 		n.saveHard()
 	}
 	n.role, n.leader, n.votes, n.forced = roleFollower, leader, nil, false
+	n.settled = n.settled || leader != ""
 	n.resetTimeout()
 	if was == roleLeader || leader != had {
 		n.emit(Role{Term: n.hard.Term, Leader: leader})
 	}
 }
 
+// resetTimeout begins a new wait for a leader. A node that has just started
+// waits less: it has no leader to lose, and one that is there soon says so.
 func (n *Node) resetTimeout() {
 	n.elapsed = 0
-	n.timeout = n.cfg.ElectionTicks + n.cfg.Rand.IntN(n.cfg.ElectionTicks)
+	least := n.cfg.ElectionTicks
+	spread := n.cfg.ElectionTicks
+	if !n.settled {
+		least = max(1, n.cfg.ElectionTicks*3/8)
+		spread = max(1, n.cfg.ElectionTicks-least)
+	}
+	n.timeout = least + n.cfg.Rand.IntN(spread)
 }
 
 func (n *Node) emit(e Effect) {
--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -90,6 +90,46 @@
 	assert.Equal(t, c.hosts[lead].node.Status().Term, term)
 }
 
+// After all have been lost at once nothing is decided until there is a leader.
+func TestAllRestartedElectSoon(t *testing.T) {
+	soon := 0
+	const tries = 50
+	for seed := range uint64(tries) {
+		c := newCluster(3, 0, 100*seed)
+		c.run(6 * testElection)
+		mustLead(t, c)
+		for _, id := range c.names {
+			c.toggle(id)
+		}
+		c.settle(testElection)
+		if _, ok := c.leader(); ok {
+			soon++
+		}
+		mustSound(t, c)
+	}
+	assert.Assert(t, soon >= tries*9/10, "%d of %d had a leader within the shortest wait of a settled node", soon, tries)
+}
+
+// A node that starts waits for a shorter time, and yet never long enough to
+// replace a leader that works.
+func TestStartingNodeDoesNotDisturb(t *testing.T) {
+	for seed := range uint64(50) {
+		c := newCluster(3, 0, 100*seed)
+		c.run(6 * testElection)
+		lead := mustLead(t, c)
+		term := c.hosts[lead].node.Status().Term
+		for _, id := range c.names {
+			if id != lead {
+				c.toggle(id)
+				c.toggle(id)
+				c.run(4 * testElection)
+			}
+		}
+		assert.Equal(t, mustLead(t, c), lead)
+		assert.Equal(t, c.hosts[lead].node.Status().Term, term)
+	}
+}
+
 func TestJoinerIsPromotedOnlyWhenItHoldsTheLog(t *testing.T) {
 	c := newCluster(3, 1, 9)
 	c.run(4 * testElection)
--- a/io/agent/search.go
+++ b/io/agent/search.go
@@ -22,8 +22,8 @@
 	// may take.
 	searchSettle = 50 * time.Millisecond
 	// searchPause stands between two searches while the present relay answers
-	// but is stale.
-	searchPause = 500 * time.Millisecond
+	// but is stale: a new leader among the control daemons is noticed soon.
+	searchPause = 250 * time.Millisecond
 	// youngerBy is by how much another stale relay's configuration must be
 	// younger to be worth a change of relays.
 	youngerBy = time.Second
--- a/io/agent/search_test.go
+++ b/io/agent/search_test.go
@@ -153,3 +153,14 @@
 		assert.Assert(t, place != 2, "the present one is asked anyway")
 	}
 }
+
+// A relay that has no configuration yet must not make this daemon believe that
+// its own, empty one has been confirmed.
+func TestNoFreshnessFromARelayWithoutAny(t *testing.T) {
+	a, clock, _ := newSearcher(t, 0, scripted{})
+	never := a.opt.Board.Freshness.Read().Age(clock.Now())
+	a.take(wire.SyncReply{AgeMs: never.Milliseconds()})
+	assert.Assert(t, a.opt.Board.Freshness.Read().AsOf.IsZero())
+	a.take(wire.SyncReply{AgeMs: time.Hour.Milliseconds()})
+	assert.Equal(t, a.opt.Board.Freshness.Read().AsOf, clock.Now().Add(-time.Hour))
+}
--- a/io/agent/take.go
+++ b/io/agent/take.go
@@ -86,7 +86,8 @@
 	now := a.opt.Clock.Now()
 	have := a.opt.Board.Freshness.Read()
 	asOf := now.Add(-time.Duration(reply.AgeMs) * time.Millisecond)
-	if asOf.After(have.AsOf) {
+	known := reply.AgeMs < board.Never.Milliseconds()
+	if known && asOf.After(have.AsOf) {
 		a.opt.Board.Freshness.Write(&board.Freshness{AsOf: asOf, Source: reply.Relay})
 	}
 	a.age = time.Duration(reply.AgeMs) * time.Millisecond
--- a/model/agreement.pml
+++ b/model/agreement.pml
@@ -2,13 +2,21 @@
  * Agreement among control daemons, as in core/raft: terms, votes, a log with
  * one-at-a-time membership changes, crashes, a lost disk.
  *
- * Nodes 0, 1 and 2 begin as voters and may leave and come back. A step is one node acting on another: a request that arrives and,
- * by choice, the answer to it. A request that never arrives is a step that is
- * not taken; a leader of an old term goes on acting until it learns better.
+ * Nodes 0, 1 and 2 begin as voters and may leave and come back. A step is one
+ * node acting on another: a request that arrives and, by choice, the answer to
+ * it. A request that never arrives is a step that is not taken; a leader of an
+ * old term goes on acting until it learns better.
  *
- * Checked: one leader a term; a decided entry never changes.
+ * With REPLACE, node 3 begins as a learner and takes the place of any voter that
+ * its leader holds to be silent, rightly or not: it gets its vote first, then the
+ * silent one leaves (io/ctrl/voters.go). Disks are lost as long as every set of
+ * voters that is in use keeps a majority, so again after a repair.
+ *
+ * Checked: one leader a term; a decided entry never changes; a new leader holds
+ * all that was decided in the terms before its own.
  * Mutants: VOTE_UNSYNCED, NO_TERM_CHECK, COUNT_OLD_TERMS, TWO_CHANGES,
- * WIPED_VOTER, VOTE_FOR_SHORTER.
+ * WIPED_VOTER, VOTE_FOR_SHORTER, REPLACE_AT_ONCE, MATCH_BY_ADDRESS,
+ * REMOVE_UNDECIDED.
  */
 #ifndef NODES
 #define NODES 3
@@ -37,10 +45,11 @@
 byte decided_term[MAXLOG];
 byte decided_cfg[MAXLOG];
 bool decided[MAXLOG];
+byte decided_at[MAXLOG]; /* the term of the leader that decided */
 byte crashes;
 bool gone[NODES]; /* lost its disk; never comes back under this name */
 byte cfg, k, count, want;
-byte x, to;
+byte x, to, match_set;
 
 #define E(i, at) ((i) * MAXLOG + (at))
 #define M(i, j) ((i) * NODES + (j))
@@ -114,6 +123,7 @@
 		assert(decided_term[da] == entry_term[E(de, da)] && decided_cfg[da] == entry_cfg[E(de, da)])
 	:: else ->
 		decided[da] = true;
+		decided_at[da] = term[de];
 		decided_term[da] = entry_term[E(de, da)];
 		decided_cfg[da] = entry_cfg[E(de, da)]
 	fi
@@ -156,6 +166,13 @@
 inline win(wi) {
 	assert(leader_of[term[wi]] == NOBODY || leader_of[term[wi]] == wi);
 	leader_of[term[wi]] = wi;
+	k = 0;
+	do
+	:: k < MAXLOG ->
+		assert(!decided[k] || decided_at[k] >= term[wi] || (size[wi] > k && entry_term[E(wi, k)] == decided_term[k]));
+		k++
+	:: else -> break
+	od;
 	leads[wi] = true;
 	asks[wi] = false;
 	k = 0;
@@ -225,6 +242,10 @@
 	:: k < NODES ->
 		if
 		:: match[M(hi, k)] > ha -> x = x | (1 << k)
+#ifdef MATCH_BY_ADDRESS
+		/* node 3 has the address of node 2, and what that one acknowledged */
+		:: k == 3 && match[M(hi, 2)] > ha -> x = x | (1 << k)
+#endif
 		:: else
 		fi;
 		k++
@@ -295,6 +316,64 @@
 	fi
 }
 
+/* want becomes true if every set of voters in use has a majority without lost */
+inline bearable(lost) {
+	to = 1;
+	x = 0;
+	do
+	:: x < NODES ->
+		if
+		:: !gone[x] && x != lost ->
+			voters_of(x);
+			living(lost);
+			majority(match_set);
+			to = to && want
+		:: else
+		fi;
+		x++
+	:: else -> break
+	od;
+	want = to
+}
+
+/* match_set becomes the set of nodes that keep their disks */
+inline living(li) {
+	match_set = 0;
+	k = 0;
+	do
+	:: k < NODES ->
+		if
+		:: !gone[k] && k != li -> match_set = match_set | (1 << k)
+		:: else
+		fi;
+		k++
+	:: else -> break
+	od
+}
+
+inline replace_voter(rp) {
+	undecided_change(rp);
+#ifdef REMOVE_UNDECIDED
+	want = false;
+#endif
+	if
+	:: !want && OWN_ENTRY(rp) ->
+		voters_of(rp);
+		x = 4; /* node 2 is the silent one; the others would only mirror it */
+		if
+		:: x == (1 << rp) -> skip
+#ifdef REPLACE_AT_ONCE
+		:: x != (1 << rp) && cfg == FIRST -> append(rp, (FIRST | 8) ^ x)
+#else
+		:: x != (1 << rp) && cfg == FIRST && match[M(rp, 3)] >= commit[rp] -> append(rp, FIRST | 8)
+#endif
+		:: x != (1 << rp) && cfg == (FIRST | 8) -> append(rp, cfg ^ x)
+		:: else
+		fi
+	:: else
+	fi
+}
+
 proctype Run(byte i) {
 	byte j, at;
 	do
@@ -317,9 +396,17 @@
 		:: want -> win(i)
 		:: else
 		fi }
+#ifdef REPLACE
+	/* a leader begins with an entry of its own term, and that is all it appends */
+	:: atomic { !gone[i] && leads[i] && size[i] < MAXLOG && LASTTERM(i) != term[i] -> append(i, 0) }
+#else
 	:: atomic { !gone[i] && leads[i] && size[i] < MAXLOG -> append(i, 0) }
+#endif
 #ifdef MEMBERS
 	:: atomic { !gone[i] && leads[i] && size[i] < MAXLOG -> change_members(i) }
+#endif
+#ifdef REPLACE
+	:: atomic { !gone[i] && leads[i] && size[i] < MAXLOG -> replace_voter(i) }
 #endif
 	:: atomic { !gone[i] && leads[i] && size[i] > 0 ->
 		select(j : 0 .. NODES - 1);
@@ -341,7 +428,16 @@
 			fi
 		:: else
 		fi; at = 0 }
+#ifdef REPLACE
+	:: atomic { !gone[i] && i < 3 && crashes < CRASHES ->
+		bearable(i);
+		if
+		:: want -> wipe(i)
+		:: else
+		fi }
+#else
 	:: atomic { !gone[i] && crashes < CRASHES -> crash(i) }
+#endif
 #ifdef WIPES
 	:: atomic { !gone[i] && crashes < CRASHES -> wipe(i) }
 #endif
@@ -360,6 +456,24 @@
 		:: i <= MAXTERM -> leader_of[i] = NOBODY; i++
 		:: else -> break
 		od;
+#ifdef REPLACE
+		/* it begins where node 0 leads and has decided an entry of its term */
+		i = 0;
+		do
+		:: i < 3 ->
+			term[i] = 1;
+			vote[i] = 0;
+			sync(i);
+			entry_term[E(i, 0)] = 1;
+			size[i] = 1;
+			match[M(0, i)] = 1;
+			i++
+		:: else -> break
+		od;
+		leads[0] = true;
+		leader_of[1] = 0;
+		commit_to(0, 1);
+#endif
 		i = 0;
 		do
 		:: i < NODES -> run Run(i); i++
