intent, admit, inflow: workspaces go before routes

Cause: a platform's tenants have a priority that takes precedence over the routes', and it was not used; a workspace's class replaced the routes' classes, which would have put its uploads and its payments on one level. Change: a call's standing is the class of its workspace, counted from the most important one there is, and then that of its route. Lanes, the level at which work is shed, and what the entry cuts first follow it. A call without a workspace stands behind none. Ruled out for the first seconds of a burst, tried and reverted: a second, faster average of the demand at the gates (0.25 s beside 1 s, trusted to 0.8).

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -48,9 +48,9 @@
 	Ticket    Ticket
 	Workspace ident.Workspace
 	// Route tells calls apart that take different times.
-	Route ident.Route
-	Class ident.Class
-	Rank  Rank
+	Route    ident.Route
+	Standing ident.Standing
+	Rank     Rank
 	// Inner is set for a call made on behalf of a call admitted earlier.
 	Inner bool
 	// Admitted is set when the entry has weighed the load of this upstream.
@@ -121,7 +121,7 @@
 }
 
 const (
-	laneCount = 2 * len(ident.Classes)
+	laneCount = 2 * ident.Standings
 	// LevelOpen is the level of a gate that sheds nothing.
 	LevelOpen = laneCount
 	// standingTime is how long a queue may take to empty before it counts as
@@ -135,8 +135,8 @@
 )
 
 // Lane returns the position of a call in the order of service, from 0.
-func Lane(c ident.Class, admitted bool) int {
-	n := 2 * c.Index()
+func Lane(s ident.Standing, admitted bool) int {
+	n := 2 * s.Index()
 	if !admitted {
 		n++
 	}
@@ -144,7 +144,7 @@
 }
 
 func (r Request) lane() int {
-	return Lane(r.Class, r.Inner || r.Admitted)
+	return Lane(r.Standing, r.Inner || r.Admitted)
 }
 
 // New returns a gate with nothing running.
--- a/core/board/board_test.go
+++ b/core/board/board_test.go
@@ -116,3 +116,24 @@
 	assert.Equal(t, len(m.Stopping["s"]), 1)
 	assert.Equal(t, m.Stopping["s"][0].VM, ident.VM("stopping"))
 }
+
+func TestBehind(t *testing.T) {
+	workspaces := func(classes map[ident.Workspace]ident.Class) *state.State {
+		st := state.New()
+		patch := intent.Patch{Workspaces: map[ident.Workspace]*intent.WorkspaceSpec{}}
+		for w, c := range classes {
+			patch.Workspaces[w] = &intent.WorkspaceSpec{Class: c}
+		}
+		st.Apply(state.Confirm{Head: state.Head{ChangeID: "w"}, Patch: patch})
+		return st
+	}
+	alike := NewConfig(workspaces(map[ident.Workspace]ident.Class{"a": "", "b": ident.ClassNormal}), nil)
+	assert.Equal(t, alike.Behind("a"), 0)
+	assert.Equal(t, alike.Behind("b"), 0)
+	c := alike.Next(workspaces(map[ident.Workspace]ident.Class{"a": "", "b": ident.ClassHigh, "c": ident.ClassLow}), nil)
+	assert.Equal(t, c.Behind("b"), 0)
+	assert.Equal(t, c.Behind("a"), 1)
+	assert.Equal(t, c.Behind("c"), 2)
+	assert.Equal(t, c.Behind(""), 0, "a call without a workspace")
+	assert.Equal(t, c.Next(c.State.Clone(), nil).Behind("c"), 2)
+}
--- a/core/board/daemon.go
+++ b/core/board/daemon.go
@@ -60,8 +60,10 @@
 	Recent []Step
 	grants map[ident.Workspace]map[ident.Route]ident.Grant
 	// keys holds the keys that the intent itself declares.
-	keys   map[ident.KeyDigest]ident.Workspace
-	digest string
+	keys map[ident.KeyDigest]ident.Workspace
+	// foremost is the class of the most important workspace.
+	foremost ident.Class
+	digest   string
 }
 
 // Step is one accepted command and the revision it led to.
@@ -74,7 +76,7 @@
 func NewConfig(st *state.State, recent []Step) *Config {
 	return &Config{
 		State: st, Table: routeTable(st.Intent), Recent: recent,
-		grants: grantIndex(st.Intent), keys: keyIndex(st.Intent), digest: st.Digest(),
+		grants: grantIndex(st.Intent), keys: keyIndex(st.Intent), foremost: st.Intent.Foremost(), digest: st.Digest(),
 	}
 }
 
@@ -82,7 +84,9 @@
 // patched intent keeps the maps that the patch leaves alone.
 func (c *Config) Next(st *state.State, recent []Step) *Config {
 	have, want := c.State.Intent, st.Intent
-	next := &Config{State: st, Recent: recent, Table: c.Table, grants: c.grants, keys: c.keys, digest: st.Digest()}
+	next := &Config{
+		State: st, Recent: recent, Table: c.Table, grants: c.grants, keys: c.keys, foremost: c.foremost, digest: st.Digest(),
+	}
 	if !sameMap(have.Routes, want.Routes) {
 		next.Table = routeTable(want)
 	}
@@ -90,7 +94,7 @@
 		next.grants = grantIndex(want)
 	}
 	if !sameMap(have.Workspaces, want.Workspaces) {
-		next.keys = keyIndex(want)
+		next.keys, next.foremost = keyIndex(want), want.Foremost()
 	}
 	return next
 }
@@ -113,6 +117,16 @@
 	return &d
 }
 
+// Behind returns how many classes a workspace stands behind the most important
+// one. A call without a workspace stands behind none.
+func (c *Config) Behind(w ident.Workspace) int {
+	spec, ok := c.State.Intent.Workspaces[w]
+	if !ok {
+		return 0
+	}
+	return spec.Standing().Index() - c.foremost.Index()
+}
+
 // Grant returns the grant under which a workspace may call a route.
 func (c *Config) Grant(w ident.Workspace, r ident.Route) (ident.Grant, intent.GrantSpec, bool) {
 	if c.State.Intent.Workspaces[w].AllRoutes {
--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -93,6 +93,23 @@
 	return c.Index() < other.Index()
 }
 
+// Standing is how important a call is among all others: the class of the
+// workspace goes before that of the route.
+type Standing struct {
+	// Behind is how many classes the workspace stands behind the most important
+	// one there is.
+	Behind int
+	Class  Class
+}
+
+// Standings is how many there are.
+const Standings = len(Classes) * len(Classes)
+
+// Index returns the position of s among all, 0 being the most important.
+func (s Standing) Index() int {
+	return min(s.Behind, len(Classes)-1)*len(Classes) + s.Class.Index()
+}
+
 // DigestKey returns the digest under which a key is stored and compared.
 func DigestKey(key string) KeyDigest {
 	sum := sha256.Sum256([]byte(key))
--- a/core/inflow/inflow.go
+++ b/core/inflow/inflow.go
@@ -11,14 +11,14 @@
 //
 //	t := inflow.NewTree()                   // wherever calls enter
 //	t.Learn(now, route, needs)              // from an answer
-//	t.Offered(now, route, class)
-//	refuse := t.RefuseShare(now, route)     // of the new calls of a route
+//	t.Offered(now, route, standing)
+//	refuse := t.RefuseShare(now, route, standing) // of such new calls
 //
 // Each gate says which share of the work that reaches it should not have
 // entered (admit.Gate). Answers carry that back along the tree, with what one
 // call of the route costs there; routes that do not use a full service see
 // nothing of it. An entry cuts the named share of its own demand for the
-// service, the least important classes first. The load that this answers: calls
+// service, the least important calls first. The load that this answers: calls
 // that fan out into a small service deep in the tree, at more than it can do.
 // After Rajomon (NSDI 2025), which propagates prices along the graph, and DAGOR
 // (SoCC 2018), which sheds by business priority at the entry. Nothing here is
@@ -65,8 +65,8 @@
 }
 
 type routeState struct {
-	class  ident.Class
-	demand meter.Meter
+	// demand is counted apart for calls of each standing.
+	demand map[ident.Standing]*meter.Meter
 	needs  map[ident.Service]need
 }
 
@@ -83,7 +83,7 @@
 func (t *Tree) route(r ident.Route) *routeState {
 	s := t.routes[r]
 	if s == nil {
-		s = &routeState{demand: meter.New(demandMemory), needs: map[ident.Service]need{}}
+		s = &routeState{demand: map[ident.Standing]*meter.Meter{}, needs: map[ident.Service]need{}}
 		t.routes[r] = s
 	}
 	return s
@@ -146,15 +146,20 @@
 }
 
 // Offered counts a new call, whether it is let in or not.
-func (t *Tree) Offered(now time.Time, r ident.Route, c ident.Class) {
+func (t *Tree) Offered(now time.Time, r ident.Route, as ident.Standing) {
 	s := t.route(r)
-	s.class = c
-	s.demand.Add(now, 1)
+	demand := s.demand[as]
+	if demand == nil {
+		fresh := meter.New(demandMemory)
+		demand = &fresh
+		s.demand[as] = demand
+	}
+	demand.Add(now, 1)
 }
 
-// RefuseShare returns the share of a route's new calls that should be refused
-// now: what its fullest service asks for, after less important work.
-func (t *Tree) RefuseShare(now time.Time, r ident.Route) float64 {
+// RefuseShare returns the share of a route's new calls of a standing that should
+// be refused now: what its fullest service asks for, after less important work.
+func (t *Tree) RefuseShare(now time.Time, r ident.Route, as ident.Standing) float64 {
 	s := t.routes[r]
 	if s == nil {
 		return 0
@@ -162,31 +167,41 @@
 	worst := 0.0
 	for svc, n := range s.needs {
 		if refuse := n.now(now); refuse >= refuseLeast {
-			worst = max(worst, t.cut(now, svc, refuse, s.class))
+			worst = max(worst, t.cut(now, svc, refuse, as))
 		}
 	}
 	return min(worst, refuseMost)
 }
 
-// cut spreads the share that a service asks to refuse over the classes of the
-// demand for it, from the least important one up, and returns a class's part.
-func (t *Tree) cut(now time.Time, svc ident.Service, refuse float64, class ident.Class) float64 {
-	var demand [len(ident.Classes)]float64
+// cut spreads the share that a service asks to refuse over the demand for it, from
+// the least important one up, and returns the part of those that stand alike.
+func (t *Tree) cut(now time.Time, svc ident.Service, refuse float64, as ident.Standing) float64 {
+	demand := t.demandFor(now, svc)
 	total := 0.0
-	for _, s := range t.routes {
-		if n, uses := s.needs[svc]; uses {
-			work := s.demand.Rate(now) * n.cost
-			demand[s.class.Index()] += work
-			total += work
-		}
+	for _, work := range demand {
+		total += work
 	}
 	left := refuse * total
-	for i := len(demand) - 1; i > class.Index(); i-- {
+	for i := len(demand) - 1; i > as.Index(); i-- {
 		left -= demand[i] * refuseMost
 	}
-	own := demand[class.Index()]
+	own := demand[as.Index()]
 	if left <= 0 || own == 0 {
 		return 0
 	}
 	return min(1, left/own)
 }
+
+// demandFor returns the demand for a service by standing, in slots.
+func (t *Tree) demandFor(now time.Time, svc ident.Service) (demand [ident.Standings]float64) {
+	for _, s := range t.routes {
+		n, uses := s.needs[svc]
+		if !uses {
+			continue
+		}
+		for as, m := range s.demand {
+			demand[as.Index()] += m.Rate(now) * n.cost
+		}
+	}
+	return demand
+}
--- a/core/intent/intent.go
+++ b/core/intent/intent.go
@@ -65,7 +65,8 @@
 	// rate of zero is no limit.
 	Rate  ident.Rate  `ini:"rate" json:"rate,omitempty"`
 	Burst ident.Burst `ini:"burst" json:"burst,omitempty"`
-	// Class goes before the class of the routes that the workspace calls.
+	// Class goes before the class of the routes that the workspace calls; one
+	// without stands among the normal ones.
 	Class ident.Class `ini:"class" json:"class,omitempty"`
 	// Keys are digests of keys that are valid as long as they stand here,
 	// besides those that operators grant one by one.
@@ -269,3 +270,22 @@
 	}
 	return in.Limits.BodyLimit
 }
+
+// Standing returns the workspace's class, or what counts as one.
+func (w WorkspaceSpec) Standing() ident.Class {
+	if w.Class == "" {
+		return ident.ClassNormal
+	}
+	return w.Class
+}
+
+// Foremost returns the class of the most important workspace.
+func (in Intent) Foremost() ident.Class {
+	foremost := ident.ClassLow
+	for _, w := range in.Workspaces {
+		if class := w.Standing(); class.Above(foremost) {
+			foremost = class
+		}
+	}
+	return foremost
+}
--- a/io/hop/hop.go
+++ b/io/hop/hop.go
@@ -52,9 +52,11 @@
 	// Caller is the service on whose VM the call began.
 	Caller  ident.Service `json:"caller,omitempty"`
 	Service ident.Service `json:"service"`
-	Class   ident.Class   `json:"class"`
-	Rank    admit.Rank    `json:"rank"`
-	Inner   bool          `json:"inner,omitempty"`
+	// Behind and Class are the call's standing.
+	Behind int         `json:"behind,omitempty"`
+	Class  ident.Class `json:"class"`
+	Rank   admit.Rank  `json:"rank"`
+	Inner  bool        `json:"inner,omitempty"`
 	// Share is which part of the calls of its kind the entry lets in at the
 	// moment, having weighed the load of the call's tree; 1 is all.
 	Share float64 `json:"share"`
@@ -68,6 +70,11 @@
 	TimeoutMs int64 `json:"timeout_ms"`
 }
 
+// Standing returns how important the call is.
+func (c Call) Standing() ident.Standing {
+	return ident.Standing{Behind: c.Behind, Class: c.Class}
+}
+
 // Answer is what a daemon tells the one before about a call.
 type Answer struct {
 	Load    admit.Load `json:"load"`
--- a/io/proxy/admitted.go
+++ b/io/proxy/admitted.go
@@ -32,16 +32,13 @@
 	return !in.spec.Idempotent && !in.spec.UniqueIDs
 }
 
-// class is that of the call that this one serves; otherwise the workspace's,
-// where it has one, or the route's.
-func (in *admitted) class() ident.Class {
+// standing is that of the call that this one serves; otherwise it follows from
+// the workspace, where there is one, and the route.
+func (in *admitted) standing() ident.Standing {
 	if in.parent != nil {
-		return in.parent.call.Class
+		return in.parent.call.Standing()
 	}
-	if c := in.config.State.Intent.Workspaces[in.workspace].Class; c != "" {
-		return c
-	}
-	return in.spec.Class
+	return ident.Standing{Behind: in.config.Behind(in.workspace), Class: in.spec.Class}
 }
 
 // findRoute returns the route of a request as it stands in a configuration.
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -166,7 +166,7 @@
 	if in.spec.Open {
 		return nil, 0
 	}
-	in.share = p.intake.share(in.route, in.class())
+	in.share = p.intake.share(in.route, in.standing())
 	if p.draw() >= in.share {
 		return p.refuseInflow(in, remaining(ctx, p.opt.Clock.Now()))
 	}
@@ -324,7 +324,8 @@
 			Route:      in.route,
 			Service:    in.service,
 			Caller:     p.opt.Config().Daemon.Service,
-			Class:      in.class(),
+			Behind:     in.standing().Behind,
+			Class:      in.standing().Class,
 			Rank:       rankOf(in.workspace, action),
 			Inner:      in.inner(),
 			Share:      in.letIn(),
--- a/io/proxy/gate.go
+++ b/io/proxy/gate.go
@@ -49,7 +49,7 @@
 		Ticket:    g.next,
 		Workspace: c.Payer,
 		Route:     c.Route,
-		Class:     c.Class,
+		Standing:  c.Standing(),
 		Rank:      c.Rank,
 		Inner:     c.Inner,
 		Admitted:  c.Share < 1,
--- a/io/proxy/inflow.go
+++ b/io/proxy/inflow.go
@@ -23,12 +23,12 @@
 }
 
 // share returns which part of the new calls of a route to let in.
-func (i *intake) share(r ident.Route, c ident.Class) float64 {
+func (i *intake) share(r ident.Route, s ident.Standing) float64 {
 	now := i.opt.Clock.Now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.tree.Offered(now, r, c)
-	return 1 - i.tree.RefuseShare(now, r)
+	i.tree.Offered(now, r, s)
+	return 1 - i.tree.RefuseShare(now, r, s)
 }
 
 // learn takes what an answer told of its tree.
