commands: ask the next server beside a silent one

Cause: an operator's command waited 10 s for each server that takes a connection and says nothing, the frozen or cut-off control daemon among them. Change: after 1 s the next one is asked as well; the first final answer counts. Changes carry an id, so two of them are one. Ruled out: a file that remembers which server answered, since the wait is bounded without it.

--- a/commands/client.go
+++ b/commands/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -20,7 +21,7 @@
 
 // clientOptions are the options of every command that asks a daemon.
 type clientOptions struct {
-	Servers   []string `long:"server" env:"CHICORYMAST_SERVER" env-delim:"," description:"administration address IP:port; several are tried in turn" required:"true"`
+	Servers   []string `long:"server" env:"CHICORYMAST_SERVER" env-delim:"," description:"administration address IP:port; several are asked in turn, the next one after a second" required:"true"`
 	TokenFile string   `long:"token-file" env:"CHICORYMAST_TOKEN_FILE" description:"file that holds the operator's token" required:"true"`
 	Output    string   `long:"output" choice:"text" choice:"json" default:"text" description:"form of what is printed"`
 }
@@ -37,7 +38,13 @@
 	return ident.ChangeID(o.ChangeID)
 }
 
-const clientTimeout = 10 * time.Second
+const (
+	// clientTimeout bounds the wait for one server.
+	clientTimeout = 10 * time.Second
+	// serverPatience is how long a server may be silent before the next one is
+	// asked, too; one that works answers within a change of leaders.
+	serverPatience = time.Second
+)
 
 // lostError is returned when a change was sent but no answer came.
 type lostError struct {
@@ -71,35 +78,69 @@
 	return answer, err
 }
 
+// outcome is what one server said.
+type outcome[T any] struct {
+	answer T
+	err    error
+}
+
+// final reports whether no other server would say anything else.
+func (o outcome[T]) final() bool {
+	var refused problemError
+	return o.err == nil || (errors.As(o.err, &refused) && refused.Reason != "not_ready")
+}
+
+// call asks the servers in turn. One that is silent for a while is waited for
+// beside the next one: reads change nothing, and changes carry an id that makes
+// the second of them the same change.
 func call[T any](o clientOptions, method, path string, body any) (answer T, err error) {
 	token, err := readToken(o.TokenFile)
 	if err != nil {
 		return answer, err
 	}
-	for _, server := range o.Servers {
-		answer, err = callOne[T](server, token, method, path, body)
-		var refused problemError
-		if err == nil || (errors.As(err, &refused) && refused.Reason != "not_ready") {
-			return answer, err
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	heard := make(chan outcome[T], len(o.Servers))
+	ask := func(server string) {
+		answer, err := callOne[T](ctx, server, token, method, path, body)
+		heard <- outcome[T]{answer, err}
+	}
+	asked, pending := 0, 0
+	var last outcome[T]
+	for asked < len(o.Servers) || pending > 0 {
+		var silent <-chan time.Time
+		if asked < len(o.Servers) {
+			go ask(o.Servers[asked])
+			asked, pending = asked+1, pending+1
+			silent = time.After(serverPatience)
+		}
+		select {
+		case last = <-heard:
+			pending--
+			if last.final() {
+				return last.answer, last.err
+			}
+		case <-silent:
 		}
 	}
-	return answer, err
+	return last.answer, last.err
 }
 
-func callOne[T any](server, token, method, path string, body any) (answer T, err error) {
+func callOne[T any](ctx context.Context, server, token, method, path string, body any) (answer T, err error) {
 	defer fault.Note(&err, "%s %s at %s", method, path, server)
 	data, err := json.Marshal(body)
 	if err != nil {
 		return answer, err
 	}
-	req, err := http.NewRequest(method, "http://"+server+path, bytes.NewReader(data))
+	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+server+path, bytes.NewReader(data))
 	if err != nil {
 		return answer, err
 	}
 	req.Header.Set("Authorization", "Bearer "+token)
 	req.Header.Set("Content-Type", "application/json")
-	client := http.Client{Timeout: clientTimeout}
-	resp, err := client.Do(req)
+	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return answer, err
 	}
