agent, intent, raft: time for the first sync; names

Cause: read through as a newcomer. The first sync with a relay waits for nothing, so it had 0.4 s for all members: at 37,000 of 330 B that is 12 MB and might never fit. Its time is that of any other sync now, 1.4 s. Ruled out: the retry after 0.2 s, which would only have begun the same again. Conclusion: no other behaviour changes.

--- a/commands/client.go
+++ b/commands/client.go
@@ -21,7 +21,7 @@
 
 // clientOptions are the options of every command that asks a daemon.
 type clientOptions struct {
-	Servers   []string `long:"server" env:"CHICORYMAST_SERVER" env-delim:"," description:"administration address IP:port; several are asked in turn, the next one after a second" required:"true"`
+	Servers   []string `long:"server" env:"CHICORYMAST_SERVER" env-delim:"," description:"administration address IP:port; several are tried in turn" required:"true"`
 	TokenFile string   `long:"token-file" env:"CHICORYMAST_TOKEN_FILE" description:"file that holds the operator's token" required:"true"`
 	Output    string   `long:"output" choice:"text" choice:"json" default:"text" description:"form of what is printed"`
 }
--- a/core/board/daemon.go
+++ b/core/board/daemon.go
@@ -124,7 +124,7 @@
 	if !ok {
 		return 0
 	}
-	return spec.Standing().Index() - c.foremost.Index()
+	return spec.EffectiveClass().Index() - c.foremost.Index()
 }
 
 // Grant returns the grant under which a workspace may call a route.
--- a/core/intent/intent.go
+++ b/core/intent/intent.go
@@ -271,8 +271,8 @@
 	return in.Limits.BodyLimit
 }
 
-// Standing returns the workspace's class, or what counts as one.
-func (w WorkspaceSpec) Standing() ident.Class {
+// EffectiveClass returns the workspace's class, or what counts as one.
+func (w WorkspaceSpec) EffectiveClass() ident.Class {
 	if w.Class == "" {
 		return ident.ClassNormal
 	}
@@ -283,7 +283,7 @@
 func (in Intent) Foremost() ident.Class {
 	foremost := ident.ClassLow
 	for _, w := range in.Workspaces {
-		if class := w.Standing(); class.Above(foremost) {
+		if class := w.EffectiveClass(); class.Above(foremost) {
 			foremost = class
 		}
 	}
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -213,14 +213,17 @@
 	}
 }
 
+// startEighths of the shortest wait for a leader are kept by a node that has just
+// started: three heartbeats, of which a leader's first needs a way across regions.
+const startEighths = 3
+
 // resetTimeout begins a new wait for a leader. A node that has just started
 // waits less: it has no leader to lose, and one that is there soon says so.
 func (n *Node) resetTimeout() {
 	n.elapsed = 0
-	least := n.cfg.ElectionTicks
-	spread := n.cfg.ElectionTicks
+	least, spread := n.cfg.ElectionTicks, n.cfg.ElectionTicks
 	if !n.settled {
-		least = max(1, n.cfg.ElectionTicks*3/8)
+		least = max(1, n.cfg.ElectionTicks*startEighths/8)
 		spread = max(1, n.cfg.ElectionTicks-least)
 	}
 	n.timeout = least + n.cfg.Rand.IntN(spread)
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -140,7 +140,7 @@
 		a.pause(ctx)
 	}
 	wait := a.waitFor()
-	callCtx, cancel := context.WithTimeout(ctx, wait+syncTimeout-syncWait)
+	callCtx, cancel := context.WithTimeout(ctx, a.timeoutFor(wait))
 	defer cancel()
 	stopWatch := a.interruptOnChange(callCtx, cancel)
 	sent := a.opt.Clock.Now()
@@ -172,6 +172,15 @@
 	}
 }
 
+// timeoutFor returns after how long a relay counts as silent that may hold a sync
+// for a time. The first sync with a relay brings all members, some MB at most.
+func (a *Agent) timeoutFor(wait time.Duration) time.Duration {
+	if a.mark.Epoch == "" {
+		return syncTimeout
+	}
+	return wait + syncTimeout - syncWait
+}
+
 // interruptOnChange ends a waiting sync when this VM has something to
 // announce, so that a drain is known at once.
 func (a *Agent) interruptOnChange(ctx context.Context, cancel context.CancelFunc) (stop func() bool) {
