meter, proxy: one way to a meter by key; a test of stopping

Cause: read as a reviewer would, inflow made meters by key twice, and no test tried that a daemon which stops still serves its peers: TestMesh meets it only by chance. Change: meter.Of in both places; a test of what refuses a peer. Ruled out: a change of behaviour, since the meters have the same spans.

--- a/core/inflow/inflow.go
+++ b/core/inflow/inflow.go
@@ -147,14 +147,7 @@
 
 // Offered counts a new call, whether it is let in or not.
 func (t *Tree) Offered(now time.Time, r ident.Route, as ident.Standing) {
-	s := t.route(r)
-	demand := s.demand[as]
-	if demand == nil {
-		fresh := meter.New(demandMemory)
-		demand = &fresh
-		s.demand[as] = demand
-	}
-	demand.Add(now, 1)
+	meter.Of(t.route(r).demand, as, demandMemory).Add(now, 1)
 }
 
 // RefuseShare returns the share of a route's new calls of a standing that should
--- a/core/inflow/profile.go
+++ b/core/inflow/profile.go
@@ -42,14 +42,7 @@
 
 // Called notes a call that a run of a route made to another service.
 func (p *Profiles) Called(now time.Time, r, child ident.Route) {
-	have := p.route(r)
-	calls := have.calls[child]
-	if calls == nil {
-		m := meter.New(profileMemory)
-		calls = &m
-		have.calls[child] = calls
-	}
-	calls.Add(now, 1)
+	meter.Of(p.route(r).calls, child, profileMemory).Add(now, 1)
 }
 
 // Needs returns what one call of a route needs, of the upstream's own service
--- a/core/meter/meter.go
+++ b/core/meter/meter.go
@@ -27,6 +27,16 @@
 	return Meter{over: over}
 }
 
+// Of returns the meter of a key, a new one over the span where there is none.
+func Of[K comparable](meters map[K]*Meter, key K, span time.Duration) *Meter {
+	m := meters[key]
+	if m == nil {
+		m = &Meter{over: span}
+		meters[key] = m
+	}
+	return m
+}
+
 // Add counts n at a time.
 func (m *Meter) Add(now time.Time, n float64) {
 	m.fade(now)
--- a/io/proxy/fleet_test.go
+++ b/io/proxy/fleet_test.go
@@ -10,6 +10,7 @@
 	"chicorymast/core/member"
 	"chicorymast/core/route"
 	"chicorymast/core/state"
+	"chicorymast/io/hop"
 
 	"gotest.tools/v3/assert"
 )
@@ -33,3 +34,15 @@
 	assert.Equal(t, picked(entry("a", member.PhaseDraining), entry("b", member.PhaseUp)), ident.VM("b"))
 	assert.Equal(t, picked(entry("a", member.PhaseGone)), ident.VM(""))
 }
+
+// A daemon that stops serves what still comes; one whose upstream drains does not.
+func TestOnlyADrainingUpstreamRefusesPeers(t *testing.T) {
+	p := &Proxy{opt: Options{Board: board.New()}}
+	p.opt.Board.Life.Write(&board.Life{Phase: board.LifeStopping})
+	served := &board.Served{Served: member.Served{Service: "shop", Upstream: "i-1", Phase: member.PhaseUp}, Address: "127.0.0.1:1"}
+	assert.Assert(t, p.unavailable(served, hop.Call{Service: "shop"}) == nil)
+	served.Phase = member.PhaseDraining
+	assert.Assert(t, p.unavailable(served, hop.Call{Service: "shop"}) != nil)
+	served.Phase, served.Drained = member.PhaseUp, true
+	assert.Assert(t, p.unavailable(served, hop.Call{Service: "shop"}) != nil)
+}
