trail: log each decision that touches a request

Causes of refusals could be guessed from metrics only.

Events 1901 to 1909, each at the process that decides: refused or failed at the entry and beside the upstream, sent again or not and why, placed outside the own data centre, waited for a slot, VM ejected, failed for a nested call. A line holds the request, its parent, the inputs, their age and whom they came from. Each kind has a budget ([log] decision_rate, decision_burst); above it core/sample keeps the first of each reason, route and service of a second and shares the rest equally. What is left out is counted (1909 and two metrics). Fields are built only for lines that are written: a line that is left out allocates nothing (a test holds that). The log is written by a goroutine of its own, so that a reader that does not read blocks nobody; lines beyond 256 KiB are dropped and counted.

The decision to retry is a value now, so that it can be logged; what is decided is as before. At 37,000 daemons nothing is sent for it, and the bound holds for each daemon by itself.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -61,6 +61,8 @@
 		"bad role":                    {"role = view", "role = king", "operator anna", "role"},
 		"bad digest":                  {"token_sha256 = 00", "token_sha256 = zz", "operator anna", "token_sha256"},
 		"sample":                      {"sample = 0.01", "sample = 7", "trace", "sample"},
+		"negative line rate":          {"decision_rate = 10", "decision_rate = -1", "log", "decision_rate"},
+		"no line at once":             {"decision_burst = 50", "decision_burst = 0", "log", "decision_burst"},
 		"key before a section":        {"; Settings", "stray = 1\n; Settings", "", "stray"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/inflow/inflow.go
+++ b/core/inflow/inflow.go
@@ -158,6 +158,20 @@
 	return out
 }
 
+// CostInput is a cost and its age, for the log.
+type CostInput struct {
+	ServiceCost
+	Age time.Duration
+}
+
+// Inputs returns what the refusals of a route's calls stand on.
+func (s *Shedder) Inputs(now time.Time, r ident.Route) (out []CostInput) {
+	for _, c := range s.Costs(now, r) {
+		out = append(out, CostInput{ServiceCost: c, Age: now.Sub(s.routes[r].costs[c.Service].updated)})
+	}
+	return out
+}
+
 // currentShare returns the refuse share, reduced exponentially for the time
 // since the last response beyond costTTL.
 func (c costEstimate) currentShare(now time.Time) float64 {
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -59,6 +59,12 @@
 	return max(0, h.backoffUntil.Sub(now))
 }
 
+// Inputs returns the holder's part of what decisions on the grant stand on.
+func (h *Holder) Inputs(now time.Time) Inputs {
+	h.expire(now)
+	return Inputs{Tokens: h.tokens, Demand: h.demand.Rate(now), Backoff: h.Backoff(now)}
+}
+
 // RequestLease returns the next request to the owner: for a token for each of the
 // waiting calls, and for tokens to prefetch. All tokens that are held are
 // returned to the owner with the request.
--- a/core/quota/types.go
+++ b/core/quota/types.go
@@ -1,5 +1,11 @@
 package quota
 
+import (
+	"time"
+
+	"chicorymast/core/ident"
+)
+
 // Lease is an owner's reply to a LeaseRequest.
 type Lease struct {
 	// Sequence is that of the request.
@@ -32,6 +38,34 @@
 	Tokens float64 `json:"tokens"`
 }
 
+// Reply is how the owner of a grant last replied to a request for a lease.
+type Reply string
+
+// The replies. ReplyNone stands for no request so far.
+const (
+	ReplyNone        Reply = ""
+	ReplyGranted     Reply = "granted"
+	ReplyDenied      Reply = "denied"
+	ReplyNotOwner    Reply = "not_owner"
+	ReplyUnreachable Reply = "unreachable"
+	ReplyNoOwner     Reply = "no_owner_known"
+)
+
+// Inputs is what a daemon's decisions on a grant stand on, for the log.
+type Inputs struct {
+	// Tokens is what the daemon holds, Demand its calls per second and Backoff the
+	// time until it may ask for more.
+	Tokens, Demand float64
+	Backoff        time.Duration
+	// Owner is the VM that the daemon asks at present.
+	Owner           ident.VM
+	OwnerDataCentre ident.DataCentre
+	// LastReply is the newest reply, ReplyAge its age and ReplyFrom its sender.
+	LastReply Reply
+	ReplyAge  time.Duration
+	ReplyFrom ident.VM
+}
+
 // LeaseRequest is what a daemon asks an owner for: tokens for waiting calls, and
 // tokens to prefetch for later ones.
 type LeaseRequest struct {
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -82,6 +82,11 @@
 	t.credit = min(t.maxCredit, t.credit+t.perSuccess)
 }
 
+// Credit returns the retries that are allowed now.
+func (t *Throttle) Credit() float64 {
+	return t.credit
+}
+
 // Spend uses one retry. It reports false if none is allowed.
 func (t *Throttle) Spend() bool {
 	if t.credit < 1 {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -89,11 +89,31 @@
 	rng   *rand.Rand
 	peers map[ident.VM]*peer
 	// order lists the peers in the order of the latest update.
-	order []*peer
+	order     []*peer
+	lastSpill Spill
 	// firstUpdate is the time of the first update with candidates.
 	firstUpdate time.Time
 }
 
+// Spill explains why a call was placed outside the own data centre though a VM there
+// could have taken it. LocalVM is empty if the call was not.
+type Spill struct {
+	LocalVM        ident.VM
+	LocalLoad      float64
+	LocalReportAge time.Duration
+	Load           float64
+}
+
+// Status is the state of one candidate.
+type Status struct {
+	VM          ident.VM
+	Outstanding int
+	Reported    admit.Load
+	ReportAge   time.Duration
+	// EjectedFor is the time for which the VM still gets no calls.
+	EjectedFor time.Duration
+}
+
 // New returns a balancer without candidates for a daemon in the data centre home.
 func New(home ident.DataCentre, rng *rand.Rand) *Balancer {
 	return &Balancer{home: home, rng: rng, peers: map[ident.VM]*peer{}}
@@ -133,6 +153,7 @@
 	if len(usable) == 0 {
 		return Candidate{}, false
 	}
+	b.lastSpill = Spill{}
 	p := b.choose(now, level, usable)
 	p.outstanding++
 	if p.failures >= ejectAfterFailures {
@@ -141,11 +162,37 @@
 	return p.Candidate, true
 }
 
-// Done records the result of a call to a VM.
-func (b *Balancer) Done(now time.Time, vm ident.VM, r Report) {
+// LastSpill explains the placement of the last picked call.
+func (b *Balancer) LastSpill() Spill {
+	return b.lastSpill
+}
+
+// Status returns the state of all candidates.
+func (b *Balancer) Status(now time.Time) []Status {
+	out := make([]Status, 0, len(b.order))
+	for _, p := range b.order {
+		out = append(out, Status{
+			VM: p.VM, Outstanding: p.outstanding, Reported: p.reported, ReportAge: p.reportAge(now),
+			EjectedFor: max(0, p.ejectedUntil.Sub(now)),
+		})
+	}
+	return out
+}
+
+// reportAge returns the age of the last reported load, below zero if there was none.
+func (p *peer) reportAge(now time.Time) time.Duration {
+	if p.reportedAt.IsZero() {
+		return -time.Millisecond
+	}
+	return now.Sub(p.reportedAt)
+}
+
+// Done records the result of a call to a VM. It returns for how long the VM is
+// ejected because of it, zero if it is not.
+func (b *Balancer) Done(now time.Time, vm ident.VM, r Report) (ejected time.Duration) {
 	p := b.peers[vm]
 	if p == nil {
-		return
+		return 0
 	}
 	p.outstanding = max(0, p.outstanding-1)
 	p.probing = false
@@ -154,17 +201,18 @@
 	}
 	if r.Outcome != OutcomeFailed {
 		p.failures, p.ejections = 0, 0
-		return
+		return 0
 	}
 	p.failures++
-	if p.failures >= ejectAfterFailures {
-		b.eject(now, p)
+	if p.failures < ejectAfterFailures {
+		return 0
 	}
+	return b.eject(now, p)
 }
 
 // eject ejects a VM, unless too many are ejected already. The time doubles with
 // each ejection in a row.
-func (b *Balancer) eject(now time.Time, p *peer) {
+func (b *Balancer) eject(now time.Time, p *peer) time.Duration {
 	ejected := 0
 	for _, other := range b.order {
 		if now.Before(other.ejectedUntil) {
@@ -172,11 +220,12 @@
 		}
 	}
 	if float64(ejected+1) > maxEjectedShare*float64(len(b.order)) {
-		return
+		return 0
 	}
-	ejectTime := minEjectTime << min(p.ejections, 5)
-	p.ejectedUntil = now.Add(min(ejectTime, maxEjectTime))
+	ejectTime := min(minEjectTime<<min(p.ejections, 5), maxEjectTime)
+	p.ejectedUntil = now.Add(ejectTime)
 	p.ejections++
+	return ejectTime
 }
 
 func (b *Balancer) usable(now time.Time, tried map[ident.VM]bool) []*peer {
@@ -209,6 +258,7 @@
 	if q.shedding(now, level) || q.score(now) >= p.score(now) {
 		return p
 	}
+	b.lastSpill = Spill{LocalVM: p.VM, LocalLoad: p.score(now), LocalReportAge: p.reportAge(now), Load: q.score(now)}
 	return q
 }
 
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -39,6 +39,7 @@
 	"chicorymast/io/secure"
 	"chicorymast/io/timer"
 	"chicorymast/io/trace"
+	"chicorymast/io/trail"
 	"chicorymast/io/wire"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -64,6 +65,7 @@
 	limiter   *ration.Limiter
 	records   *record.Records
 	proxy     *proxy.Proxy
+	trail     *trail.Trail
 	tracer    *trace.Tracer
 	changes   *change.Client
 	upstreams *upstreamRegistry
@@ -203,6 +205,7 @@
 		Seed:    uint64(d.clock.Now().UnixNano()),
 		Quota:   d.limiter,
 		Records: d.records,
+	d.trail = trail.New(trail.Options{Config: d.Config, Clock: d.clock, Log: d.log, Registry: d.reg})
 		Dial:    d.dial,
 		Dialect: dialectFor(cfg.Platform),
 	})
@@ -210,6 +213,7 @@
 
 func (d *Daemon) listen() (err error) {
 	defer fault.Note(&err, "open listeners")
+		Trail:   d.trail,
 	cfg := d.Config()
 	handlers := []struct {
 		name    string
@@ -297,7 +301,7 @@
 		go func() { d.reportServeError(d.callers.Serve()) }()
 		d.stops = append(d.stops, d.clock.Every(tickInterval, func(time.Time) { d.callers.Apply(d.callerLimits()) }))
 	}
-	d.stops = append(d.stops, d.relay.Start(), d.limiter.Start(), d.records.Start(), d.proxy.Start(), d.clock.Every(tickInterval, d.upstreams.tick))
+	d.stops = append(d.stops, d.relay.Start(), d.limiter.Start(), d.records.Start(), d.proxy.Start(), d.trail.Start(), d.clock.Every(tickInterval, d.upstreams.tick))
 	if d.control != nil {
 		d.control.Start()
 		d.stops = append(d.stops, d.control.Stop)
@@ -359,6 +363,7 @@
 func (d *Daemon) delayShutdown(ctx context.Context) {
 	if d.callers != nil {
 		d.callers.DisableKeepAlives()
+	defer d.log.Sync()
 	}
 	t := time.NewTimer(d.Config().Daemon.ShutdownDelay)
 	defer t.Stop()
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -52,6 +52,15 @@
 )
 
 var catalogue = byID([]Definition{
+	RequestRefused       ID = 1901
+	CallRefused          ID = 1902
+	CallRetried          ID = 1903
+	CallNotRetried       ID = 1904
+	PlacedElsewhere      ID = 1905
+	CallQueued           ID = 1906
+	VMEjected            ID = 1907
+	NestedCallFailed     ID = 1908
+	DecisionsOmitted     ID = 1909
 	{DaemonStarted, zapcore.InfoLevel, "The daemon started and accepts calls."},
 	{DaemonStopping, zapcore.InfoLevel, "The daemon is shutting down: it takes no new work and waits for running calls."},
 	{DaemonStopped, zapcore.InfoLevel, "The daemon stopped; no calls were running."},
@@ -97,6 +106,15 @@
 	m := make(map[ID]Definition, len(definitions))
 	for _, d := range definitions {
 		m[d.ID] = d
+	{RequestRefused, zapcore.InfoLevel, "A request was refused, or failed, where it entered the fleet."},
+	{CallRefused, zapcore.InfoLevel, "A call was refused, or failed, beside its upstream."},
+	{CallRetried, zapcore.InfoLevel, "A failed call is sent again to another VM."},
+	{CallNotRetried, zapcore.InfoLevel, "A failed call is not sent again."},
+	{PlacedElsewhere, zapcore.InfoLevel, "A call was placed outside its data centre."},
+	{CallQueued, zapcore.InfoLevel, "A call waited for a slot of the upstream on this VM."},
+	{VMEjected, zapcore.InfoLevel, "A VM failed several calls in a row and gets none for a while."},
+	{NestedCallFailed, zapcore.InfoLevel, "A call failed at its upstream after one of its nested calls had failed."},
+	{DecisionsOmitted, zapcore.InfoLevel, "Lines about decisions were left out to bound the log."},
 	}
 	return m
 }
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -13,6 +13,7 @@
 import (
 	"io"
 	"log"
+	"strconv"
 	"strings"
 
 	"chicorymast/core/fault"
@@ -24,6 +25,11 @@
 // ID is the number of an event.
 type ID int
 
+// String returns the number as text.
+func (id ID) String() string {
+	return strconv.Itoa(int(id))
+}
+
 // Definition describes one event.
 type Definition struct {
 	ID      ID
@@ -35,10 +41,13 @@
 type Log struct {
 	zap   *zap.Logger
 	level zap.AtomicLevel
+	// out is nil for a log that drops all events.
+	out *asyncWriter
 }
 
 // Open returns a log that writes events of at least the level to w, in the format
-// json or console. It returns an error for an unknown level.
+// json or console. Writing never waits for w: lines that w does not take in time are
+// dropped. It returns an error for an unknown level.
 func Open(w io.Writer, level, format string) (log *Log, err error) {
 	defer fault.Note(&err, "open log")
 	minLevel, err := zap.ParseAtomicLevel(level)
@@ -51,8 +60,8 @@
 	if format == "console" {
 		encoder = zapcore.NewConsoleEncoder(encoderConfig)
 	}
-	core := zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(w)), minLevel)
-	return &Log{zap: zap.New(core), level: minLevel}, nil
+	out := newAsyncWriter(w)
+	return &Log{zap: zap.New(zapcore.NewCore(encoder, out, minLevel)), level: minLevel, out: out}, nil
 }
 
 // Discard returns a log that drops all events.
@@ -62,7 +71,7 @@
 
 // With returns a log that adds the fields to every event.
 func (l *Log) With(fields ...zap.Field) *Log {
-	return &Log{zap: l.zap.With(fields...), level: l.level}
+	return &Log{zap: l.zap.With(fields...), level: l.level, out: l.out}
 }
 
 // SetLevel sets the lowest level that is written. An unknown level is ignored.
@@ -80,9 +89,23 @@
 	}
 }
 
-// Sync flushes buffered events.
+// Enabled reports whether an event would be written at the present level.
+func (l *Log) Enabled(id ID) bool {
+	return l.zap.Core().Enabled(catalogue[id].Level)
+}
+
+// TakeDropped returns the number of lines that were dropped since the last call
+// because the reader of the log was too slow.
+func (l *Log) TakeDropped() uint64 {
+	if l.out == nil {
+		return 0
+	}
+	return l.out.takeDropped()
+}
+
+// Sync writes buffered events. It gives up after a second if nobody reads them.
 func (l *Log) Sync() {
-	_ = l.zap.Sync() // syncing a terminal always fails
+	_ = l.zap.Sync() // asyncWriter.Sync returns no error
 }
 
 // maxLibraryText is the largest part of a library's message that is logged, in
--- a/io/event/library_test.go
+++ b/io/event/library_test.go
@@ -21,6 +21,7 @@
 		log.SetFlags(log.LstdFlags)
 	})
 	log.Printf("unsolicited response %q", strings.Repeat("\x00garbage", 1000))
+	l.Sync()
 	assert.Assert(t, strings.Contains(out.String(), `"event":1704`))
 	assert.Assert(t, strings.Contains(out.String(), "unsolicited response"))
 	assert.Assert(t, out.Len() < 2*maxLibraryText+200, "%d bytes", out.Len())
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -21,11 +21,15 @@
 
 // outboundCall is a call to be dispatched to the daemon on the VM of an upstream.
 type outboundCall struct {
-	call   header.Call
-	method string
-	url    *url.URL
-	header http.Header
-	body   *payload
+	call header.Call
+	// parent is the action id of the call that an upstream makes this one for.
+	parent ident.ActionID
+	// attempts counts how often the call was sent.
+	attempts int
+	method   string
+	url      *url.URL
+	header   http.Header
+	body     *payload
 	// fingerprint identifies the content, to recognise requests that crash upstreams.
 	fingerprint poison.Fingerprint
 }
@@ -115,15 +119,22 @@
 		return nil, retryOutcome{unspentRetries: d.budget.Remaining()}, r
 	}
 	for n := 0; ; n++ {
-		vm, ok := p.pick(o.call, d.tried)
+		vm, spill, ok := p.pick(o.call, d.tried)
 		if !ok {
 			return d.finalRefusal(false)
 		}
+		p.noteSpill(o, vm, spill)
+		o.attempts++
 		lent := d.budget.Lend()
+		sent := p.opt.Clock.Now()
 		a := p.sendOnce(ctx, o, vm, lent)
 		d.addAttempt(vm.VM, lent, a)
-		accepted := a.response != nil && !retryableResponse(o, a)
-		if !accepted && p.prepareRetry(ctx, o, a, &d.budget, n) {
+		decision := retryFinalResponse
+		if a.response == nil || retryableResponse(o, a) {
+			decision = p.decideRetry(ctx, o, a, &d.budget, n)
+		}
+		p.noteAttempt(ctx, o, vm, a, sent, d.budget.Remaining(), decision)
+		if decision == retryAgain && p.waitBeforeRetry(ctx, a, n) {
 			a.discard()
 			p.opt.Metrics.retries.Inc()
 			continue
@@ -137,13 +148,13 @@
 
 // pick chooses a VM that has not been tried, or any VM in pass-through mode once
 // all have been tried.
-func (p *Proxy) pick(c header.Call, tried map[ident.VM]bool) (route.Candidate, bool) {
+func (p *Proxy) pick(c header.Call, tried map[ident.VM]bool) (route.Candidate, route.Spill, bool) {
 	level := admit.PriorityLevel(c.Priority(), c.Nested || c.AdmittedShare < 1)
-	vm, ok := p.router.pick(c.Service, level, tried)
+	vm, spill, ok := p.router.pick(c.Service, level, tried)
 	if !ok && len(tried) > 0 && p.passThrough() {
 		return p.router.pick(c.Service, level, nil)
 	}
-	return vm, ok
+	return vm, spill, ok
 }
 
 // retryableResponse reports whether the upstream's own response permits a retry
@@ -158,26 +169,62 @@
 	return a.response.header.Get(header.NotRun) == "true" && !a.nestedFailure
 }
 
-// prepareRetry reports whether to retry after attempt n, and waits for the backoff.
-func (p *Proxy) prepareRetry(ctx context.Context, o *outboundCall, a attempt, budget *retry.Budget, n int) bool {
-	if p.passThrough() {
-		return n < passThroughRetries && ctx.Err() == nil && o.body.sendable()
-	}
-	if ctx.Err() != nil || a.nestedFailure || !o.body.sendable() {
-		return false
-	}
-	if a.refusal != nil && !retryableRefusal(o, a.refusal) {
-		return false
+// retryDecision states whether a failed call is sent again, and if not, why.
+type retryDecision string
+
+const (
+	retryAgain         retryDecision = "sent_again"
+	retryFinalResponse retryDecision = "response_is_final"
+	retryTimeUp        retryDecision = "time_is_up"
+	retryCallerLeft    retryDecision = "caller_left"
+	retryNestedFailure retryDecision = "retried_deeper"
+	retryBodyStreamed  retryDecision = "body_not_kept"
+	retryMayHaveRun    retryDecision = "may_have_run"
+	retryFinalReason   retryDecision = "reason_is_final"
+	retryCrashSuspect  retryDecision = "crash_suspect"
+	retryActionBudget  retryDecision = "action_has_no_retries_left"
+	retryServiceBudget retryDecision = "service_has_no_retries_left"
+	retryAttempts      retryDecision = "attempts_used_up"
+)
+
+// decideRetry decides whether to retry after attempt n and takes the retry from the
+// budgets.
+func (p *Proxy) decideRetry(ctx context.Context, o *outboundCall, a attempt, budget *retry.Budget, n int) retryDecision {
+	switch {
+	case ctx.Err() != nil:
+		return contextRetryDecision(ctx)
+	case !o.body.sendable():
+		return retryBodyStreamed
+	case p.passThrough() && n < passThroughRetries:
+		return retryAgain
+	case p.passThrough():
+		return retryAttempts
+	case a.nestedFailure:
+		return retryNestedFailure
+	}
+	if d := refusalRetryDecision(o, a.refusal); d != retryAgain {
+		return d
 	}
 	if r := p.suspects.refuse(p.opt.Clock.Now(), o.fingerprint); r != nil {
 		sleep(ctx, suspectRefusalDelay)
-		return false
-	}
-	if a.refusedByAdmission() && n < freeRetries {
-		return true // the call did not reach an upstream, so the retry needs no budget
+		return retryCrashSuspect
 	}
-	if !budget.Spend() || !p.router.spendRetry(o.call.Service) {
-		return false
+	switch {
+	case a.refusedByAdmission() && n < freeRetries:
+		return retryAgain // the call did not reach an upstream, so the retry needs no budget
+	case !budget.Spend():
+		return retryActionBudget
+	case !p.router.spendRetry(o.call.Service):
+		return retryServiceBudget
+	}
+	return retryAgain
+}
+
+// waitBeforeRetry waits for the backoff after attempt n, unless the attempt put no
+// load on an upstream. It reports false if ctx ended first.
+func (p *Proxy) waitBeforeRetry(ctx context.Context, a attempt, n int) bool {
+	if p.passThrough() || (a.refusedByAdmission() && n < freeRetries) {
+		return true
 	}
 	return p.backoff(ctx, n)
 }
@@ -199,12 +246,20 @@
 	return false
 }
 
-func retryableRefusal(o *outboundCall, r *fault.Refusal) bool {
+// refusalRetryDecision returns retryAgain if a call with this refusal may be sent
+// again; nil stands for a response that permits it.
+func refusalRetryDecision(o *outboundCall, r *fault.Refusal) retryDecision {
+	if r == nil {
+		return retryAgain
+	}
 	switch r.Reason {
 	case fault.ReasonCancelled, fault.ReasonDeadline, fault.ReasonBodyTooLarge, fault.ReasonBadRequest:
-		return false
+		return retryFinalReason
+	}
+	if r.NotRun || o.call.Idempotent {
+		return retryAgain
 	}
-	return r.NotRun || o.call.Idempotent
+	return retryMayHaveRun
 }
 
 func (p *Proxy) backoff(ctx context.Context, n int) bool {
@@ -253,7 +308,7 @@
 		p.reportOutcome(o, vm, r, nil)
 		return attempt{refusal: r}
 	}
-	p.entryAdmission.recordCosts(o.call.Route, result.ServiceCosts)
+	p.entryAdmission.recordCosts(o.call.Route, vm.VM, result.ServiceCosts)
 	if result.Reason != "" {
 		defer stop()
 		discardBody(resp)
@@ -399,7 +454,8 @@
 	if r != nil {
 		outcome = vmOutcome(r)
 	}
-	p.router.reportOutcome(o.call.Service, vm.VM, route.Report{Outcome: outcome, Load: load})
+	ejected := p.router.reportOutcome(o.call.Service, vm.VM, route.Report{Outcome: outcome, Load: load})
+	p.noteEjected(o, vm.VM, r, ejected)
 }
 
 // vmOutcome classifies a refusal by what it says of the VM's health.
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -40,7 +40,7 @@
 	defer span.End()
 	in, refusal := p.checkRequest(w, r)
 	if refusal != nil {
-		p.refuseCaller(w, "", refusal, 0, start)
+		p.refuseCaller(w, in.subject(), refusal, 0, start, p.freshnessInputs)
 		return
 	}
 	span.SetAttributes(attribute.String("chicorymast.route", string(in.route)))
@@ -60,34 +60,34 @@
 }
 
 // checkRequest determines the route, the workspace and the grant of a request,
-// and buffers the start of its body. A request that it refuses has not run.
+// and buffers the start of its body. A request that it refuses has not run, and is
+// returned as far as it is known.
 func (p *Proxy) checkRequest(w http.ResponseWriter, r *http.Request) (*incomingCall, *fault.Refusal) {
+	in := &incomingCall{config: p.opt.Board.Config.Read(), action: ident.ActionID(r.Header.Get(p.opt.Dialect.Action))}
 	if p.opt.Board.Freshness.Read().AsOf.IsZero() {
-		return nil, fault.Refuse(fault.ReasonConfigurationStale, "this daemon has just started and has no configuration yet")
+		return in, fault.Refuse(fault.ReasonConfigurationStale, "this daemon has just started and has no configuration yet")
 	}
-	in := &incomingCall{config: p.opt.Board.Config.Read()}
 	if in.config.State.ConfirmedAt == 0 {
-		return nil, fault.Refuse(fault.ReasonConfigurationStale, "no configuration has been confirmed yet")
+		return in, fault.Refuse(fault.ReasonConfigurationStale, "no configuration has been confirmed yet")
 	}
 	name, ok := findRoute(in.config, r)
 	in.route, in.spec = name, in.config.State.Intent.Routes[name]
 	if !ok || in.spec.Internal {
-		return nil, fault.Refuse(fault.ReasonNoRoute, "no route for %s %s", r.Method, r.URL.Path)
+		return in, fault.Refuse(fault.ReasonNoRoute, "no route for %s %s", r.Method, r.URL.Path)
 	}
 	if refusal := p.authorise(r, in); refusal != nil {
-		return nil, refusal
+		return in, refusal
 	}
 	if refusal := p.checkFreshness(in.spec); refusal != nil {
-		return nil, refusal
+		return in, refusal
 	}
-	in.action = ident.ActionID(r.Header.Get(p.opt.Dialect.Action))
 	if in.recorded() && in.action == "" {
-		return nil, fault.Refuse(fault.ReasonIdempotencyKeyMissing, "route %s runs at most once and needs an %s", name, p.opt.Dialect.Action)
+		return in, fault.Refuse(fault.ReasonIdempotencyKeyMissing, "route %s runs at most once and needs an %s", name, p.opt.Dialect.Action)
 	}
 	p.limitReadPauses(w, r)
 	body, err := readPayload(r, p.opt.Config().Calls.ReplayLimit, in.config.State.Intent.RouteBodyLimit(in.spec))
 	if err != nil {
-		return nil, asRefusal(err)
+		return in, asRefusal(err)
 	}
 	in.body = body
 	in.service = p.router.chooseService(in.route, in.spec.Services())
@@ -157,44 +157,46 @@
 // chargeOrRefuse charges the call to its grant. If that fails it responds with
 // a refusal and reports false.
 func (p *Proxy) chargeOrRefuse(ctx context.Context, w http.ResponseWriter, in *incomingCall, start time.Time) bool {
-	refusal, wait := p.charge(ctx, in)
+	refusal, wait, inputs := p.charge(ctx, in)
 	if refusal == nil {
 		return true
 	}
-	p.refuseCaller(w, in.route, refusal, wait, start)
+	p.refuseCaller(w, in.subject(), refusal, wait, start, inputs)
 	return false
 }
 
 // charge decides whether this entry admits a call, and charges it to its grant. It
-// returns nil, or a refusal and the time after which the caller should retry, zero
-// for the default of the refusal's reason.
-func (p *Proxy) charge(ctx context.Context, in *incomingCall) (*fault.Refusal, time.Duration) {
+// returns nil, or a refusal, the time after which the caller should retry, zero
+// for the default of the refusal's reason, and what the decision stands on.
+func (p *Proxy) charge(ctx context.Context, in *incomingCall) (*fault.Refusal, time.Duration, func() []zap.Field) {
 	if in.spec.Open {
-		return nil, 0
+		return nil, 0, noInputs
 	}
 	in.entryShare = p.entryAdmission.admittedShare(in.route, in.priority())
 	if p.randomFloat() >= in.entryShare {
-		return p.refuseOverloaded(in, remaining(ctx, p.opt.Clock.Now()))
+		refusal, wait := p.refuseOverloaded(in, remaining(ctx, p.opt.Clock.Now()))
+		return refusal, wait, func() []zap.Field { return p.sheddingInputs(in) }
 	}
 	if in.workspace == "" {
-		return nil, 0 // no workspaces are configured, so there are no keys or grants
+		return nil, 0, noInputs // no workspaces are configured, so there are no keys or grants
 	}
 	name, grant, ok := in.config.Grant(in.workspace, in.route)
 	if !ok {
-		return fault.Refuse(fault.ReasonNoGrant, "workspace %s may not call route %s", in.workspace, in.route), 0
+		return fault.Refuse(fault.ReasonNoGrant, "workspace %s may not call route %s", in.workspace, in.route), 0, noInputs
 	}
 	if grant.Rate == 0 {
-		return nil, 0
+		return nil, 0, noInputs
 	}
 	wait, err := p.opt.Quota.Charge(ctx, name)
 	if err != nil {
-		return chargeRefusal(err), 0
+		return chargeRefusal(err), 0, p.grantInputs(name)
 	}
 	if wait > 0 {
-		return fault.Refuse(fault.ReasonOverRate, "grant %s allows %v calls per second, burst %v", name, grant.Rate, grant.Burst), wait
+		refusal := fault.Refuse(fault.ReasonOverRate, "grant %s allows %v calls per second, burst %v", name, grant.Rate, grant.Burst)
+		return refusal, wait, p.grantInputs(name)
 	}
 	in.chargedGrant = name
-	return nil, 0
+	return nil, 0, noInputs
 }
 
 // chargeRefusal converts an error of Quota.Charge. The call has not run.
@@ -225,7 +227,7 @@
 	case dedup.Replay:
 		p.replay(w, in, v.Response, start)
 	default:
-		p.refuseCaller(w, in.route, verdictRefusal(v), 0, start)
+		p.refuseCaller(w, in.subject(), verdictRefusal(v), 0, start, noInputs)
 	}
 }
 
@@ -245,18 +247,19 @@
 }
 
 func (p *Proxy) runClaimed(ctx context.Context, w http.ResponseWriter, r *http.Request, in *incomingCall, claim *record.Claim, start time.Time) {
-	if refusal, wait := p.charge(ctx, in); refusal != nil {
+	if refusal, wait, inputs := p.charge(ctx, in); refusal != nil {
 		p.opt.Records.End(claim, "", dedup.Response{})
-		p.refuseCaller(w, in.route, refusal, wait, start)
+		p.refuseCaller(w, in.subject(), refusal, wait, start, inputs)
 		return
 	}
 	// The action continues if the caller disconnects, so that its outcome is recorded.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), remaining(ctx, p.opt.Clock.Now()))
 	defer cancel()
-	resp, _, refusal := p.dispatch(ctx, p.newOutboundCall(r, in))
+	o := p.newOutboundCall(r, in)
+	resp, _, refusal := p.dispatch(ctx, o)
 	if refusal != nil {
 		p.endRefusedClaim(claim, in, refusal)
-		p.refuseCaller(w, in.route, refusal, 0, start)
+		p.refuseCaller(w, o.subject(), refusal, 0, start, p.dispatchInputs(ctx, o))
 		return
 	}
 	p.recordResponse(claim, resp)
@@ -270,7 +273,8 @@
 		return
 	}
 	p.opt.Records.End(claim, dedup.PhaseUnknown, dedup.Response{})
-	p.opt.Log.Emit(event.ActionOutcomeUnknown, zap.String("route", string(in.route)), zap.String("reason", string(r.Reason)))
+	p.opt.Log.Emit(event.ActionOutcomeUnknown, zap.String("request", string(in.action)), zap.String("route", string(in.route)),
+		zap.String("reason", string(r.Reason)))
 }
 
 // recordResponse records the response to an action before it is sent to the
@@ -288,7 +292,7 @@
 func (p *Proxy) replay(w http.ResponseWriter, in *incomingCall, stored dedup.Response, start time.Time) {
 	if !stored.Stored {
 		refusal := fault.Failed(fault.ReasonActionDone, "the action was run; its answer was too large to be kept")
-		p.refuseCaller(w, in.route, refusal, 0, start)
+		p.refuseCaller(w, in.subject(), refusal, 0, start, noInputs)
 		return
 	}
 	p.opt.Metrics.replays.Inc()
@@ -307,10 +311,11 @@
 }
 
 func (p *Proxy) runUnrecorded(ctx context.Context, w http.ResponseWriter, r *http.Request, in *incomingCall, start time.Time) {
-	resp, refusal := p.send(ctx, p.newOutboundCall(r, in), in.parent)
+	o := p.newOutboundCall(r, in)
+	resp, refusal := p.send(ctx, o, in.parent)
 	if refusal != nil {
 		p.refund(in, refusal)
-		p.refuseCaller(w, in.route, refusal, 0, start)
+		p.refuseCaller(w, o.subject(), refusal, 0, start, p.dispatchInputs(ctx, o))
 		return
 	}
 	p.writeResponse(w, in.route, resp, start)
@@ -344,6 +349,7 @@
 			Depth:              1,
 			Retries:            in.retryBudget(),
 		},
+		parent:      in.subject().parent,
 		method:      r.Method,
 		url:         r.URL,
 		header:      h,
@@ -396,8 +402,11 @@
 	}
 }
 
-func (p *Proxy) refuseCaller(w http.ResponseWriter, name ident.Route, r *fault.Refusal, wait time.Duration, start time.Time) {
+// refuseCaller responds to a caller in place of an upstream. The inputs are what the
+// decision stands on, for the log.
+func (p *Proxy) refuseCaller(w http.ResponseWriter, s subject, r *fault.Refusal, wait time.Duration, start time.Time, inputs func() []zap.Field) {
+	p.noteRefused(s, r, wait, start, inputs)
 	p.opt.Metrics.refused("entry", r.Reason)
-	p.opt.Metrics.call("entry", name, strconv.Itoa(HTTPStatus(r)), p.opt.Clock.Now().Sub(start))
+	p.opt.Metrics.call("entry", s.route, strconv.Itoa(HTTPStatus(r)), p.opt.Clock.Now().Sub(start))
 	WriteProblem(w, p.opt.Dialect, r, wait)
 }
--- a/io/proxy/entryadmission.go
+++ b/io/proxy/entryadmission.go
@@ -16,10 +16,18 @@
 	mu       sync.Mutex
 	shedder  *inflow.Shedder
 	profiles *inflow.Profiles
+	// reporters holds the VM that last reported on each service, for the log.
+	reporters map[ident.Service]ident.VM
+}
+
+// costInput is a cost that a refusal at the entry stands on.
+type costInput struct {
+	inflow.CostInput
+	from ident.VM
 }
 
 func newEntryAdmission(opt Options) *entryAdmission {
-	return &entryAdmission{opt: opt, shedder: inflow.NewShedder(), profiles: inflow.NewProfiles()}
+	return &entryAdmission{opt: opt, shedder: inflow.NewShedder(), profiles: inflow.NewProfiles(), reporters: map[ident.Service]ident.VM{}}
 }
 
 // admittedShare counts a new call and returns the share of such calls to admit.
@@ -31,13 +39,26 @@
 	return 1 - e.shedder.RefuseShare(now, r, priority)
 }
 
-// recordCosts records the costs that were returned with a result.
-func (e *entryAdmission) recordCosts(r ident.Route, costs []inflow.ServiceCost) {
+// recordCosts records the costs that a VM returned with a result.
+func (e *entryAdmission) recordCosts(r ident.Route, from ident.VM, costs []inflow.ServiceCost) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	for _, c := range costs {
+		e.reporters[c.Service] = from
+	}
 	e.shedder.Observe(e.opt.Clock.Now(), r, costs)
 }
 
+// inputs returns the costs that the refusals of a route stand on.
+func (e *entryAdmission) inputs(now time.Time, r ident.Route) (out []costInput) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, c := range e.shedder.Inputs(now, r) {
+		out = append(out, costInput{c, e.reporters[c.Service]})
+	}
+	return out
+}
+
 func (e *entryAdmission) serviceRefuseShare(r ident.Route, svc ident.Service) float64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/io/proxy/local.go
+++ b/io/proxy/local.go
@@ -123,12 +123,12 @@
 	defer cancel()
 	o, refusal := p.newNestedCall(w, r, parent)
 	if refusal != nil {
-		p.refuseCaller(w, "", refusal, 0, start)
+		p.refuseCaller(w, subject{parent: parent.call.Action}, refusal, 0, start, noInputs)
 		return
 	}
 	resp, refusal := p.send(ctx, o, parent)
 	if refusal != nil {
-		p.refuseCaller(w, o.call.Route, refusal, 0, start)
+		p.refuseCaller(w, o.subject(), refusal, 0, start, p.dispatchInputs(ctx, o))
 		return
 	}
 	p.writeResponse(w, o.call.Route, resp, start)
@@ -178,5 +178,7 @@
 	header.StripInbound(h)
 	h.Set("Host", r.Host)
 	p.entryAdmission.recordNestedCall(parent.call.Route, name)
-	return &outboundCall{call: call, method: r.Method, url: r.URL, header: h, body: body, fingerprint: contentFingerprint(r, body)}, nil
+	return &outboundCall{
+		call: call, parent: parent.call.Action, method: r.Method, url: r.URL, header: h, body: body, fingerprint: contentFingerprint(r, body),
+	}, nil
 }
--- a/io/proxy/overload_test.go
+++ b/io/proxy/overload_test.go
@@ -34,6 +34,7 @@
 		t.Helper()
 		out.Reset()
 		reporter.report(clock.Now())
+		log.Sync()
 		for _, text := range want {
 			assert.Assert(t, strings.Contains(out.String(), text), "%s is not in %s", text, out.String())
 		}
@@ -49,7 +50,7 @@
 	t.Run("nothing without further refusals", func(t *testing.T) { mustLog(t) })
 	t.Run("an entry that refuses", func(t *testing.T) {
 		for range 20 {
-			p.entryAdmission.recordCosts("browse", []inflow.ServiceCost{{Service: ident.Service("deep"), SlotSeconds: 1, RefuseShare: 0.5}})
+			p.entryAdmission.recordCosts("browse", "vm", []inflow.ServiceCost{{Service: ident.Service("deep"), SlotSeconds: 1, RefuseShare: 0.5}})
 		}
 		mustLog(t, `"event":1802`, `"route":"browse"`, `"s":"deep"`)
 	})
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -36,7 +36,7 @@
 	call, err := header.GetCall(r.Header)
 	if err != nil {
 		p.opt.Log.Emit(event.MessageRefused, zap.String("from", r.RemoteAddr))
-		p.refusePeer(w, call, retryOutcome{}, fault.Refuse(fault.ReasonNotMember, "this address is for daemons"))
+		p.refusePeer(w, r.RemoteAddr, call, retryOutcome{}, fault.Refuse(fault.ReasonNotMember, "this address is for daemons"))
 		return
 	}
 	ctx, span := p.opt.Tracer.Start(trace.Extract(r), "serve",
@@ -50,18 +50,20 @@
 
 func (p *Proxy) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, call header.Call) (status int) {
 	upstream := p.opt.Board.Upstream.Read()
-	if r := p.unavailable(upstream, call); r != nil {
-		return p.refusePeer(w, call, retryOutcome{unspentRetries: call.Retries}, r)
+	if refusal := p.unavailable(upstream, call); refusal != nil {
+		return p.refusePeer(w, r.RemoteAddr, call, retryOutcome{unspentRetries: call.Retries}, refusal)
 	}
 	if p.passThrough() {
 		return p.forward(ctx, w, r, call, upstream, startInterimSender(w), func(admit.Sample) {})
 	}
 	interim := startInterimSender(w)
 	defer interim.stop()
+	arrived := p.opt.Clock.Now()
 	ticket, refusal := p.admission.enter(ctx, call, upstream.Slots)
+	p.noteQueued(call, p.opt.Clock.Now().Sub(arrived))
 	if refusal != nil {
 		interim.stop()
-		return p.refusePeer(w, call, retryOutcome{unspentRetries: call.Retries}, refusal)
+		return p.refusePeer(w, r.RemoteAddr, call, retryOutcome{unspentRetries: call.Retries}, refusal)
 	}
 	return p.forward(ctx, w, r, call, upstream, interim, func(s admit.Sample) { p.admission.leave(ticket, s) })
 }
@@ -80,7 +82,8 @@
 }
 
 // refusePeer responds to another daemon in place of the upstream.
-func (p *Proxy) refusePeer(w http.ResponseWriter, call header.Call, retries retryOutcome, r *fault.Refusal) (status int) {
+func (p *Proxy) refusePeer(w http.ResponseWriter, from string, call header.Call, retries retryOutcome, r *fault.Refusal) (status int) {
+	p.noteCallRefused(from, call, r)
 	p.opt.Metrics.refused("serve", r.Reason)
 	header.SetResult(w.Header(), header.Result{
 		Load: p.admission.load(), UnspentRetries: retries.unspentRetries, Reason: r.Reason, Detail: r.Detail,
@@ -111,11 +114,14 @@
 	unspentRetries, _, nestedFailure := sc.summary(p.opt.Clock.Now())
 	if err != nil {
 		refusal := p.upstreamRefusal(ctx, err, wroteHeaders.Load())
-		return p.refusePeer(w, call, retryOutcome{unspentRetries, nestedFailure}, refusal)
+		return p.refusePeer(w, r.RemoteAddr, call, retryOutcome{unspentRetries, nestedFailure}, refusal)
 	}
 	defer resp.Body.Close()
 	if refusal := p.checkResponse(req, resp); refusal != nil {
-		return p.refusePeer(w, call, retryOutcome{unspentRetries, nestedFailure}, refusal)
+		return p.refusePeer(w, r.RemoteAddr, call, retryOutcome{unspentRetries, nestedFailure}, refusal)
+	}
+	if nestedFailure && resp.StatusCode >= http.StatusInternalServerError {
+		p.noteNestedFailure(call, resp.StatusCode, p.opt.Clock.Now().Sub(start))
 	}
 	sample.Shed = resp.StatusCode == http.StatusServiceUnavailable && !nestedFailure
 	p.passResponse(w, resp, header.Result{
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -29,11 +29,13 @@
 	"chicorymast/core/board"
 	"chicorymast/core/dedup"
 	"chicorymast/core/ident"
+	"chicorymast/core/quota"
 	"chicorymast/io/event"
 	"chicorymast/io/header"
 	"chicorymast/io/record"
 	"chicorymast/io/timer"
 	"chicorymast/io/trace"
+	"chicorymast/io/trail"
 	"chicorymast/io/wire"
 )
 
@@ -45,6 +47,8 @@
 	Log     *event.Log
 	Tracer  *trace.Tracer
 	Metrics *Metrics
+	// Trail logs the decisions on requests; nil logs none.
+	Trail *trail.Trail
 	// Dialect holds the names of the headers that callers and upstreams use.
 	Dialect header.Dialect
 	// Dial connects to other daemons.
@@ -65,6 +69,8 @@
 	Charge(ctx context.Context, grant ident.Grant) (wait time.Duration, err error)
 	// Refund returns the token of a call that is proved not to have run.
 	Refund(grant ident.Grant)
+	// Inputs returns what decisions on a grant stand on, for the log.
+	Inputs(grant ident.Grant) quota.Inputs
 }
 
 // Records claims actions and records their outcomes.
--- a/io/proxy/router.go
+++ b/io/proxy/router.go
@@ -89,13 +89,31 @@
 	return retry.NewThrottle(calls.RetryRatio/retryLevels, limit)
 }
 
-func (rt *router) pick(name ident.Service, level int, tried map[ident.VM]bool) (route.Candidate, bool) {
+func (rt *router) pick(name ident.Service, level int, tried map[ident.VM]bool) (route.Candidate, route.Spill, bool) {
 	s := rt.service(name)
 	now := rt.opt.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refresh(now, rt.opt.Board, name)
-	return s.balancer.Pick(now, level, tried)
+	vm, ok := s.balancer.Pick(now, level, tried)
+	return vm, s.balancer.LastSpill(), ok
+}
+
+// status returns the state of the VMs of a service, for the log.
+func (rt *router) status(name ident.Service) []route.Status {
+	s := rt.service(name)
+	now := rt.opt.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.balancer.Status(now)
+}
+
+// retryCredit returns the retries to a service that this daemon may make now.
+func (rt *router) retryCredit(name ident.Service) float64 {
+	s := rt.service(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.throttle.Credit()
 }
 
 // refresh updates the balancer if the members or the configuration on the board
@@ -127,15 +145,17 @@
 	return candidates
 }
 
-func (rt *router) reportOutcome(name ident.Service, vm ident.VM, r route.Report) {
+// reportOutcome passes the outcome of a call to the balancer. It returns for how long
+// the VM was ejected because of it, zero if it was not.
+func (rt *router) reportOutcome(name ident.Service, vm ident.VM, r route.Report) (ejected time.Duration) {
 	s := rt.service(name)
 	now := rt.opt.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.balancer.Done(now, vm, r)
 	if r.Outcome == route.OutcomeAnswered {
 		s.throttle.RecordSuccess()
 	}
+	return s.balancer.Done(now, vm, r)
 }
 
 func (rt *router) spendRetry(name ident.Service) bool {
--- a/io/ration/ration.go
+++ b/io/ration/ration.go
@@ -24,6 +24,7 @@
 
 	"chicorymast/core/board"
 	"chicorymast/core/ident"
+	"chicorymast/core/member"
 	"chicorymast/core/quota"
 	"chicorymast/core/rendez"
 	"chicorymast/io/timer"
@@ -67,6 +68,10 @@
 	delayed int
 	// ownerUnreachable is set while the owner does not respond.
 	ownerUnreachable bool
+	// lastReply is the newest reply, and repliedAt when replyFrom sent it.
+	lastReply quota.Reply
+	replyFrom ident.VM
+	repliedAt time.Time
 }
 
 const (
@@ -140,6 +145,19 @@
 	h.quota.Refund()
 }
 
+// Inputs returns what decisions on a grant stand on.
+func (l *Limiter) Inputs(g ident.Grant) quota.Inputs {
+	now := l.opt.Clock.Now()
+	h := l.holder(g)
+	h.mu.Lock()
+	i := h.quota.Inputs(now)
+	i.LastReply, i.ReplyFrom, i.ReplyAge = h.lastReply, h.replyFrom, now.Sub(h.repliedAt)
+	h.mu.Unlock()
+	i.OwnerDataCentre = l.ownerDataCentre(g)
+	i.Owner, _ = rendez.First(ownerKey(g), l.opt.Board.Members.Read().ByDataCentre[i.OwnerDataCentre])
+	return i
+}
+
 // waitForToken waits for a token for a call. The holder must be locked; it is
 // unlocked on return. If the grant is used up, the call is delayed up to maxDelay,
 // since tokens accrue and other daemons may return unused ones.
@@ -235,70 +253,96 @@
 	h.queue = nil
 	req := h.quota.RequestLease(sentAt, len(queue))
 	h.mu.Unlock()
-	lease, ok := l.leaseFromOwner(wire.QuotaLeaseRequest{VM: l.opt.VM, Grant: g, Want: req})
+	a := l.leaseFromOwner(wire.QuotaLeaseRequest{VM: l.opt.VM, Grant: g, Want: req})
+	lease, ok := a.lease, a.leased()
 	if !ok {
 		lease = quota.Lease{Sequence: req.Sequence, RetryAfterMs: tickInterval.Milliseconds()}
 	}
 	h.mu.Lock()
 	h.ownerUnreachable = !ok
+	h.lastReply, h.replyFrom, h.repliedAt = a.reply, a.from, l.opt.Clock.Now()
 	served := h.quota.Receive(l.opt.Clock.Now(), sentAt, lease)
 	for i, granted := range queue {
 		granted <- i < served
 	}
 }
 
+// leaseAnswer is the result of a request for a lease.
+type leaseAnswer struct {
+	lease quota.Lease
+	reply quota.Reply
+	from  ident.VM
+}
+
+// leased reports whether the owner has replied.
+func (a leaseAnswer) leased() bool {
+	return a.reply == quota.ReplyGranted || a.reply == quota.ReplyDenied
+}
+
 // leaseFromOwner requests a lease from the grant's owner and, if the owner in this
 // data centre does not respond, from owners in other data centres, which give
 // tokens from their own shares.
-func (l *Limiter) leaseFromOwner(q wire.QuotaLeaseRequest) (quota.Lease, bool) {
+func (l *Limiter) leaseFromOwner(q wire.QuotaLeaseRequest) (a leaseAnswer) {
 	const attempts = 3
 	const retryDelay = 20 * time.Millisecond
 	home := l.ownerDataCentre(q.Grant)
 	for range attempts {
-		reply, err := l.leaseFrom(home, q)
-		if err == nil && reply.Owner {
-			return reply.Lease, true
+		if a = l.leaseFrom(home, q); a.leased() {
+			return a
 		}
 		// The tokens returned with the first request may have been received.
 		q.Want.Unspent, q.Want.Refund = 0, 0
 		if home == l.opt.DataCentre {
-			if lease, ok := l.leaseElsewhere(q); ok {
-				return lease, true
+			if elsewhere, ok := l.leaseElsewhere(q); ok {
+				return elsewhere
 			}
 		}
 		// VMs may disagree on the owner for a short time after a membership change.
 		time.Sleep(retryDelay)
 	}
-	return quota.Lease{}, false
+	return a
 }
 
 // leaseElsewhere requests a lease from the owners in other data centres, one after
 // the other, until one grants tokens for waiting calls.
-func (l *Limiter) leaseElsewhere(q wire.QuotaLeaseRequest) (quota.Lease, bool) {
+func (l *Limiter) leaseElsewhere(q wire.QuotaLeaseRequest) (leaseAnswer, bool) {
 	for dc := range l.opt.Board.Config.Read().State.Intent.DataCentres {
 		if dc == l.opt.DataCentre {
 			continue
 		}
-		reply, err := l.leaseFrom(dc, q)
-		if err == nil && reply.Owner && reply.Lease.Immediate > 0 {
-			return reply.Lease, true
+		if a := l.leaseFrom(dc, q); a.leased() && a.lease.Immediate > 0 {
+			return a, true
 		}
 	}
-	return quota.Lease{}, false
+	return leaseAnswer{}, false
 }
 
-func (l *Limiter) leaseFrom(dc ident.DataCentre, q wire.QuotaLeaseRequest) (wire.QuotaLeaseReply, error) {
+func (l *Limiter) leaseFrom(dc ident.DataCentre, q wire.QuotaLeaseRequest) leaseAnswer {
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 	members := l.opt.Board.Members.Read()
 	vm, ok := rendez.First(ownerKey(q.Grant), members.ByDataCentre[dc])
 	if !ok {
-		return wire.QuotaLeaseReply{}, nil
+		return leaseAnswer{reply: quota.ReplyNoOwner}
 	}
-	if vm == l.opt.VM {
+	reply, err := l.requestFrom(ctx, members.ByVM[vm], q)
+	a := leaseAnswer{lease: reply.Lease, reply: quota.ReplyGranted, from: vm}
+	switch {
+	case err != nil:
+		a.reply = quota.ReplyUnreachable
+	case !reply.Owner:
+		a.reply = quota.ReplyNotOwner
+	case reply.Lease.RetryAfterMs > 0:
+		a.reply = quota.ReplyDenied
+	}
+	return a
+}
+
+func (l *Limiter) requestFrom(ctx context.Context, e member.Entry, q wire.QuotaLeaseRequest) (wire.QuotaLeaseReply, error) {
+	if e.VM == l.opt.VM {
 		return l.serveLease(ctx, q)
 	}
-	return wire.Call[wire.QuotaLeaseReply](ctx, l.opt.Pool, members.ByVM[vm].Addresses.Control, wire.MethodQuotaLease, q)
+	return wire.Call[wire.QuotaLeaseReply](ctx, l.opt.Pool, e.Addresses.Control, wire.MethodQuotaLease, q)
 }
 
 // ownerDataCentre returns the data centre whose owner to ask: this one, except for
