relay: no two daemons sync with each other

At -2.7 s core-sk-east-d-1 moved to sidecar-sk-east-d-2, which synced with core-sk-east-d-1. From then on the two renewed each other's members, so that two VMs lost at 1 s stayed in all directories and owned grants until 10 s; and no other relay was told of core-sk-east-d-1, so that a seed that restarted at 6.2 s never heard of its data centre again. Second cause: whether a relay pulls from all others was decided once, at the start. After the seeds had been exchanged at 13.8 s, former seeds pulled from nobody and did not take the members from their own relay either; daemons behind core-sk-east-c-1 knew their own data centre only. Third: a relay's word that its direct member is gone was ignored by the others, which waited for another lease.

Now a control daemon that is no seed syncs with seeds, then with the control daemons before it in the order of their VMs, and with nobody else; of any two daemons at most one lists the other. Pulling from all follows the settings in force, and a control daemon without any other to sync with pulls, too. A direct member whose lease lapsed is gone at once for all relays: it announces a version to one relay only. A relay no longer lets others renew its own direct members.

Ruled out: address reuse as such (no reply of another daemon counted as a refusal of the owner; it was the stale entry that was asked).

At 37,000 daemons: nothing is added; one list of control daemons is sorted, and a lost VM is gone after one lease instead of two.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -125,6 +125,11 @@
 		d.put(e, renewedAt)
 		return true
 	}
+	if e.Phase == PhaseGone && existing.entry.Phase != PhaseGone {
+		// A VM announces each version to one relay only, so that relay knows.
+		d.put(e, renewedAt)
+		return true
+	}
 	existing.entry.Revision = max(existing.entry.Revision, e.Revision)
 	if !renewedAt.After(existing.renewed) {
 		return false
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -17,7 +17,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -135,7 +134,7 @@
 	d.relay = relay.New(relay.Options{
 		VM: cfg.Daemon.VM, Clock: d.clock, Board: d.board, Pool: d.pool, OtherRelays: d.otherRelays,
 		Address: cfg.Listen.Control, Source: func() string { return d.agent.Relay() },
-		AlwaysPull: slices.Contains(cfg.Control.JoinAddresses(), cfg.Listen.Control),
+		Root: d.rootRelay,
 	})
 	d.relay.Register(d.server)
 	d.agent = agent.New(agent.Options{
--- a/io/daemon/relays.go
+++ b/io/daemon/relays.go
@@ -1,8 +1,10 @@
 package daemon
 
 import (
+	"cmp"
 	"slices"
 
+	"chicorymast/config"
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
 	"chicorymast/core/rendez"
@@ -18,20 +20,58 @@
 )
 
 // relays lists the control addresses of the relays that this daemon may sync with,
-// in the order in which they are tried: control daemons of its own data centre,
-// configured or announced, then the fallback relays of the data centre, which are
-// its first VMs in rendezvous order, then the other control daemons, and last this
-// daemon itself, so that a data centre that is cut off keeps its members. A relay of
-// the settings syncs with itself only.
+// in the order in which they are tried; the last one is this daemon itself, so that a
+// data centre that is cut off keeps its members. Of any two daemons at most one lists
+// the other: two that sync with each other would renew lost members for ever, and no
+// other relay would hear of their members.
+//
+// A seed syncs with itself only, and any other control daemon with the seeds, then
+// with the control daemons before it in the order of their VMs. All other daemons sync
+// with control daemons of their own data centre, configured or announced, then with
+// the fallback relays of the data centre, which are its first VMs in rendezvous order,
+// then with the other control daemons.
 func (d *Daemon) relays() []string {
 	cfg := d.Config()
-	if slices.Contains(cfg.Control.JoinAddresses(), cfg.Listen.Control) {
-		return []string{cfg.Listen.Control}
+	own := cfg.Listen.Control
+	if d.isSeed() {
+		return []string{own}
+	}
+	if cfg.Daemon.Role == config.RoleControl {
+		return append(d.controlsBefore(cfg.Daemon.VM), own)
+	}
+	local, remote := d.splitByDataCentre(d.controls())
+	addresses := slices.Concat(local, d.fallbackAddresses(d.controls()), remote)
+	return append(addresses, own)
+}
+
+// isSeed reports whether the settings name this daemon among those to join through.
+func (d *Daemon) isSeed() bool {
+	cfg := d.Config()
+	return slices.Contains(cfg.Control.JoinAddresses(), cfg.Listen.Control)
+}
+
+// controlsBefore lists the seeds, then the control daemons before a VM in the order of
+// their VMs.
+func (d *Daemon) controlsBefore(vm ident.VM) []string {
+	addresses := slices.Clone(d.Config().Control.JoinAddresses())
+	var before []member.Entry
+	for _, e := range d.board.Members.Read().Entries {
+		if e.Control && e.Phase != member.PhaseGone && e.VM < vm && !slices.Contains(addresses, e.Addresses.Control) {
+			before = append(before, e)
+		}
+	}
+	slices.SortFunc(before, func(x, y member.Entry) int { return cmp.Compare(x.VM, y.VM) })
+	for _, e := range before {
+		addresses = append(addresses, e.Addresses.Control)
 	}
-	controls := slices.DeleteFunc(d.controls(), func(a string) bool { return a == cfg.Listen.Control })
-	local, remote := d.splitByDataCentre(controls)
-	addresses := slices.Concat(local, d.fallbackAddresses(controls), remote)
-	return append(addresses, cfg.Listen.Control)
+	return addresses
+}
+
+// rootRelay reports whether this daemon pulls the members from all other relays: a
+// seed, and a control daemon that finds no other to sync with.
+func (d *Daemon) rootRelay() bool {
+	cfg := d.Config()
+	return d.isSeed() || (cfg.Daemon.Role == config.RoleControl && d.agent.Relay() == cfg.Listen.Control)
 }
 
 // splitByDataCentre divides relays into those known to be in this data centre and
@@ -97,8 +137,8 @@
 	return addresses
 }
 
-// otherRelays lists the relays that this relay pulls from. A relay of the settings
-// pulls from all. A top fallback relay pulls from those in its data centre, so that
+// otherRelays lists the relays that this relay pulls from. A root relay pulls from all
+// and any other control daemon from none. A top fallback relay pulls from those in its data centre, so that
 // they know each other's daemons while the data centre is cut off; it learns the
 // members of other data centres from the relay that it syncs with. Others pull from
 // none.
@@ -106,9 +146,12 @@
 	cfg := d.Config()
 	own := cfg.Listen.Control
 	all := slices.DeleteFunc(d.allRelays(), func(address string) bool { return address == own })
-	if slices.Contains(cfg.Control.JoinAddresses(), own) {
+	if d.rootRelay() {
 		return all
 	}
+	if cfg.Daemon.Role == config.RoleControl {
+		return nil
+	}
 	if _, rank := d.fallbackRelays(); rank < 0 || rank >= topFallbacks {
 		return nil
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -46,8 +46,9 @@
 	// of the relay with which this daemon itself syncs.
 	Address string
 	Source  func() string
-	// AlwaysPull makes the relay pull even while no other daemon uses it.
-	AlwaysPull bool
+	// Root reports whether this relay pulls the members from the others, even while no
+	// daemon uses it, instead of taking them from the relay that it syncs with.
+	Root func() bool
 	// OtherRelays returns the control addresses of the other relays.
 	OtherRelays func() []string
 }
@@ -95,7 +96,7 @@
 func (r *Relay) Start() (stop func()) {
 	return r.opt.Clock.Every(pullInterval, func(now time.Time) {
 		r.expire(now)
-		if !r.opt.AlwaysPull && !r.Active() {
+		if !r.opt.Root() && !r.Active() {
 			return
 		}
 		r.addFromSource(now)
@@ -223,9 +224,11 @@
 func (r *Relay) expire(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	before := r.direct.LastChange()
 	r.direct.Expire(now)
+	changed := r.directory.Merge(now, r.direct.Since(now, before))
 	r.active = r.direct.HasOther(r.opt.VM)
-	if r.directory.Expire(now) > 0 {
+	if r.directory.Expire(now)+changed > 0 {
 		r.wake()
 	}
 }
@@ -235,7 +238,7 @@
 // themselves.
 func (r *Relay) addFromSource(now time.Time) {
 	connected := now.Sub(r.opt.Board.RelayContact.Read().At) < member.DefaultLease/2
-	if r.opt.AlwaysPull || !connected || r.opt.Source() == r.opt.Address {
+	if r.opt.Root() || !connected || r.opt.Source() == r.opt.Address {
 		return
 	}
 	entries := r.opt.Board.Members.Read().Entries
@@ -243,16 +246,24 @@
 	defer r.mu.Unlock()
 	changed := 0
 	for _, e := range entries {
-		e.AgeMs = 0
-		if r.directory.Announce(now, e) {
-			changed++
-		}
+		changed += r.renew(now, e)
 	}
 	if changed > 0 {
 		r.wake()
 	}
 }
 
+// renew renews an entry that another relay has at present, unless it is one of a
+// direct member: this relay knows that one best. It returns the number of changes;
+// r.mu must be held.
+func (r *Relay) renew(now time.Time, e member.Entry) (changed int) {
+	if own, direct := r.direct.Get(e.VM); direct && own.Version >= e.Version {
+		return 0
+	}
+	e.AgeMs = 0
+	return r.directory.Merge(now, []member.Entry{e})
+}
+
 func (r *Relay) startPull(address string) {
 	r.mu.Lock()
 	m := r.mirrors[address]
@@ -300,8 +311,7 @@
 			delete(m.members, vm)
 			continue
 		}
-		e.AgeMs = 0
-		changed += r.directory.Merge(now, []member.Entry{e})
+		changed += r.renew(now, e)
 	}
 	if changed > 0 {
 		r.wake()
--- /dev/null
+++ b/io/relay/relay_test.go
@@ -0,0 +1,84 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"chicorymast/core/board"
+	"chicorymast/core/ident"
+	"chicorymast/core/member"
+	"chicorymast/io/timer"
+	"chicorymast/io/wire"
+
+	"gotest.tools/v3/assert"
+)
+
+func newRelay(t testing.TB, vm ident.VM, root func() bool) (*Relay, *timer.Manual) {
+	t.Helper()
+	clock := timer.NewManual(time.Unix(1000, 0))
+	return New(Options{
+		VM: vm, Clock: clock, Board: board.New(), Address: string(vm), Source: func() string { return "source" },
+		OtherRelays: func() []string { return nil }, Root: root,
+	}), clock
+}
+
+func up(vm ident.VM) member.Entry {
+	return member.Entry{VM: vm, Phase: member.PhaseUp, Version: 1}
+}
+
+// learn makes an entry known to a relay through the relay that it syncs with.
+func learn(r *Relay, clock *timer.Manual, entries ...member.Entry) {
+	r.opt.Board.RelayContact.Write(&board.RelayContact{At: clock.Now()})
+	r.opt.Board.Members.Write(board.NewMembers(entries))
+	r.addFromSource(clock.Now())
+}
+
+func mustHavePhase(t testing.TB, r *Relay, vm ident.VM, want member.Phase) {
+	t.Helper()
+	e, known := r.directory.Get(vm)
+	assert.Assert(t, known, "%s is not known", vm)
+	assert.Equal(t, e.Phase, want)
+}
+
+func never() bool { return false }
+
+// What a relay says of its own direct members must not be undone by relays that have
+// not heard of the loss yet.
+func TestLostDirectMemberIsGoneAfterOneLease(t *testing.T) {
+	r, clock := newRelay(t, "relay", never)
+	r.announce(up("lost"))
+	for range 8 {
+		clock.Advance(member.DefaultLease / 6)
+		r.expire(clock.Now())
+		learn(r, clock, up("lost"), up("other"))
+	}
+	mustHavePhase(t, r, "lost", member.PhaseGone)
+	mustHavePhase(t, r, "other", member.PhaseUp)
+}
+
+// A relay that pulls learns of a lost member when the member's own relay does.
+func TestLossIsTakenFromTheRelayOfTheMember(t *testing.T) {
+	r, clock := newRelay(t, "relay", func() bool { return true })
+	m := &mirror{members: map[ident.VM]member.Entry{}}
+	r.updateMirror(m, wire.PullReply{Full: true, Members: []member.Entry{up("lost")}})
+	mustHavePhase(t, r, "lost", member.PhaseUp)
+	gone := up("lost")
+	gone.Phase, gone.AgeMs = member.PhaseGone, member.DefaultLease.Milliseconds()
+	clock.Advance(time.Second)
+	r.updateMirror(m, wire.PullReply{Members: []member.Entry{gone}})
+	mustHavePhase(t, r, "lost", member.PhaseGone)
+	t.Run("until it announces itself again", func(t *testing.T) {
+		r.updateMirror(m, wire.PullReply{Members: []member.Entry{up("lost")}})
+		mustHavePhase(t, r, "lost", member.PhaseUp)
+	})
+}
+
+// A control daemon that the settings no longer name as a seed pulls from nobody and
+// must take the members from its own relay.
+func TestFormerRootTakesMembersFromItsRelay(t *testing.T) {
+	root := true
+	r, clock := newRelay(t, "relay", func() bool { return root })
+	root = false
+	learn(r, clock, up("far"))
+	mustHavePhase(t, r, "far", member.PhaseUp)
+}
