store, ctrl: a control daemon whose disk was full takes part again

Cause: the first failed write stopped a voter for good. That is right for a failed sync, after which the content of the disk is unknown, but a write that the disk refuses for lack of space puts nothing in doubt.

The store tells the two apart: ErrNoSpace until Recover has cut off what was written of the refused record and a synced write has succeeded, ErrFailed for good. The Raft node stops at once, so that nothing is acknowledged and the others elect a leader; when Recover succeeds it starts anew from its folder, as after a crash, which is the case that agreement is proved for. What it has published stays in place until it has caught up, so that no reader sees an older revision.

--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -10,12 +10,15 @@
 //	defer c.Stop()      // transfers leadership first
 //
 // All work on the Raft state happens in one goroutine, which takes it from a
-// queue. After a failed write to the data folder the node stops for good: it
-// acknowledges nothing more, and the other control daemons elect a new leader.
+// queue. After a failed write to the data folder the node stops: it acknowledges
+// nothing more, and the other control daemons elect a new leader. If only the space
+// was used up, the node starts anew from its folder, as after a crash, once a write
+// succeeds again; otherwise it stops for good.
 package ctrl
 
 import (
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -43,6 +46,8 @@
 	// recentCommandLimit is the number of commands that are kept to be sent as deltas.
 	recentCommandLimit = 1024
 	queueLength        = 1024
+	// resumeInterval is the time between two attempts to write to a full disk.
+	resumeInterval = 250 * time.Millisecond
 )
 
 // Options are the settings and dependencies of a control daemon's Raft node.
@@ -70,6 +75,8 @@
 	Pool  *wire.Pool
 	Log   *event.Log
 	Seed  uint64
+	// WrapFile wraps the files of the data folder; tests simulate full disks with it.
+	WrapFile store.WrapFunc
 }
 
 // Control is the Raft node of one control daemon.
@@ -84,17 +91,20 @@
 	outbox     *outbox
 
 	// The fields below are accessed only from the queue's goroutine.
-	token            string
-	identity         store.Identity
-	initialTokens    map[ident.VM]string
-	restored         raft.Restored
-	node             *raft.Node
-	state            *state.State
-	recentCommands   []board.AcceptedCommand
-	applied          raft.Index
-	proposals        map[raft.Index]pendingProposal
-	pendingReads     []pendingRead
-	failed           bool
+	token          string
+	identity       store.Identity
+	initialTokens  map[ident.VM]string
+	restored       raft.Restored
+	node           *raft.Node
+	state          *state.State
+	recentCommands []board.AcceptedCommand
+	applied        raft.Index
+	proposals      map[raft.Index]pendingProposal
+	pendingReads   []pendingRead
+	// failed is set after a failed write. With noSpace also set, the node starts anew
+	// when there is space again, and resumeAt is the time of the next attempt.
+	failed, noSpace  bool
+	resumeAt         time.Time
 	groupMaintenance groupMaintenance
 	// voterCount is the number of voters in the last committed membership.
 	voterCount int
@@ -119,7 +129,7 @@
 		proposals:        map[raft.Index]pendingProposal{},
 		groupMaintenance: newGroupMaintenance(),
 	}
-	if c.store, c.restored, err = store.Open(opt.Folder, opt.Log); err != nil {
+	if c.store, c.restored, err = store.OpenWrapped(opt.Folder, opt.Log, opt.WrapFile); err != nil {
 		return nil, err
 	}
 	if err = c.restoreIdentity(); err != nil {
@@ -223,6 +233,7 @@
 }
 
 func (c *Control) tick(now time.Time) {
+	c.resume(now)
 	if c.node == nil || c.failed {
 		return
 	}
@@ -233,6 +244,24 @@
 	c.maintainGroups(now)
 }
 
+// resume starts the node anew from its folder if it stopped for lack of space and can
+// write again.
+func (c *Control) resume(now time.Time) {
+	if !c.noSpace || now.Before(c.resumeAt) {
+		return
+	}
+	c.resumeAt = now.Add(resumeInterval)
+	restored, err := c.store.Recover()
+	if err != nil {
+		c.noSpace = errors.Is(err, store.ErrNoSpace)
+		return
+	}
+	c.failed, c.noSpace = false, false
+	c.restored, c.state, c.recentCommands = restored, state.New(), nil
+	c.groupMaintenance = newGroupMaintenance()
+	c.startNode()
+}
+
 // updateFreshness publishes the time at which a majority last confirmed the
 // state that is applied here.
 func (c *Control) updateFreshness(now time.Time) {
@@ -247,8 +276,11 @@
 	}
 }
 
-// publish writes the configuration to the blackboard.
+// publish writes the configuration to the blackboard, unless the one there is newer.
 func (c *Control) publish() {
+	if c.state.Revision < c.opt.Board.Config.Read().State.Revision {
+		return // a node that has started anew has not applied its log yet
+	}
 	c.opt.Board.Config.Write(c.opt.Board.Config.Read().Next(c.state.Clone(), slices.Clone(c.recentCommands)))
 }
 
--- a/io/ctrl/effects.go
+++ b/io/ctrl/effects.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 
 	"chicorymast/core/board"
 	"chicorymast/core/ident"
 	"chicorymast/core/raft"
 	"chicorymast/core/state"
 	"chicorymast/io/event"
+	"chicorymast/io/store"
 	"chicorymast/io/wire"
 
 	"go.uber.org/zap"
@@ -55,8 +57,9 @@
 		err = c.store.Save(s)
 	}
 	if err != nil {
-		c.failed = true
+		c.failed, c.noSpace = true, errors.Is(err, store.ErrNoSpace)
 		c.failProposals()
+		c.failReads()
 	}
 }
 
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -36,6 +36,7 @@
 	"chicorymast/io/record"
 	"chicorymast/io/relay"
 	"chicorymast/io/secure"
+	"chicorymast/io/store"
 	"chicorymast/io/timer"
 	"chicorymast/io/trace"
 	"chicorymast/io/trail"
@@ -55,6 +56,7 @@
 	reg   *prometheus.Registry
 
 	secure    *secure.Identity
+	wrapFile  store.WrapFunc
 	dial      wire.DialFunc
 	pool      *wire.Pool
 	server    *wire.Server
@@ -86,12 +88,19 @@
 // them. It fails if a certificate, the trace file, the data folder or a listener
 // can't be opened.
 func New(cfg config.Config, log *event.Log) (*Daemon, error) {
-	return newWithDialer(cfg, log, func(dial wire.DialFunc) wire.DialFunc { return dial })
+	return newWrapped(cfg, log, wrappers{dial: func(dial wire.DialFunc) wire.DialFunc { return dial }})
 }
 
-// newWithDialer is New with a wrapper around the function that dials other
-// daemons; tests use it to interrupt connections.
-func newWithDialer(cfg config.Config, log *event.Log, wrap func(wire.DialFunc) wire.DialFunc) (d *Daemon, err error) {
+// wrappers replace what a daemon uses of the system; tests interrupt connections and
+// fill disks with them.
+type wrappers struct {
+	// dial wraps the function that dials other daemons.
+	dial func(wire.DialFunc) wire.DialFunc
+	// file wraps the files of the data folder.
+	file store.WrapFunc
+}
+
+func newWrapped(cfg config.Config, log *event.Log, wrap wrappers) (d *Daemon, err error) {
 	defer fault.Note(&err, "set up daemon %s", cfg.Daemon.VM)
 	d = &Daemon{
 		log:      log.With(zap.String("vm", string(cfg.Daemon.VM))),
@@ -106,7 +115,8 @@
 		return nil, err
 	}
 	dialer := &net.Dialer{Timeout: cfg.Calls.ConnectTimeout}
-	d.dial = wrap(func(ctx context.Context, address string) (net.Conn, error) {
+	d.wrapFile = wrap.file
+	d.dial = wrap.dial(func(ctx context.Context, address string) (net.Conn, error) {
 		return d.secure.Dial(ctx, dialer, address)
 	})
 	d.pool = wire.NewPool(d.dial)
@@ -185,6 +195,7 @@
 		Pool:              d.pool,
 		Log:               d.log,
 		Seed:              uint64(d.clock.Now().UnixNano()),
+		WrapFile:          d.wrapFile,
 	})
 	if err == nil {
 		d.control.Register(d.server)
--- a/io/daemon/fleet_test.go
+++ b/io/daemon/fleet_test.go
@@ -41,6 +41,7 @@
 	changes   int
 	client    *http.Client
 	partition *partition
+	disks     map[ident.VM]*disk
 	log       *logBuffer
 }
 
@@ -96,9 +97,11 @@
 	assert.NilError(t, err)
 	f := &fleet{
 		t: t, files: files, token: token, daemons: map[ident.VM]*running{}, stubs: map[ident.Upstream]*running{},
-		keys: map[ident.Workspace]string{}, partition: newPartition(files), log: &logBuffer{}, client: &http.Client{Timeout: 20 * time.Second},
+		keys: map[ident.Workspace]string{}, partition: newPartition(files),
+		disks: map[ident.VM]*disk{}, log: &logBuffer{}, client: &http.Client{Timeout: 20 * time.Second},
 	}
 	for _, d := range files.Daemons {
+		f.disks[d.VM] = &disk{}
 		f.startDaemon(d)
 	}
 	for _, s := range files.Stubs {
@@ -129,7 +132,7 @@
 		log, err = event.Open(os.Stderr, "info", "console")
 		assert.NilError(f.t, err)
 	}
-	daemon, err := newWithDialer(cfg, log, f.partition.wrap(d.VM))
+	daemon, err := newWrapped(cfg, log, wrappers{dial: f.partition.wrap(d.VM), file: f.disks[d.VM].wrap})
 	assert.NilError(f.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{daemon: daemon, stop: cancel, done: make(chan error, 1)}
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -39,6 +39,8 @@
 	StoreWriteFailed     ID = 1403
 	SnapshotWritten      ID = 1404
 	LeaderElected        ID = 1501
+	StoreNoSpace         ID = 1405
+	StoreWritable        ID = 1406
 	LeaderSteppedDown    ID = 1502
 	VoterAdded           ID = 1503
 	VoterRemoved         ID = 1504
@@ -91,6 +93,8 @@
 	{SnapshotWritten, zapcore.InfoLevel, "A snapshot was written and the log before it was removed."},
 	{LeaderElected, zapcore.InfoLevel, "A leader was elected among the control daemons."},
 	{LeaderSteppedDown, zapcore.WarnLevel, "This control daemon is no longer the leader: it cannot reach a majority."},
+	{StoreNoSpace, zapcore.WarnLevel, "The disk of the data folder is full: this control daemon acknowledges nothing until a write succeeds."},
+	{StoreWritable, zapcore.InfoLevel, "The data folder can be written again; this control daemon takes part again."},
 	{VoterAdded, zapcore.InfoLevel, "A control daemon became a voter."},
 	{VoterRemoved, zapcore.InfoLevel, "A control daemon is no longer a voter."},
 	{MessageRefused, zapcore.WarnLevel, "A message from another process was refused."},
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -5,6 +5,7 @@
 //	s, restored, err := store.Open("/var/lib/chicorymast", log)
 //	err = s.Save(raft.Save{...}) // durable when it returns
 //	err = s.Replace(snapshot, hard, entries)
+//	restored, err = s.Recover()  // after ErrNoSpace
 //	s.Close()
 //
 // The folder holds four files: identity (the node's identity), snapshot (the
@@ -12,8 +13,13 @@
 // log is a header with length and checksums, then JSON. Every write is synced
 // before it is acknowledged, both the file and the folder. An incomplete record
 // at the end is truncated; damage before the end is ErrCorrupt, and the daemon
-// does not start. After a failed write or sync the store refuses all writes,
-// since the content of the disk is unknown.
+// does not start.
+//
+// Two kinds of failed writes are told apart. A write that the disk refuses for lack of
+// space puts nothing in doubt: the store refuses writes with ErrNoSpace until Recover
+// has cut off what was written of it and succeeded with a synced write. After any
+// other failed write, and after every failed sync, the content of the disk is unknown,
+// and the store refuses all writes with ErrFailed.
 package store
 
 import (
@@ -37,6 +43,7 @@
 	ErrCorrupt = errors.New("the log is damaged before its end; restore a backup, or empty the folder and add this VM as a new control daemon")
 	ErrLocked  = errors.New("another process uses the data folder")
 	ErrFailed  = errors.New("an earlier write to the data folder failed")
+	ErrNoSpace = errors.New("the disk of the data folder is full")
 )
 
 const (
@@ -54,9 +61,11 @@
 	log  *event.Log
 	lock *os.File
 
-	mu     sync.Mutex
-	file   *os.File
-	failed bool
+	mu   sync.Mutex
+	wrap WrapFunc
+	file File
+	// refusal is why the store refuses writes, nil if it does not.
+	refusal error
 }
 
 // batch is the payload of one log record: all that one Save writes.
@@ -67,11 +76,16 @@
 
 // Open locks the folder and reads its content.
 func Open(dir string, log *event.Log) (s *Store, r raft.Restored, err error) {
+	return OpenWrapped(dir, log, nil)
+}
+
+// OpenWrapped is Open with a wrapper around the files.
+func OpenWrapped(dir string, log *event.Log, wrap WrapFunc) (s *Store, r raft.Restored, err error) {
 	defer fault.Note(&err, "open data folder %s", dir)
 	if err := os.MkdirAll(dir, folderMode); err != nil {
 		return nil, r, err
 	}
-	s = &Store{dir: dir, log: log}
+	s = &Store{dir: dir, log: log, wrap: wrap}
 	if err := s.acquireLock(); err != nil {
 		return nil, r, err
 	}
@@ -104,11 +118,9 @@
 	if err := s.readSnapshot(&r.Snapshot); err != nil {
 		return r, err
 	}
-	f, err := os.OpenFile(s.path(nameLog), os.O_CREATE|os.O_RDWR, fileMode)
-	if err != nil {
+	if err := s.openLog(); err != nil {
 		return r, err
 	}
-	s.file = f
 	data, err := os.ReadFile(s.path(nameLog))
 	if err != nil {
 		return r, err
@@ -124,20 +136,25 @@
 	return r, syncFolder(s.dir)
 }
 
-func (s *Store) truncateTail(valid, size int) error {
-	if valid < size {
-		s.log.Emit(event.LogTailTruncated, zap.Int("offset", valid), zap.Int("bytes", size-valid))
-		if err := s.file.Truncate(int64(valid)); err != nil {
-			return err
-		}
-		if err := s.file.Sync(); err != nil {
-			return err
-		}
+func (s *Store) openLog() (err error) {
+	if s.file != nil {
+		_ = s.file.Close()
 	}
-	_, err := s.file.Seek(int64(valid), 0)
+	s.file, err = s.wrap.open(s.path(nameLog), os.O_CREATE|os.O_RDWR|os.O_APPEND)
 	return err
 }
 
+func (s *Store) truncateTail(valid, size int) error {
+	if valid == size {
+		return nil
+	}
+	s.log.Emit(event.LogTailTruncated, zap.Int("offset", valid), zap.Int("bytes", size-valid))
+	if err := s.file.Truncate(int64(valid)); err != nil {
+		return err
+	}
+	return s.file.Sync()
+}
+
 // merge applies one log record to the restored state.
 func merge(r *raft.Restored, payload []byte) error {
 	var b batch
@@ -176,21 +193,63 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.failed {
-		return ErrFailed
+	if s.refusal != nil {
+		return s.refusal
 	}
-	if _, err = s.file.Write(Frame(payload)); err == nil {
-		err = s.file.Sync()
+	return s.append(payload)
+}
+
+// append writes a record to the log and syncs it; the mutex must be held.
+func (s *Store) append(payload []byte) error {
+	if _, err := s.file.Write(Frame(payload)); err != nil {
+		return s.fail(err)
 	}
-	if err != nil {
-		s.fail(err)
+	if err := s.file.Sync(); err != nil {
+		return s.failForGood(err)
 	}
-	return err
+	return nil
+}
+
+// fail makes the store refuse writes after a failed one and returns the reason.
+func (s *Store) fail(err error) error {
+	if !isNoSpace(err) {
+		return s.failForGood(err)
+	}
+	if s.refusal == nil {
+		s.log.Emit(event.StoreNoSpace, zap.Error(err))
+	}
+	s.refusal = ErrNoSpace
+	return ErrNoSpace
 }
 
-func (s *Store) fail(err error) {
-	s.failed = true
+func (s *Store) failForGood(err error) error {
+	s.refusal = ErrFailed
 	s.log.Emit(event.StoreWriteFailed, zap.Error(err))
+	return ErrFailed
+}
+
+// Recover ends the refusal of writes for lack of space and returns the content of the
+// folder. Errors: ErrNoSpace while there is still none, ErrFailed.
+func (s *Store) Recover() (r raft.Restored, err error) {
+	defer fault.Note(&err, "recover data folder %s", s.dir)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if errors.Is(s.refusal, ErrFailed) {
+		return r, ErrFailed
+	}
+	if r, err = s.load(); err != nil {
+		return r, s.fail(err)
+	}
+	payload, err := json.Marshal(batch{})
+	if err != nil {
+		return r, err
+	}
+	if err := s.append(payload); err != nil {
+		return r, err
+	}
+	s.refusal = nil
+	s.log.Emit(event.StoreWritable)
+	return r, nil
 }
 
 // Replace writes a snapshot and a new log with the entries after it.
@@ -198,12 +257,11 @@
 	defer fault.Note(&err, "replace log in %s", s.dir)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.failed {
-		return ErrFailed
+	if s.refusal != nil {
+		return s.refusal
 	}
 	if err = s.rewrite(snap, hard, entries); err != nil {
-		s.fail(err)
-		return err
+		return s.fail(err)
 	}
 	s.log.Emit(event.SnapshotWritten, zap.Uint64("index", uint64(snap.Index)))
 	return nil
@@ -214,30 +272,24 @@
 	if err != nil {
 		return err
 	}
-	if err := writeSynced(s.path(nameSnapshot), Frame(text)); err != nil {
+	if err := s.wrap.writeSynced(s.path(nameSnapshot), Frame(text)); err != nil {
+		return err
+	}
+	// The log must not lose entries before the snapshot that holds them is durable.
+	if err := syncFolder(s.dir); err != nil {
 		return err
 	}
 	payload, err := json.Marshal(batch{HardState: &hard, Entries: entries})
 	if err != nil {
 		return err
 	}
-	if err := writeSynced(s.path(nameLog), Frame(payload)); err != nil {
+	if err := s.wrap.writeSynced(s.path(nameLog), Frame(payload)); err != nil {
 		return err
 	}
 	if err := syncFolder(s.dir); err != nil {
 		return err
 	}
-	return s.reopen()
-}
-
-func (s *Store) reopen() error {
-	_ = s.file.Close()
-	f, err := os.OpenFile(s.path(nameLog), os.O_RDWR|os.O_APPEND, fileMode)
-	if err != nil {
-		return err
-	}
-	s.file = f
-	return nil
+	return s.openLog()
 }
 
 func (s *Store) readSnapshot(dst *raft.Snapshot) error {
@@ -263,39 +315,9 @@
 func (s *Store) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failed = true
+	s.refusal = ErrFailed
 	if s.file != nil {
 		_ = s.file.Close()
 	}
 	_ = s.lock.Close()
 }
-
-// writeSynced replaces a file so that after a crash it holds either the old or
-// the new content.
-func writeSynced(path string, data []byte) error {
-	next := path + ".next"
-	f, err := os.OpenFile(next, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(data)
-	if err == nil {
-		err = f.Sync()
-	}
-	if closeErr := f.Close(); err == nil {
-		err = closeErr
-	}
-	if err != nil {
-		return err
-	}
-	return os.Rename(next, path)
-}
-
-func syncFolder(dir string) error {
-	f, err := os.Open(dir)
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	return f.Sync()
-}
