daemon: listeners outlive too many open files

All listeners now wait and go on at EMFILE, ENFILE, ECONNABORTED, ENOBUFS and ENOMEM (event 1021). TestListenerOutlivesTooManyOpenFiles fails on the loops as they were, since the error came through.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -65,8 +65,8 @@
 	control   *ctrl.Control
 	limiter   *ration.Limiter
 	records   *record.Records
-	proxy     *proxy.Proxy
 	trail     *trail.Trail
+	proxy     *proxy.Proxy
 	tracer    *trace.Tracer
 	changes   *change.Client
 	upstreams *upstreamRegistry
@@ -205,6 +205,7 @@
 
 func (d *Daemon) buildProxy() {
 	cfg := d.Config()
+	d.trail = trail.New(trail.Options{Config: d.Config, Clock: d.clock, Log: d.log, Registry: d.reg})
 	d.proxy = proxy.New(proxy.Options{
 		Config:  d.Config,
 		Clock:   d.clock,
@@ -212,10 +213,10 @@
 		Log:     d.log,
 		Tracer:  d.tracer,
 		Metrics: proxy.NewMetrics(d.reg),
+		Trail:   d.trail,
 		Seed:    uint64(d.clock.Now().UnixNano()),
 		Quota:   d.limiter,
 		Records: d.records,
-	d.trail = trail.New(trail.Options{Config: d.Config, Clock: d.clock, Log: d.log, Registry: d.reg})
 		Dial:    d.dial,
 		Dialect: dialectFor(cfg.Platform),
 	})
@@ -223,7 +224,6 @@
 
 func (d *Daemon) listen() (err error) {
 	defer fault.Note(&err, "open listeners")
-		Trail:   d.trail,
 	cfg := d.Config()
 	handlers := []struct {
 		name    string
@@ -249,6 +249,7 @@
 	if err != nil {
 		return err
 	}
+	ln = newPatientListener(ln, "control", d.log)
 	d.listeners = append(d.listeners, &listener{name: "control", ln: d.secure.Listen(ln)})
 	return nil
 }
@@ -271,6 +272,7 @@
 	if err != nil {
 		return err
 	}
+	ln = newPatientListener(ln, name, d.log)
 	limits := d.callerLimits()
 	if name == "caller" {
 		d.callers = newCallerServer(limitListener(ln, d.Config().Calls.Connections), handler, limits)
@@ -361,6 +363,7 @@
 	}
 	d.pool.Close()
 	d.tracer.Close(ctx)
+	defer d.log.Sync()
 	if n := d.proxy.RunningCalls(); n > 0 {
 		d.log.Emit(event.ShutdownTimedOut, zap.Int64("running", n))
 		return
@@ -373,7 +376,6 @@
 func (d *Daemon) delayShutdown(ctx context.Context) {
 	if d.callers != nil {
 		d.callers.DisableKeepAlives()
-	defer d.log.Sync()
 	}
 	t := time.NewTimer(d.Config().Daemon.ShutdownDelay)
 	defer t.Stop()
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -16,6 +16,7 @@
 	SettingsReloaded     ID = 1010
 	SettingsInvalid      ID = 1011
 	ListenerFailed       ID = 1020
+	AcceptPaused         ID = 1021
 	UpstreamAnnounced    ID = 1101
 	UpstreamDraining     ID = 1102
 	UpstreamDeregistered ID = 1103
@@ -38,9 +39,9 @@
 	LogCorrupt           ID = 1402
 	StoreWriteFailed     ID = 1403
 	SnapshotWritten      ID = 1404
-	LeaderElected        ID = 1501
 	StoreNoSpace         ID = 1405
 	StoreWritable        ID = 1406
+	LeaderElected        ID = 1501
 	LeaderSteppedDown    ID = 1502
 	VoterAdded           ID = 1503
 	VoterRemoved         ID = 1504
@@ -51,9 +52,6 @@
 	LibraryMessage       ID = 1704
 	UpstreamOverloaded   ID = 1801
 	EntryShedding        ID = 1802
-)
-
-var catalogue = byID([]Definition{
 	RequestRefused       ID = 1901
 	CallRefused          ID = 1902
 	CallRetried          ID = 1903
@@ -63,6 +61,9 @@
 	VMEjected            ID = 1907
 	NestedCallFailed     ID = 1908
 	DecisionsOmitted     ID = 1909
+)
+
+var catalogue = byID([]Definition{
 	{DaemonStarted, zapcore.InfoLevel, "The daemon started and accepts calls."},
 	{DaemonStopping, zapcore.InfoLevel, "The daemon is shutting down: it takes no new work and waits for running calls."},
 	{DaemonStopped, zapcore.InfoLevel, "The daemon stopped; no calls were running."},
@@ -70,6 +71,7 @@
 	{SettingsReloaded, zapcore.InfoLevel, "The settings file was reloaded and is in force."},
 	{SettingsInvalid, zapcore.ErrorLevel, "The settings file is invalid; the settings in force were kept."},
 	{ListenerFailed, zapcore.ErrorLevel, "A listener stopped with an error."},
+	{AcceptPaused, zapcore.WarnLevel, "Connections can't be accepted for lack of resources; the listener waits and goes on."},
 	{UpstreamAnnounced, zapcore.InfoLevel, "The upstream on this VM announced itself."},
 	{UpstreamDraining, zapcore.InfoLevel, "The upstream on this VM is draining; it gets no new calls."},
 	{UpstreamDeregistered, zapcore.InfoLevel, "The upstream on this VM deregistered."},
@@ -91,10 +93,10 @@
 	{LogCorrupt, zapcore.ErrorLevel, "The log is corrupt before its end; the daemon does not start."},
 	{StoreWriteFailed, zapcore.ErrorLevel, "Writing to the data folder failed; nothing more is acknowledged."},
 	{SnapshotWritten, zapcore.InfoLevel, "A snapshot was written and the log before it was removed."},
-	{LeaderElected, zapcore.InfoLevel, "A leader was elected among the control daemons."},
-	{LeaderSteppedDown, zapcore.WarnLevel, "This control daemon is no longer the leader: it cannot reach a majority."},
 	{StoreNoSpace, zapcore.WarnLevel, "The disk of the data folder is full: this control daemon acknowledges nothing until a write succeeds."},
 	{StoreWritable, zapcore.InfoLevel, "The data folder can be written again; this control daemon takes part again."},
+	{LeaderElected, zapcore.InfoLevel, "A leader was elected among the control daemons."},
+	{LeaderSteppedDown, zapcore.WarnLevel, "This control daemon is no longer the leader: it cannot reach a majority."},
 	{VoterAdded, zapcore.InfoLevel, "A control daemon became a voter."},
 	{VoterRemoved, zapcore.InfoLevel, "A control daemon is no longer a voter."},
 	{MessageRefused, zapcore.WarnLevel, "A message from another process was refused."},
@@ -104,12 +106,6 @@
 	{LibraryMessage, zapcore.WarnLevel, "A library reported a problem, mostly bytes on a connection that belong to no response."},
 	{UpstreamOverloaded, zapcore.InfoLevel, "The upstream on this VM is overloaded or its concurrency limit is lowered."},
 	{EntryShedding, zapcore.InfoLevel, "New calls are refused at this entry because services of their call trees are overloaded."},
-})
-
-func byID(definitions []Definition) map[ID]Definition {
-	m := make(map[ID]Definition, len(definitions))
-	for _, d := range definitions {
-		m[d.ID] = d
 	{RequestRefused, zapcore.InfoLevel, "A request was refused, or failed, where it entered the fleet."},
 	{CallRefused, zapcore.InfoLevel, "A call was refused, or failed, beside its upstream."},
 	{CallRetried, zapcore.InfoLevel, "A failed call is sent again to another VM."},
@@ -119,6 +115,12 @@
 	{VMEjected, zapcore.InfoLevel, "A VM failed several calls in a row and gets none for a while."},
 	{NestedCallFailed, zapcore.InfoLevel, "A call failed at its upstream after one of its nested calls had failed."},
 	{DecisionsOmitted, zapcore.InfoLevel, "Lines about decisions were left out to bound the log."},
+})
+
+func byID(definitions []Definition) map[ID]Definition {
+	m := make(map[ID]Definition, len(definitions))
+	for _, d := range definitions {
+		m[d.ID] = d
 	}
 	return m
 }
