admit: rejections of a faulty upstream do not lower its limit to one

Cause: a reduction of the limit was undone only if fewer calls a second were accepted after it. While the calls that arrive do not fill the limit, their number does not depend on the limit at all, so every reduction was kept, down to one. The limit then rose by one for every ten calls, at one call at a time.

Rejections now count only while the limit is reached, and a reduction is judged by the share of the calls that is accepted against the concurrency: one that is full accepts a larger share of fewer calls, a faulty one does not. At a low limit fewer samples close a window. TestFaultyUpstreamKeepsItsLimit/sheds_at_once fails without it (mean limit 5.1 of 12). Ruled out: the means of latency, rejections are no samples of it.

State is local to a daemon.

--- a/core/admit/limit.go
+++ b/core/admit/limit.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"time"
 
 	"chicorymast/core/ident"
@@ -14,18 +15,17 @@
 // latency has doubled, or in which the upstream shed a call, lowers the limit by a
 // tenth; a window at full concurrency without either raises it by a tenth.
 //
-// An upstream that sheds because it is faulty sheds at any concurrency. Lowering
-// the limit then only reduces the calls that it accepts, so a reduction that has
-// done so is undone (see reduction).
+// An upstream that sheds because it is faulty sheds the same share of its calls at any
+// concurrency. Shed calls are therefore evidence only while the limit is reached, and a
+// reduction after which the upstream accepts no larger share is undone (see reduction).
+// The rate of accepted calls would not show it: while the calls that arrive do not fill
+// the limit, it does not depend on the limit at all.
 type limiter struct {
 	slots     int
 	limit     float64
 	baselines map[ident.Route]time.Duration
 	window    window
-	// acceptedRate is the moving average of calls per second that the upstream
-	// did not shed.
-	acceptedRate float64
-	reduction    reduction
+	reduction reduction
 	// ignoreShedUntil ends the time after an undone reduction in which shed calls
 	// do not lower the limit.
 	ignoreShedUntil time.Time
@@ -33,12 +33,44 @@
 
 // reduction is a reduction of the limit for shed calls that has not been judged.
 type reduction struct {
-	// limit is the limit before it.
+	// limit is the limit before it, zero if there is none.
 	limit float64
-	// acceptedRate is the accepted rate in the second window; the first may have
-	// begun before the upstream shed calls.
-	acceptedRate float64
-	windows      int
+	// first and last are the samples of its first and last windows; the very first is
+	// left out, since it may have begun before the upstream shed calls.
+	first, last acceptance
+	windows     int
+}
+
+// acceptance counts calls, those that the upstream accepted, and the calls that were
+// running at their ends.
+type acceptance struct{ calls, accepted, running int }
+
+func (a *acceptance) add(w window) {
+	a.calls += w.samples
+	a.accepted += w.samples - w.shed
+	a.running += w.running
+}
+
+// share returns the share of calls that the upstream accepted.
+func (a acceptance) share() float64 {
+	return float64(a.accepted) / float64(max(1, a.calls))
+}
+
+// concurrency returns the mean number of running calls.
+func (a acceptance) concurrency() float64 {
+	return float64(a.running) / float64(max(1, a.calls))
+}
+
+// helped reports whether the upstream accepts a larger share of the calls at the lower
+// concurrency of the last windows. One that is full accepts a fixed number of them, so
+// the share grows as the concurrency falls; that of a faulty one stays. An upstream
+// that accepts nothing gets as few calls as possible.
+func (r reduction) helped() bool {
+	if r.first.accepted == 0 {
+		return r.last.accepted == 0
+	}
+	fall := r.first.concurrency() / max(1, r.last.concurrency())
+	return fall > minConcurrencyFall && r.last.share()/r.first.share() >= math.Sqrt(fall)
 }
 
 // window collects the samples of one measurement interval.
@@ -51,13 +83,19 @@
 	counts map[ident.Route]int
 	// shed is the number of calls that the upstream shed.
 	shed int
+	// running is the sum of the calls that were running when each call ended.
+	running int
 	// full is set when the limit was reached.
 	full bool
 }
 
 const (
 	minWindowDuration = 100 * time.Millisecond
-	minWindowSamples  = 10
+	// maxWindowSamples is the number of samples that always close a window, and
+	// minWindowSamples that at a limit as low as this; a low limit must not take long
+	// to rise again.
+	maxWindowSamples = 10
+	minWindowSamples = 3
 	// slowRatio is the ratio to the baseline above which latency counts as
 	// overload.
 	slowRatio = 2.0
@@ -72,14 +110,15 @@
 	maxBaselineGrowth = 1.02
 	// growthFactor is applied to the limit after a window at full concurrency.
 	growthFactor = 1.1
-	// acceptedRateWeight is the weight of one window in acceptedRate.
-	acceptedRateWeight = 0.3
 	// judgeReductionShare is the share of the limit to which it is lowered before
 	// the reduction is judged.
 	judgeReductionShare = 0.5
-	// minKeptAcceptedShare is the share of the accepted rate that a reduction must
-	// keep. An upstream with too many slots keeps all of it.
-	minKeptAcceptedShare = 0.8
+	// comparedWindows is the number of windows at the beginning of a reduction, and the
+	// number before it is judged, that are compared.
+	comparedWindows = 2
+	// minConcurrencyFall is the factor by which the concurrency must have fallen for a
+	// reduction to be judged by it.
+	minConcurrencyFall = 1.2
 	// ignoreShedTime is how long shed calls are ignored after an undone reduction.
 	ignoreShedTime = 5 * time.Second
 )
@@ -110,8 +149,9 @@
 		w.totals[r] += s.SelfTime
 		w.counts[r]++
 	}
+	w.running += running
 	w.full = w.full || running >= l.current()
-	if w.samples >= minWindowSamples && now.Sub(w.began) >= minWindowDuration {
+	if w.samples >= min(maxWindowSamples, max(minWindowSamples, l.current())) && now.Sub(w.began) >= minWindowDuration {
 		l.closeWindow(now)
 	}
 }
@@ -120,18 +160,12 @@
 	w := l.window
 	l.window = newWindow()
 	slow := l.latencyRatio(w) > slowRatio
-	rate := float64(w.samples-w.shed) / now.Sub(w.began).Seconds()
-	if l.acceptedRate == 0 {
-		l.acceptedRate = rate
-	}
-	l.acceptedRate += acceptedRateWeight * (rate - l.acceptedRate)
-	shed := w.shed > 0 && !now.Before(l.ignoreShedUntil)
-	if !shed {
+	if w.shed == 0 {
 		l.reduction = reduction{}
 	}
 	switch {
-	case shed:
-		l.reduceForShed(now)
+	case w.shed > 0 && w.full && !now.Before(l.ignoreShedUntil):
+		l.reduceForShed(now, w)
 	case slow && w.full:
 		l.limit = max(latencyFloorShare*float64(l.slots), l.limit*decreaseFactor, 1)
 	case w.full:
@@ -140,25 +174,27 @@
 }
 
 // reduceForShed lowers the limit after a window with shed calls, or undoes the
-// reduction if the upstream accepts fewer calls than before it.
-func (l *limiter) reduceForShed(now time.Time) {
-	l.reduction.windows++
-	switch l.reduction.windows {
-	case 1:
-		l.reduction.limit = l.limit
-		l.acceptedRate = 0
-	case 2:
-		l.reduction.acceptedRate = l.acceptedRate
+// reduction if the upstream accepts no larger share of its calls than before it.
+func (l *limiter) reduceForShed(now time.Time, w window) {
+	r := &l.reduction
+	r.windows++
+	switch {
+	case r.windows == 1:
+		r.limit = l.limit
+	case r.windows <= 1+comparedWindows:
+		r.first.add(w)
+	}
+	judged := judgeReductionShare * r.limit
+	if l.limit*math.Pow(decreaseFactor, comparedWindows) <= judged {
+		r.last.add(w)
 	}
 	l.limit = max(1, l.limit*decreaseFactor)
-	if l.limit > judgeReductionShare*l.reduction.limit {
+	if l.limit > judged && l.limit > 1 {
 		return
 	}
-	if l.acceptedRate < minKeptAcceptedShare*l.reduction.acceptedRate {
-		l.limit = l.reduction.limit
+	if r.limit > 1 && !r.helped() {
+		l.limit = r.limit
 		l.ignoreShedUntil = now.Add(ignoreShedTime)
-		l.reduction = reduction{}
-		return
 	}
 	l.reduction = reduction{}
 }
--- a/core/admit/limit_test.go
+++ b/core/admit/limit_test.go
@@ -35,6 +35,38 @@
 	return meanLimit
 }
 
+// quickUpstream is an upstream that rejects a share of its calls at once, whatever
+// runs. Calls arrive at a rate; those above the limit are refused before it.
+type quickUpstream struct {
+	perSecond  float64
+	faultShare float64
+}
+
+func (u quickUpstream) run(l *limiter, now *time.Time, d time.Duration) (meanLimit float64) {
+	const step, holdTime = 5 * time.Millisecond, 30 * time.Millisecond
+	rng := rand.New(rand.NewPCG(1, 1))
+	var ends []time.Time
+	steps := int(d / step)
+	for range steps {
+		*now = now.Add(step)
+		meanLimit += float64(l.current()) / float64(steps)
+		for len(ends) > 0 && !now.Before(ends[0]) {
+			l.observe(*now, "r", Sample{SelfTime: holdTime}, len(ends))
+			ends = ends[1:]
+		}
+		for arrivals := u.perSecond * step.Seconds(); rng.Float64() < arrivals; arrivals-- {
+			switch {
+			case len(ends) >= l.current():
+			case rng.Float64() < u.faultShare:
+				l.observe(*now, "r", Sample{Shed: true}, len(ends)+1)
+			default:
+				ends = append(ends, now.Add(holdTime))
+			}
+		}
+	}
+	return meanLimit
+}
+
 func TestFaultyUpstreamKeepsItsLimit(t *testing.T) {
 	const slots = 100
 	t.Run("sheds at any concurrency", func(t *testing.T) {
@@ -42,6 +74,15 @@
 		faulty := sheddingUpstream{capacity: slots, faultShare: 0.55}
 		assert.Assert(t, faulty.run(&l, &now, 10*time.Second) >= 0.75*slots, "lowering the limit only reduces what it accepts")
 	})
+	t.Run("sheds at once", func(t *testing.T) {
+		const few = 12
+		for _, perSecond := range []float64{100, 200, 600} {
+			l, now := newLimiter(few), epoch
+			quick := quickUpstream{perSecond: perSecond, faultShare: 0.55}
+			mean := quick.run(&l, &now, 9*time.Second)
+			assert.Assert(t, mean >= 0.75*few, "%v calls a second: mean limit %.1f", perSecond, mean)
+		}
+	})
 	t.Run("recovers within 5 s", func(t *testing.T) {
 		l, now := newLimiter(slots), epoch
 		sheddingUpstream{capacity: slots, faultShare: 1}.run(&l, &now, 10*time.Second)
