admit: the share to refuse follows the demand, corrected by feedback

Calls bring the share at which their entry admitted them, so the demand is known whatever the delay: the share to admit is one over it. A queue lowers the target, but not what the correction learns from.

At 37,000 daemons: one more sum a daemon, no message; the header has carried the share before.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -57,6 +57,9 @@
 	// AdmittedAtEntry is set when the entry has taken the load of this upstream
 	// into account.
 	AdmittedAtEntry bool
+	// AdmittedShare is the share of such calls that the entry admitted when it admitted
+	// this one or its parent; zero stands for all.
+	AdmittedShare float64
 	// ServiceRefuseShare is the mean of the shares that the upstreams of the service
 	// ask to refuse, as the sender of the call knows it.
 	ServiceRefuseShare float64
@@ -163,6 +166,14 @@
 	return PriorityLevel(r.Priority, r.Nested || r.AdmittedAtEntry)
 }
 
+// admittedShare returns the share that the entry admitted.
+func (r Request) admittedShare() float64 {
+	if r.AdmittedShare == 0 {
+		return 1
+	}
+	return r.AdmittedShare
+}
+
 // New returns a controller with no running calls.
 func New(cfg Config) *Controller {
 	return &Controller{
@@ -184,8 +195,8 @@
 }
 
 func (c *Controller) admitOrQueue(now time.Time, r Request) []Effect {
-	c.feedback.update(now, c.spareCapacity())
-	c.feedback.arrived(now, c.meanHoldByRoute[r.Route], r.ServiceRefuseShare)
+	c.RefuseShare(now)
+	c.feedback.arrived(now, c.meanHoldByRoute[r.Route], r.admittedShare(), r.ServiceRefuseShare)
 	if c.willMissDeadline(now, r) {
 		return []Effect{Refuse{Ticket: r.Ticket, Reason: fault.ReasonDeadline}}
 	}
--- a/core/admit/feedback.go
+++ b/core/admit/feedback.go
@@ -7,24 +7,35 @@
 	"chicorymast/core/meter"
 )
 
-// admitFeedback adapts the share of the demand that entries should admit to the work
-// that arrives, so that the upstream stays just below saturation.
+// admitFeedback computes the share of the demand that entries should admit, so that
+// the upstream stays just below saturation. It answers overload of a service deep in
+// call trees that take up to a few seconds, at up to ten times its capacity.
 //
-// It uses nothing but that work. An estimate of the demand would have to count the
-// calls that entries refuse, and is wrong where callers repeat refused calls, where
-// other services refuse calls of the same trees, or where the parent of a nested
-// call is guessed. An upstream with a wrong estimate stays idle or flooded for good;
-// with feedback it does not, whatever refuses the calls.
+// Each call brings the share at which its entry admitted it, so the work of the calls
+// that arrive, each divided by its share, is the whole demand, however old the shares
+// are and however long a call takes to get here: the share to admit is one over that
+// demand. A controller that only raises and lowers the share while too little or too
+// much work arrives must be slower than the trees, or it swings.
 //
-// Entries refuse by the mean of the shares of a service's upstreams. Several
-// feedbacks that act on one mean can drift apart for good, one asking to refuse
-// everything and another nothing, and callers near the first would be treated worse.
-// So each also follows the mean, which calls bring along.
+// The demand is overestimated or underestimated for good where the shares are not those
+// that decided: where the parent of a nested call is guessed, or another service refuses
+// calls of the same trees. An upstream would then stay idle or flooded. So a slow
+// feedback corrects the estimate by the work that arrives, as long as the share is
+// steady, which is when the difference can't be the delay.
+//
+// Entries refuse by the mean of the shares of a service's upstreams. Each therefore
+// also follows that mean, which calls bring along; otherwise two could drift apart, one
+// asking to refuse everything and another nothing.
 type admitFeedback struct {
-	// arrivedWork is the work of arriving calls in slot seconds.
-	arrivedWork meter.Meter
-	// admit is the share of the demand to admit; zero means all.
+	// arrivedWork is the work of arriving calls in slot seconds, demandedWork the same
+	// divided by the share of each call.
+	arrivedWork, demandedWork meter.Meter
+	// admit is the share of the demand to admit; zero means that no call has arrived.
 	admit float64
+	// steadyAdmit follows admit slowly; the two are equal while the share is steady.
+	steadyAdmit float64
+	// correction is the factor by which demandedWork overestimates the demand.
+	correction float64
 	// serviceRefuseShare is the moving average of the mean share to refuse of the
 	// service.
 	serviceRefuseShare float64
@@ -42,32 +53,47 @@
 	slotsPerWaiting = 0.1
 	// feedbackInterval is the time between two updates.
 	feedbackInterval = 50 * time.Millisecond
-	// feedbackTime is the time constant of the feedback. It is longer than the
+	// followTime is the time constant with which the share follows the demand.
+	followTime = 500 * time.Millisecond
+	// steadyTime is the time constant of steadyAdmit, about the duration of a call tree,
+	// and steadyRange the logarithm of the ratio of both from which nothing is corrected.
+	steadyTime  = time.Second
+	steadyRange = 0.2
+	// correctionTime is the time constant of the correction. It is longer than the
 	// responses take to carry a share to the entries and the calls to arrive.
-	feedbackTime = 2 * time.Second
+	correctionTime = 4 * time.Second
+	// maxCorrection limits the correction, and one over it.
+	maxCorrection = 4.0
+	// elsewhereRatio is the ratio of the share at which calls were admitted to the share
+	// asked for below which another service decides on it.
+	elsewhereRatio = 0.8
 	// agreementTime is the time constant with which the share follows the mean of the
-	// service. It is longer than feedbackTime, so that the feedback prevails.
+	// service. It is longer than followTime, so that the demand prevails.
 	agreementTime = 5 * time.Second
 	// shareWeight is the weight of one call in the mean share of the service.
 	shareWeight = 0.02
-	// minUtilisation limits how fast the share rises while little work arrives.
+	// minUtilisation is the smallest part of the capacity that is counted as used, or
+	// left beside a queue; it limits the speed of changes.
 	minUtilisation = 0.3
 	// minAdmitShare is the smallest share to admit.
 	minAdmitShare = 0.03
 )
 
-// arrived records an arriving call that holds a slot for holdTime and brings the mean
-// share to refuse of the service.
-func (f *admitFeedback) arrived(now time.Time, holdTime time.Duration, serviceRefuseShare float64) {
+// arrived records an arriving call that holds a slot for holdTime, the share at which
+// its entry admitted it, and the mean share to refuse of the service.
+func (f *admitFeedback) arrived(now time.Time, holdTime time.Duration, admittedShare, serviceRefuseShare float64) {
 	if f.admit == 0 {
-		f.arrivedWork, f.admit, f.updated = meter.New(workWindow), 1, now
+		f.arrivedWork, f.demandedWork = meter.New(workWindow), meter.New(workWindow)
+		f.admit, f.steadyAdmit, f.correction, f.updated = 1, 1, 1, now
 	}
 	f.arrivedWork.Add(now, holdTime.Seconds())
+	f.demandedWork.Add(now, holdTime.Seconds()/max(admittedShare, minAdmitShare))
 	f.serviceRefuseShare += shareWeight * (serviceRefuseShare - f.serviceRefuseShare)
 }
 
-// update adapts the share to admit to a capacity in slots and returns it.
-func (f *admitFeedback) update(now time.Time, capacity float64) float64 {
+// update computes the share to admit and returns it. Full is the work to arrive in
+// steady state, in slots, spare the same without what empties the queue.
+func (f *admitFeedback) update(now time.Time, full, spare float64) float64 {
 	if f.admit == 0 {
 		return 1
 	}
@@ -76,19 +102,43 @@
 		return f.admit
 	}
 	f.updated = now
-	capacity = max(capacity, 1)
-	utilisation := max(f.arrivedWork.Rate(now)/capacity, minUtilisation)
-	f.admit *= math.Exp(-math.Log(utilisation) * elapsed.Seconds() / feedbackTime.Seconds())
-	distance := math.Log(max(1-f.serviceRefuseShare, minAdmitShare) / f.admit)
-	f.admit *= math.Exp(distance * min(1, elapsed.Seconds()/agreementTime.Seconds()))
+	f.correct(now, elapsed, max(full, 1))
+	target := 1.0
+	if demand := f.demandedWork.Rate(now) / max(spare, 1); demand > f.correction {
+		target = max(f.correction/demand, minAdmitShare)
+	}
+	f.admit = approach(f.admit, target, elapsed, followTime)
+	f.admit = approach(f.admit, max(1-f.serviceRefuseShare, minAdmitShare), elapsed, agreementTime)
 	f.admit = min(max(f.admit, minAdmitShare), 1)
 	return f.admit
 }
 
+// correct adapts the correction to the work that arrives.
+func (f *admitFeedback) correct(now time.Time, elapsed time.Duration, full float64) {
+	f.steadyAdmit = approach(f.steadyAdmit, f.admit, elapsed, steadyTime)
+	arrived, demanded := f.arrivedWork.Rate(now), f.demandedWork.Rate(now)
+	utilisation := min(max(arrived/full, minUtilisation), 1/minUtilisation)
+	switch {
+	case f.admit == 1 && utilisation <= 1:
+		f.correction = approach(f.correction, 1, elapsed, correctionTime)
+	case utilisation < 1 && arrived < elsewhereRatio*f.admit*demanded:
+		// Another service refuses more than this one asks for.
+	default:
+		steady := max(0, 1-math.Abs(math.Log(f.admit/f.steadyAdmit))/steadyRange)
+		f.correction = approach(f.correction, f.correction/utilisation, time.Duration(steady*float64(elapsed)), correctionTime)
+		f.correction = min(max(f.correction, 1/maxCorrection), maxCorrection)
+	}
+}
+
+// approach moves a value toward a target by its time constant, in proportion.
+func approach(value, target float64, elapsed, timeConstant time.Duration) float64 {
+	return value * math.Pow(target/value, 1-math.Exp(-elapsed.Seconds()/timeConstant.Seconds()))
+}
+
 // RefuseShare returns the share of the demand for this upstream that should be
 // refused at the entries, from 0 to 1.
 func (c *Controller) RefuseShare(now time.Time) float64 {
-	return 1 - c.feedback.update(now, c.spareCapacity())
+	return 1 - c.feedback.update(now, targetUtilisation*float64(c.limit.current()), c.spareCapacity())
 }
 
 // spareCapacity returns the slots that arriving calls may take, besides those that
--- a/core/admit/feedback_test.go
+++ b/core/admit/feedback_test.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -98,7 +99,7 @@
 			e.ticket++
 			startCalls(ctl.Arrive(*now, Request{
 				Ticket: e.ticket, Priority: ident.Priority{Class: ident.ClassNormal}, Route: "r",
-				Deadline: now.Add(time.Minute), ServiceRefuseShare: refused,
+				Deadline: now.Add(time.Minute), ServiceRefuseShare: refused, AdmittedShare: 1 - refused,
 			}))
 		}
 		load := ctl.Load(*now)
@@ -114,6 +115,8 @@
 		"half more than the capacity":         {perSecond: 300, delay: time.Second},
 		"far more than the capacity":          {perSecond: 1000, delay: time.Second},
 		"slow responses":                      {perSecond: 300, delay: 1100 * time.Millisecond},
+		"very slow responses":                 {perSecond: 300, delay: 2 * time.Second},
+		"ten times the capacity":              {perSecond: 2000, delay: time.Second},
 		"barely more than it can serve":       {perSecond: 210, delay: time.Second},
 		"plain load":                          {perSecond: 180, delay: time.Second},
 		"another service refuses nearly that": {perSecond: 400, elsewhere: 0.5, delay: time.Second},
@@ -138,6 +141,44 @@
 	})
 }
 
+// While work is refused for an upstream it must be busy, the share must not swing, and
+// after the overload nothing may be refused for longer than need be.
+func TestRefusedShareFollowsTheLoad(t *testing.T) {
+	const (
+		slots, capacity  = 20.0, 200.0
+		interval, settle = 500 * time.Millisecond, 5 * time.Second
+		// The stated targets: use of the slots while work is refused, width of the swing,
+		// and what is still refused 3 s after the overload.
+		minBusy, maxSwing, maxLeft = 0.95, 0.1, 0.1
+		recoverWithin              = 3 * time.Second
+	)
+	for _, delay := range []time.Duration{300 * time.Millisecond, time.Second, 2 * time.Second} {
+		for _, load := range []float64{1.2, 2, 5, 10} {
+			t.Run(fmt.Sprintf("%v times the capacity, %s", load, delay), func(t *testing.T) {
+				ctl, now := New(Config{Slots: slots, QueueLimit: 4 * slots}), epoch
+				e := entries{perSecond: capacity / 2, delay: delay}
+				e.run(ctl, &now, settle)
+				e.perSecond = load * capacity
+				e.run(ctl, &now, settle)
+				busy, lowest, highest := 0.0, 1.0, 0.0
+				const intervals = 20
+				for range intervals {
+					running, _ := e.run(ctl, &now, interval)
+					busy += running / slots / intervals
+					lowest, highest = min(lowest, ctl.RefuseShare(now)), max(highest, ctl.RefuseShare(now))
+				}
+				e.perSecond = 0.7 * capacity
+				e.run(ctl, &now, recoverWithin)
+				left := ctl.RefuseShare(now)
+				t.Logf("busy %.2f, swing %.2f, refused after it %.2f", busy, highest-lowest, left)
+				assert.Assert(t, busy >= minBusy)
+				assert.Assert(t, highest-lowest <= maxSwing)
+				assert.Assert(t, left <= maxLeft)
+			})
+		}
+	}
+}
+
 // The share that one upstream asks to refuse must not stay at an extreme because
 // another one balances it.
 func TestUpstreamsOfAServiceAgreeOnTheShare(t *testing.T) {
--- a/core/inflow/overload_test.go
+++ b/core/inflow/overload_test.go
@@ -308,7 +308,7 @@
 	v.waiters[t] = c
 	f.apply(v, v.controller.Arrive(f.now, admit.Request{
 		Ticket: t, Route: c.route, Priority: c.priority, Rank: c.rank, Nested: c.isNested,
-		AdmittedAtEntry: c.share < 1, Deadline: c.deadline, ServiceRefuseShare: c.serviceRefuseShare,
+		AdmittedAtEntry: c.share < 1, AdmittedShare: c.share, Deadline: c.deadline, ServiceRefuseShare: c.serviceRefuseShare,
 	}))
 }
 
--- a/io/proxy/admission.go
+++ b/io/proxy/admission.go
@@ -53,6 +53,7 @@
 		Rank:            c.Rank,
 		Nested:          c.Nested,
 		AdmittedAtEntry: c.AdmittedShare < 1,
+		AdmittedShare:   c.AdmittedShare,
 		Deadline:        now.Add(time.Duration(c.TimeoutMs) * time.Millisecond),
 
 		ServiceRefuseShare: c.ServiceRefuseShare,
