inflow: an entry learns a service's share from the calls of all routes

Cause: an entry averaged the share for each route by itself, with a weight of a fifth for each response. One of 95 entries admits a call of a route every 0.4 to 4 s, so it took 2 to 20 s to hear of a change, longer the larger the fleet, and longer the more it refused.

What a service asks for does not depend on the route that asks. There is one estimate for each service now, and a response weighs more the longer ago the last one was, up to 0.6. TestShareIsFollowedWithFewResponses fails without it. Large fleets gain most; an entry with many calls behaves as before.

--- a/core/inflow/inflow.go
+++ b/core/inflow/inflow.go
@@ -60,9 +60,15 @@
 	// costTTL is how long a reported share stays in full effect without another
 	// response; then it decays with the same time constant.
 	costTTL = time.Second
-	// responseWeight is the weight of one response in the moving averages of a
-	// route's costs.
+	// responseWeight is the smallest weight of one response in the moving averages of
+	// costs and shares.
 	responseWeight = 0.2
+	// shareMemory is the time constant with which older reports of a share lose weight.
+	// In a large fleet an entry admits few calls, and each response has to count.
+	shareMemory = 250 * time.Millisecond
+	// maxResponseWeight is the largest weight of one response: it tells the state of
+	// a few of the upstreams of a service.
+	maxResponseWeight = 0.6
 	// minRefuseShare is the smallest share that is reported or applied.
 	minRefuseShare = 0.01
 	// minRelativeCost is the cost of a route at a service, relative to that of the
@@ -79,66 +85,73 @@
 // VM and returns the share of their new calls to refuse.
 type Shedder struct {
 	routes map[ident.Route]*routeState
+	// shares holds the share to refuse of each service, from the responses of all
+	// routes that use it.
+	shares map[ident.Service]shareEstimate
 }
 
 type routeState struct {
 	// demand holds one meter of offered calls for each priority.
 	demand map[ident.Priority]*meter.Meter
-	costs  map[ident.Service]costEstimate
+	// slotSeconds is what a call costs at each service that has asked to refuse some.
+	slotSeconds map[ident.Service]float64
 }
 
-type costEstimate struct {
-	slotSeconds, refuseShare float64
-	updated                  time.Time
+// shareEstimate is a moving average of the reported shares of a service.
+type shareEstimate struct {
+	share   float64
+	updated time.Time
+}
+
+func (e shareEstimate) observe(now time.Time, share float64) shareEstimate {
+	elapsed := now.Sub(e.updated).Seconds()
+	weight := min(max(1-math.Exp(-elapsed/shareMemory.Seconds()), responseWeight), maxResponseWeight)
+	return shareEstimate{share: e.share + weight*(min(share, maxRefuseShare)-e.share), updated: now}
 }
 
 // NewShedder returns a shedder without routes.
 func NewShedder() *Shedder {
-	return &Shedder{routes: map[ident.Route]*routeState{}}
+	return &Shedder{routes: map[ident.Route]*routeState{}, shares: map[ident.Service]shareEstimate{}}
 }
 
 func (s *Shedder) route(r ident.Route) *routeState {
 	st := s.routes[r]
 	if st == nil {
-		st = &routeState{demand: map[ident.Priority]*meter.Meter{}, costs: map[ident.Service]costEstimate{}}
+		st = &routeState{demand: map[ident.Priority]*meter.Meter{}, slotSeconds: map[ident.Service]float64{}}
 		s.routes[r] = st
 	}
 	return st
 }
 
-// Observe updates the costs of a route from the response to one of its calls. A
-// service that the response does not list has nothing to refuse.
+// Observe updates the costs of a route, and the shares of the services that it uses,
+// from the response to one of its calls. A service that the response does not list has
+// nothing to refuse.
 func (s *Shedder) Observe(now time.Time, r ident.Route, costs []ServiceCost) {
 	st := s.route(r)
-	if len(costs) == 0 && len(st.costs) == 0 {
+	if len(costs) == 0 && len(st.slotSeconds) == 0 {
 		return
 	}
 	for _, c := range costs {
-		est, known := st.costs[c.Service]
+		slotSeconds, known := st.slotSeconds[c.Service]
 		if !known {
-			est.slotSeconds = c.SlotSeconds
+			slotSeconds = c.SlotSeconds
+		}
+		st.slotSeconds[c.Service] = slotSeconds + responseWeight*(c.SlotSeconds-slotSeconds)
+		s.shares[c.Service] = s.shares[c.Service].observe(now, c.RefuseShare)
+	}
+	for svc := range st.slotSeconds {
+		if !slices.ContainsFunc(costs, func(c ServiceCost) bool { return c.Service == svc }) {
+			s.observeUnlisted(now, st, svc)
 		}
-		est.slotSeconds += responseWeight * (c.SlotSeconds - est.slotSeconds)
-		est.refuseShare += responseWeight * (min(c.RefuseShare, maxRefuseShare) - est.refuseShare)
-		est.updated = now
-		st.costs[c.Service] = est
 	}
-	st.reduceUnlisted(now, costs)
 }
 
-// reduceUnlisted lowers the refuse shares of the services that a response does
-// not list.
-func (st *routeState) reduceUnlisted(now time.Time, listed []ServiceCost) {
-	for svc, est := range st.costs {
-		if slices.ContainsFunc(listed, func(c ServiceCost) bool { return c.Service == svc }) {
-			continue
-		}
-		est.refuseShare -= responseWeight * est.refuseShare
-		est.updated = now
-		st.costs[svc] = est
-		if est.refuseShare < minRefuseShare {
-			delete(st.costs, svc)
-		}
+// observeUnlisted lowers the share of a service that a response of a route that uses
+// it did not list.
+func (s *Shedder) observeUnlisted(now time.Time, st *routeState, svc ident.Service) {
+	s.shares[svc] = s.shares[svc].observe(now, 0)
+	if s.shares[svc].share < minRefuseShare {
+		delete(st.slotSeconds, svc)
 	}
 }
 
@@ -150,9 +163,9 @@
 		return nil
 	}
 	var out []ServiceCost
-	for svc, est := range st.costs {
-		if share := est.currentShare(now); share >= minRefuseShare {
-			out = append(out, ServiceCost{Service: svc, SlotSeconds: est.slotSeconds, RefuseShare: share})
+	for svc, slotSeconds := range st.slotSeconds {
+		if share := s.shares[svc].current(now); share >= minRefuseShare {
+			out = append(out, ServiceCost{Service: svc, SlotSeconds: slotSeconds, RefuseShare: share})
 		}
 	}
 	return out
@@ -167,16 +180,16 @@
 // Inputs returns what the refusals of a route's calls stand on.
 func (s *Shedder) Inputs(now time.Time, r ident.Route) (out []CostInput) {
 	for _, c := range s.Costs(now, r) {
-		out = append(out, CostInput{ServiceCost: c, Age: now.Sub(s.routes[r].costs[c.Service].updated)})
+		out = append(out, CostInput{ServiceCost: c, Age: now.Sub(s.shares[c.Service].updated)})
 	}
 	return out
 }
 
-// currentShare returns the refuse share, reduced exponentially for the time
-// since the last response beyond costTTL.
-func (c costEstimate) currentShare(now time.Time) float64 {
-	pastTTL := max(0, now.Sub(c.updated)-costTTL)
-	return c.refuseShare * math.Exp(-pastTTL.Seconds()/costTTL.Seconds())
+// current returns the share, reduced exponentially for the time since the last
+// response beyond costTTL.
+func (e shareEstimate) current(now time.Time) float64 {
+	pastTTL := max(0, now.Sub(e.updated)-costTTL)
+	return e.share * math.Exp(-pastTTL.Seconds()/costTTL.Seconds())
 }
 
 // ServiceRefuseShare returns the share of the demand for a service that should be
@@ -186,11 +199,10 @@
 	if st == nil {
 		return 0
 	}
-	est, known := st.costs[svc]
-	if !known {
+	if _, known := st.slotSeconds[svc]; !known {
 		return 0
 	}
-	return est.currentShare(now)
+	return s.shares[svc].current(now)
 }
 
 // RecordOffered counts a new call, whether it is admitted or not.
@@ -207,11 +219,11 @@
 		return 0
 	}
 	largest := 0.0
-	for svc, est := range st.costs {
-		if est.slotSeconds < minRelativeCost*s.highestCost(svc) {
+	for svc, slotSeconds := range st.slotSeconds {
+		if slotSeconds < minRelativeCost*s.highestCost(svc) {
 			continue
 		}
-		if share := est.currentShare(now); share >= minRefuseShare {
+		if share := s.shares[svc].current(now); share >= minRefuseShare {
 			largest = max(largest, s.shareForPriority(now, svc, share, p))
 		}
 	}
@@ -221,7 +233,7 @@
 // highestCost returns the cost at a service of the route that uses it most.
 func (s *Shedder) highestCost(svc ident.Service) (slotSeconds float64) {
 	for _, st := range s.routes {
-		slotSeconds = max(slotSeconds, st.costs[svc].slotSeconds)
+		slotSeconds = max(slotSeconds, st.slotSeconds[svc])
 	}
 	return slotSeconds
 }
@@ -249,12 +261,12 @@
 // demandFor returns the demand for a service by priority, in slots.
 func (s *Shedder) demandFor(now time.Time, svc ident.Service) (demand [ident.PriorityCount]float64) {
 	for _, st := range s.routes {
-		est, uses := st.costs[svc]
+		slotSeconds, uses := st.slotSeconds[svc]
 		if !uses {
 			continue
 		}
 		for p, m := range st.demand {
-			demand[p.Index()] += m.Rate(now) * est.slotSeconds
+			demand[p.Index()] += m.Rate(now) * slotSeconds
 		}
 	}
 	return demand
--- a/core/inflow/inflow_test.go
+++ b/core/inflow/inflow_test.go
@@ -154,3 +154,27 @@
 	assert.Equal(t, shedder.RefuseShare(now, "browse", moreImportant), 0.0)
 	assert.Equal(t, shedder.RefuseShare(now, "pay", moreImportant), 0.0, "the same route for the more important workspace")
 }
+
+// In a large fleet an entry admits a call of a route every few seconds. It must not take
+// it a dozen of them to hear that a service has room again, or has none.
+func TestShareIsFollowedWithFewResponses(t *testing.T) {
+	costs := func(share float64) []ServiceCost {
+		return []ServiceCost{{Service: deep, SlotSeconds: 1, RefuseShare: share}}
+	}
+	routes := []ident.Route{"browse", "pay", "status", "upload"}
+	class := priority(ident.ClassNormal)
+	shedder, now := NewShedder(), epoch
+	respond := func(n int, share float64) {
+		for i := range n {
+			now = now.Add(700 * time.Millisecond)
+			for _, r := range routes {
+				shedder.RecordOffered(now, r, class)
+			}
+			shedder.Observe(now, routes[i%len(routes)], costs(share))
+		}
+	}
+	respond(len(routes), 0.6)
+	mustNear(t, shedder.RefuseShare(now, "browse", class), 0.6)
+	respond(3, 0.1)
+	assert.Assert(t, shedder.RefuseShare(now, "browse", class) < 0.15, "%v", shedder.RefuseShare(now, "browse", class))
+}
