route, proxy: calls avoid a data centre that does not answer

Cause: a VM was ejected after three failures in a row, but a call that ran into a timeout shorter than the watchdog's second counted as refused, not as failed, and nested calls have 0.7 s. And each VM, for each service, was found out by itself.

A peer that has sent nothing for twice the interval of its 102 Processing counts as silent, whatever ends the attempt. Three silent calls to two VMs of a data centre without any sign of life make it unreachable for the calls of all services of this daemon (core/route, Reach); one call tries it again after 0.5 s, later after 2 s. A call that could only go there is refused at once, as not run. The own data centre is never avoided.

Tests: Reach, and that the balancer leaves such VMs out.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -146,9 +146,15 @@
 // Pick returns a VM for a call at an admission priority level, except those
 // already tried. If all others are ejected, it returns one of these.
 func (b *Balancer) Pick(now time.Time, level int, tried map[ident.VM]bool) (Candidate, bool) {
-	usable := b.usable(now, tried)
+	return b.PickAvoiding(now, level, tried, nil)
+}
+
+// PickAvoiding is Pick without the VMs of some data centres.
+func (b *Balancer) PickAvoiding(now time.Time, level int, tried map[ident.VM]bool, blocked map[ident.DataCentre]bool) (Candidate, bool) {
+	untried := slices.DeleteFunc(b.untried(tried), func(p *peer) bool { return blocked[p.DataCentre] })
+	usable := usablePeers(now, untried)
 	if len(usable) == 0 {
-		usable = b.untried(tried)
+		usable = untried
 	}
 	if len(usable) == 0 {
 		return Candidate{}, false
@@ -228,8 +234,15 @@
 	return ejectTime
 }
 
-func (b *Balancer) usable(now time.Time, tried map[ident.VM]bool) []*peer {
-	return slices.DeleteFunc(b.untried(tried), func(p *peer) bool { return now.Before(p.ejectedUntil) || p.probing })
+// usablePeers returns the peers that are neither ejected nor being tested.
+func usablePeers(now time.Time, peers []*peer) []*peer {
+	usable := make([]*peer, 0, len(peers))
+	for _, p := range peers {
+		if !now.Before(p.ejectedUntil) && !p.probing {
+			usable = append(usable, p)
+		}
+	}
+	return usable
 }
 
 func (b *Balancer) untried(tried map[ident.VM]bool) []*peer {
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -61,6 +61,7 @@
 	VMEjected            ID = 1907
 	NestedCallFailed     ID = 1908
 	DecisionsOmitted     ID = 1909
+	DataCentreSilent     ID = 1910
 )
 
 var catalogue = byID([]Definition{
@@ -115,6 +116,7 @@
 	{VMEjected, zapcore.InfoLevel, "A VM failed several calls in a row and gets none for a while."},
 	{NestedCallFailed, zapcore.InfoLevel, "A call failed at its upstream after one of its nested calls had failed."},
 	{DecisionsOmitted, zapcore.InfoLevel, "Lines about decisions were left out to bound the log."},
+	{DataCentreSilent, zapcore.InfoLevel, "Several VMs of a data centre sent nothing; calls avoid it until one gets an answer."},
 })
 
 func byID(definitions []Definition) map[ID]Definition {
--- a/io/proxy/decisions.go
+++ b/io/proxy/decisions.go
@@ -221,6 +221,16 @@
 	})
 }
 
+// noteSilent logs that a data centre is avoided since its VMs are silent.
+func (p *Proxy) noteSilent(o *outboundCall, vm route.Candidate, blocked bool) {
+	if !blocked {
+		return
+	}
+	p.opt.Trail.Note(event.DataCentreSilent, sample.Key{Reason: "silent", Route: ident.Route(vm.DataCentre)}, func() []zap.Field {
+		return append(o.subject().fields(), zap.String("to", string(vm.VM)), zap.String("to_data_centre", string(vm.DataCentre)))
+	})
+}
+
 func (p *Proxy) noteEjected(o *outboundCall, vm ident.VM, r *fault.Refusal, d time.Duration) {
 	if d == 0 || r == nil {
 		return
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -290,16 +290,22 @@
 
 // sendOnce sends the call to one VM and reports the outcome to the balancer.
 func (p *Proxy) sendOnce(ctx context.Context, o *outboundCall, vm route.Candidate, lent int) attempt {
-	attemptCtx, watchdog, stop := withWatchdog(ctx)
+	attemptCtx, watchdog, stop := withWatchdog(ctx,
+		func() { p.noteSilent(o, vm, p.router.recordSilent(vm)) }, func() { p.router.recordAlive(vm.DataCentre) })
 	req := p.peerRequest(attemptCtx, o, vm, lent, watchdog)
 	resp, err := p.peerTransport.RoundTrip(req)
 	watchdog.disarm()
 	if err != nil {
 		defer stop()
 		r := transportRefusal(ctx, attemptError(attemptCtx, err), watchdog.wroteHeaders.Load(), o)
+		if watchdog.silent.Load() {
+			p.reportSilent(o, vm, r)
+			return attempt{refusal: r}
+		}
 		p.reportOutcome(o, vm, r, nil)
 		return attempt{refusal: r}
 	}
+	p.router.recordAlive(vm.DataCentre)
 	result, ok := header.GetResult(resp.Header)
 	if !ok {
 		defer stop()
@@ -458,6 +464,13 @@
 	p.noteEjected(o, vm.VM, r, ejected)
 }
 
+// reportSilent reports a failure of a VM that sent nothing, whatever ended the attempt:
+// a caller's timeout may be shorter than that of the watchdog.
+func (p *Proxy) reportSilent(o *outboundCall, vm route.Candidate, r *fault.Refusal) {
+	ejected := p.router.reportOutcome(o.call.Service, vm.VM, route.Report{Outcome: route.OutcomeFailed})
+	p.noteEjected(o, vm.VM, r, ejected)
+}
+
 // vmOutcome classifies a refusal by what it says of the VM's health.
 func vmOutcome(r *fault.Refusal) route.Outcome {
 	switch r.Reason {
--- a/io/proxy/router.go
+++ b/io/proxy/router.go
@@ -4,8 +4,10 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"chicorymast/config"
 	"chicorymast/core/board"
 	"chicorymast/core/ident"
 	"chicorymast/core/intent"
@@ -31,6 +33,11 @@
 	rng      *rand.Rand
 	services map[ident.Service]*serviceState
 	splits   map[ident.Route]*route.Split
+
+	reachMu sync.Mutex
+	reach   *route.Reach
+	// suspected is set while reach knows anything against a data centre.
+	suspected atomic.Bool
 }
 
 type serviceState struct {
@@ -42,7 +49,10 @@
 }
 
 func newRouter(opt Options, rng *rand.Rand) *router {
-	return &router{opt: opt, rng: rng, services: map[ident.Service]*serviceState{}, splits: map[ident.Route]*route.Split{}}
+	return &router{
+		opt: opt, rng: rng, services: map[ident.Service]*serviceState{}, splits: map[ident.Route]*route.Split{},
+		reach: route.NewReach(opt.Config().Daemon.DataCentre),
+	}
 }
 
 // chooseService chooses the service for the next call of a route by weight.
@@ -95,10 +105,52 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refresh(now, rt.opt.Board, name)
-	vm, ok := s.balancer.Pick(now, level, tried)
+	vm, ok := s.balancer.PickAvoiding(now, level, tried, rt.blocked(now))
+	if ok {
+		rt.startProbe(now, vm.DataCentre)
+	}
 	return vm, s.balancer.LastSpill(), ok
 }
 
+// blocked returns the data centres that can't be reached at present.
+func (rt *router) blocked(now time.Time) map[ident.DataCentre]bool {
+	if !rt.suspected.Load() || rt.opt.Config().Daemon.Mode == config.ModePassThrough {
+		return nil
+	}
+	rt.reachMu.Lock()
+	defer rt.reachMu.Unlock()
+	return rt.reach.Blocked(now)
+}
+
+func (rt *router) startProbe(now time.Time, dc ident.DataCentre) {
+	if !rt.suspected.Load() {
+		return
+	}
+	rt.reachMu.Lock()
+	defer rt.reachMu.Unlock()
+	rt.reach.StartProbe(now, dc)
+}
+
+// recordSilent records that a VM has sent nothing for suspectTime. It reports whether
+// its data centre is avoided because of it.
+func (rt *router) recordSilent(vm route.Candidate) (blocked bool) {
+	rt.reachMu.Lock()
+	defer rt.reachMu.Unlock()
+	rt.suspected.Store(true)
+	return rt.reach.Silent(rt.opt.Clock.Now(), vm.DataCentre, vm.VM)
+}
+
+// recordAlive records a sign of life from a data centre.
+func (rt *router) recordAlive(dc ident.DataCentre) {
+	if !rt.suspected.Load() {
+		return
+	}
+	rt.reachMu.Lock()
+	defer rt.reachMu.Unlock()
+	rt.reach.Answered(dc)
+	rt.suspected.Store(rt.reach.Suspects())
+}
+
 // status returns the state of the VMs of a service, for the log.
 func (rt *router) status(name ident.Service) []route.Status {
 	s := rt.service(name)
--- a/io/proxy/watch.go
+++ b/io/proxy/watch.go
@@ -20,6 +20,9 @@
 	interimInterval = 250 * time.Millisecond
 	// silenceTimeout is how long a peer may send nothing before its response.
 	silenceTimeout = 4 * interimInterval
+	// suspectTime is how long a peer may send nothing until it counts as silent. The
+	// attempt goes on until silenceTimeout.
+	suspectTime = 2 * interimInterval
 )
 
 // errPeerSilent is the cause with which the watchdog cancels an attempt.
@@ -30,22 +33,24 @@
 	timer        *time.Timer
 	wroteHeaders atomic.Bool
 	disarmed     atomic.Bool
+	// silent is set while the peer has sent nothing for suspectTime.
+	silent atomic.Bool
+	// onSilent is called when silent is set, onAlive at each sign of life.
+	onSilent, onAlive func()
+	cancel            context.CancelCauseFunc
 }
 
 // withWatchdog returns a context for one attempt, its watchdog, and a function
 // that releases both.
-func withWatchdog(ctx context.Context) (context.Context, *watchdog, context.CancelFunc) {
+func withWatchdog(ctx context.Context, onSilent, onAlive func()) (context.Context, *watchdog, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	w := &watchdog{}
-	w.timer = time.AfterFunc(silenceTimeout, func() {
-		if !w.disarmed.Load() {
-			cancel(errPeerSilent)
-		}
-	})
+	w := &watchdog{onSilent: onSilent, onAlive: onAlive, cancel: cancel}
+	w.timer = time.AfterFunc(suspectTime, w.expire)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		WroteHeaders: func() { w.wroteHeaders.Store(true) },
 		WroteRequest: func(httptrace.WroteRequestInfo) { w.reset() },
 		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+			w.onAlive()
 			w.reset()
 			return nil
 		},
@@ -56,6 +61,19 @@
 	}
 }
 
+// expire suspects a silent peer and, when it stays silent, cancels the attempt.
+func (w *watchdog) expire() {
+	if w.disarmed.Load() {
+		return
+	}
+	if w.silent.Swap(true) {
+		w.cancel(errPeerSilent)
+		return
+	}
+	w.timer.Reset(silenceTimeout - suspectTime)
+	w.onSilent()
+}
+
 // watchRequestBody resets the watchdog whenever part of the request body is sent.
 func (w *watchdog) watchRequestBody(r *http.Request) {
 	if r.Body != nil && r.Body != http.NoBody {
@@ -84,7 +102,8 @@
 // reset restarts the timeout after progress on the connection to the peer.
 func (w *watchdog) reset() {
 	if !w.disarmed.Load() {
-		w.timer.Reset(silenceTimeout)
+		w.silent.Store(false)
+		w.timer.Reset(suspectTime)
 	}
 }
 
