ration: calls do not wait for an owner that is known to be silent

Cause: each request for tokens tried up to three times, each time with half a second for the owner and for those of all other data centres, one after another, and the next call began anew 20 ms later. All calls of the grant waited for it.

A search for tokens has 0.4 s now, 0.25 s for one VM; a VM that did not answer is asked by one request a second; and for 0.25 s after a failed search calls are refused at once, as not run, so that callers can come back. TestCallsDoNotWaitForOwnersKnownToBeUnreachable does not end without it.

--- a/io/ration/ration.go
+++ b/io/ration/ration.go
@@ -55,6 +55,8 @@
 	owners   map[ident.Grant]*ownedGrant
 	// view is the current membership of this data centre.
 	view view
+
+	silent *silentVMs
 }
 
 // holder holds the tokens of a grant that this daemon may spend.
@@ -75,17 +77,25 @@
 }
 
 const (
-	requestTimeout = 500 * time.Millisecond
-	tickInterval   = 250 * time.Millisecond
+	// requestTimeout limits one request to an owner. It is longer than a round trip
+	// between continents.
+	requestTimeout = 250 * time.Millisecond
+	// leaseTimeout limits the search for an owner that gives tokens. It bounds the
+	// time that calls wait for it.
+	leaseTimeout = 400 * time.Millisecond
+	tickInterval = 250 * time.Millisecond
 	// maxDelay is the longest time that a call is delayed while the bucket refills.
 	maxDelay = 250 * time.Millisecond
 	// maxDelayedCalls is the maximum number of delayed calls of one grant.
 	maxDelayedCalls = 32
+	// unreachableTime is how long calls are refused at once after no owner could be
+	// reached.
+	unreachableTime = 250 * time.Millisecond
 )
 
 // New returns a Limiter without tokens or owned grants.
 func New(opt Options) *Limiter {
-	l := &Limiter{opt: opt, holders: map[ident.Grant]*holder{}, owners: map[ident.Grant]*ownedGrant{}}
+	l := &Limiter{opt: opt, holders: map[ident.Grant]*holder{}, owners: map[ident.Grant]*ownedGrant{}, silent: newSilentVMs()}
 	l.view.memberLeftAt = opt.Clock.Now()
 	return l
 }
@@ -167,6 +177,9 @@
 		if !now.Equal(start) && h.quota.TakeWaiting(now) {
 			return 0, nil
 		}
+		if h.ownerUnreachable && now.Before(h.repliedAt.Add(unreachableTime)) {
+			return 0, ErrOwnerUnreachable
+		}
 		backoff := h.quota.Backoff(now)
 		if backoff > 0 {
 			tooLong := now.Add(backoff).Sub(start) > maxDelay || h.delayed >= maxDelayedCalls
@@ -279,53 +292,74 @@
 	return a.reply == quota.ReplyGranted || a.reply == quota.ReplyDenied
 }
 
-// leaseFromOwner requests a lease from the grant's owner and, if the owner in this
-// data centre does not respond, from owners in other data centres, which give
-// tokens from their own shares.
-func (l *Limiter) leaseFromOwner(q wire.QuotaLeaseRequest) (a leaseAnswer) {
-	const attempts = 3
+// leaseFromOwner requests a lease from the grant's owner in this data centre. If that
+// one does not reply, the owners in other data centres are asked, which give tokens
+// from their own shares, until one has tokens for waiting calls. A grant that is too
+// small to be divided has one owner in the fleet.
+func (l *Limiter) leaseFromOwner(q wire.QuotaLeaseRequest) (best leaseAnswer) {
 	const retryDelay = 20 * time.Millisecond
-	home := l.ownerDataCentre(q.Grant)
-	for range attempts {
-		if a = l.leaseFrom(home, q); a.leased() {
-			return a
-		}
-		// The tokens returned with the first request may have been received.
-		q.Want.Unspent, q.Want.Refund = 0, 0
-		if home == l.opt.DataCentre {
-			if elsewhere, ok := l.leaseElsewhere(q); ok {
-				return elsewhere
+	ctx, cancel := context.WithTimeout(context.Background(), leaseTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		asked := false
+		for i, dc := range l.lenders(q.Grant) {
+			a := l.leaseFrom(ctx, dc, q)
+			if a.reply == quota.ReplyGranted || (i == 0 && a.leased()) {
+				return a
+			}
+			asked = asked || a.reply == quota.ReplyNotOwner
+			if !best.leased() {
+				best = a
 			}
+			// The tokens returned with the first request may have been received.
+			q.Want.Unspent, q.Want.Refund = 0, 0
+		}
+		if best.leased() || !asked {
+			return best
 		}
 		// VMs may disagree on the owner for a short time after a membership change.
-		time.Sleep(retryDelay)
+		sleep(ctx, retryDelay)
 	}
-	return a
+	return best
 }
 
-// leaseElsewhere requests a lease from the owners in other data centres, one after
-// the other, until one grants tokens for waiting calls.
-func (l *Limiter) leaseElsewhere(q wire.QuotaLeaseRequest) (leaseAnswer, bool) {
-	for dc := range l.opt.Board.Config.Read().State.Intent.DataCentres {
-		if dc == l.opt.DataCentre {
-			continue
-		}
-		if a := l.leaseFrom(dc, q); a.leased() && a.lease.Immediate > 0 {
-			return a, true
+// lenders lists the data centres whose owners to ask, in order.
+func (l *Limiter) lenders(g ident.Grant) []ident.DataCentre {
+	intent := l.opt.Board.Config.Read().State.Intent
+	if home, single := intent.GrantHome(g); single {
+		return []ident.DataCentre{home}
+	}
+	list := []ident.DataCentre{l.opt.DataCentre}
+	for dc := range intent.DataCentres {
+		if dc != l.opt.DataCentre {
+			list = append(list, dc)
 		}
 	}
-	return leaseAnswer{}, false
+	return list
 }
 
-func (l *Limiter) leaseFrom(dc ident.DataCentre, q wire.QuotaLeaseRequest) leaseAnswer {
-	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (l *Limiter) leaseFrom(ctx context.Context, dc ident.DataCentre, q wire.QuotaLeaseRequest) leaseAnswer {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	members := l.opt.Board.Members.Read()
 	vm, ok := rendez.First(ownerKey(q.Grant), members.ByDataCentre[dc])
 	if !ok {
 		return leaseAnswer{reply: quota.ReplyNoOwner}
 	}
+	if !l.silent.mayAsk(l.opt.Clock.Now(), vm) {
+		return leaseAnswer{reply: quota.ReplyUnreachable, from: vm}
+	}
 	reply, err := l.requestFrom(ctx, members.ByVM[vm], q)
+	l.silent.record(l.opt.Clock.Now(), vm, err)
 	a := leaseAnswer{lease: reply.Lease, reply: quota.ReplyGranted, from: vm}
 	switch {
 	case err != nil:
