ration: slack for small grants whose owner can't be reached

A grant with a burst below four calls for each data centre has one owner in the fleet.

Operators can allow some calls beyond a grant for this case: [rates] slack in any slack_window, over the whole fleet, zero by default; on the platform what its bounds allow. Each data centre has its part, in a bucket at a fallback owner of its own, of which a full bucket and what flows in during a window make up the part. It is asked for waiting calls only, when neither the owner nor anyone else replies; a new fallback owner waits for a window. A grant without slack stays within rate and burst, in cuts too.

Weighed and tried: shares of small grants for all data centres, lent to one and renewed all the time.

TestSlackIsSpentWhileTheOwnerIsUnreachable counts calls in all windows of two minutes.

--- a/config/config.go
+++ b/config/config.go
@@ -30,6 +30,7 @@
 	Calls     Calls
 	Admission Admission
 	CutOff    CutOff
+	Rates     Rates
 	Log       Log
 	Trace     Trace
 	Security  Security
@@ -51,6 +52,7 @@
 		Calls:     defaultCalls(),
 		Admission: defaultAdmission(),
 		CutOff:    defaultCutOff(),
+		Rates:     defaultRates(),
 		Log:       defaultLog(),
 		Trace:     defaultTrace(),
 		Operators: map[string]Operator{},
@@ -95,6 +97,7 @@
 		"calls":     &c.Calls,
 		"admission": &c.Admission,
 		"cut_off":   &c.CutOff,
+		"rates":     &c.Rates,
 		"log":       &c.Log,
 		"trace":     &c.Trace,
 		"security":  &c.Security,
@@ -114,7 +117,7 @@
 }
 
 func (c *Config) check() error {
-	order := []string{"daemon", "listen", "control", "calls", "admission", "cut_off", "log", "trace", "security", "platform"}
+	order := []string{"daemon", "listen", "control", "calls", "admission", "cut_off", "rates", "log", "trace", "security", "platform"}
 	sections := c.sections()
 	for _, name := range order {
 		if key, problem := sections[name].check(c); problem != "" {
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -35,6 +35,7 @@
 	assert.DeepEqual(t, cfg.Calls, want.Calls)
 	assert.DeepEqual(t, cfg.Admission, want.Admission)
 	assert.DeepEqual(t, cfg.CutOff, want.CutOff)
+	assert.DeepEqual(t, cfg.Rates, want.Rates)
 	assert.DeepEqual(t, cfg.Log, want.Log)
 	assert.DeepEqual(t, cfg.Trace, want.Trace)
 	assert.Equal(t, cfg.Daemon.ShutdownTimeout, want.Daemon.ShutdownTimeout)
@@ -61,6 +62,8 @@
 		"bad role":                    {"role = view", "role = king", "operator anna", "role"},
 		"bad digest":                  {"token_sha256 = 00", "token_sha256 = zz", "operator anna", "token_sha256"},
 		"sample":                      {"sample = 0.01", "sample = 7", "trace", "sample"},
+		"negative slack":              {"slack = 0", "slack = -1", "rates", "slack"},
+		"no slack window":             {"slack_window = 5s", "slack_window = 0s", "rates", "slack_window"},
 		"negative line rate":          {"decision_rate = 10", "decision_rate = -1", "log", "decision_rate"},
 		"no line at once":             {"decision_burst = 50", "decision_burst = 0", "log", "decision_burst"},
 		"key before a section":        {"; Settings", "stray = 1\n; Settings", "", "stray"},
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -161,7 +161,7 @@
 		FollowConfig:   cfg.Daemon.Role != config.RoleControl,
 	})
 	d.limiter = ration.New(ration.Options{
-		VM: cfg.Daemon.VM, DataCentre: cfg.Daemon.DataCentre, Clock: d.clock, Board: d.board, Pool: d.pool,
+		VM: cfg.Daemon.VM, DataCentre: cfg.Daemon.DataCentre, Clock: d.clock, Board: d.board, Pool: d.pool, Config: d.Config,
 	})
 	d.limiter.Register(d.server)
 	d.records = record.New(record.Options{
--- a/io/daemon/template_test.go
+++ b/io/daemon/template_test.go
@@ -12,6 +12,12 @@
 	"gotest.tools/v3/assert"
 )
 
+// Sections of the templates, which are left out where the platform has no such bound.
+const (
+	quotaSlack  = "{{#bounds.quota_slack}}slack = {{.}}{{/bounds.quota_slack}}"
+	quotaWindow = "{{#bounds.quota_window}}slack_window = {{.}}{{/bounds.quota_window}}"
+)
+
 // templateValues are usual values of the placeholders of the templates in deploy/.
 func templateValues() map[string]string {
 	return map[string]string{
@@ -22,6 +28,7 @@
 		"{{listen.control}}": "127.0.0.1:8540", "{{listen.ready}}": "127.0.0.1:8546",
 		"{{internal_ports.0}}": fmt.Sprint(portControl), "{{seeds}}": "127.0.0.1:8540,127.0.0.2:8540,127.0.0.3:8540",
 		"{{#zones}}{{@}}{{,}}{{/zones}}": "east,west",
+		quotaSlack:                       "slack = 20", quotaWindow: "slack_window = 5s",
 	}
 }
 
@@ -48,6 +55,8 @@
 	for placeholder, values := range map[string][]string{
 		"{{bounds.retry_budget_ratio}}":  {"0", "0.2", "0.3333333333333333", "1"},
 		"{{bounds.budget_slack}}":        {"0", "49", "20.434782608695652", "1e6"},
+		quotaSlack:                       {"", "slack = 0", "slack = 20", "slack = 20.434782608695652", "slack = 1e6"},
+		quotaWindow:                      {"", "slack_window = 5s", "slack_window = 1234.5ms"},
 		"{{heartbeat}}":                  {"1500ms", "1.5s", "1234.5ms", "10s"},
 		"{{fault_tolerance.machines}}":   {"0", "1", "2"},
 		"{{bootstrap}}":                  {"true", "false"},
--- a/io/ration/borrow.go
+++ b/io/ration/borrow.go
@@ -6,7 +6,6 @@
 
 	"chicorymast/core/ident"
 	"chicorymast/core/quota"
-	"chicorymast/core/rendez"
 	"chicorymast/io/wire"
 )
 
@@ -16,7 +15,7 @@
 	l.ownersMu.Lock()
 	defer l.ownersMu.Unlock()
 	for g, o := range l.owners {
-		if o.borrowing || !l.mayOwn(now, g) {
+		if o.borrowing || !l.mayOwn(now, ownerKey(g)) {
 			continue
 		}
 		if missing := o.quota.MissingShare(now); missing > 0 {
@@ -68,7 +67,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 	members := l.opt.Board.Members.Read()
-	vm, ok := rendez.First(ownerKey(g), members.ByDataCentre[dc])
+	vm, ok := l.first(ownerKey(g), dc)
 	if !ok {
 		return quota.Loan{}, nil
 	}
--- a/io/ration/owner.go
+++ b/io/ration/owner.go
@@ -48,6 +48,7 @@
 	}
 	l.view.vms = vms
 	l.deleteIdle(now)
+	l.deleteIdleFallbacks(now)
 }
 
 // memberLeft reports whether a VM of the old view is missing in the new one.
@@ -66,18 +67,21 @@
 	}
 }
 
-// mayOwn reports whether this VM is the owner of the grant in its own view of the
-// membership and has recent contact with its relay.
-func (l *Limiter) mayOwn(now time.Time, g ident.Grant) bool {
+// mayOwn reports whether this VM is the first one for a rendezvous key in its own view
+// of the membership and has recent contact with its relay.
+func (l *Limiter) mayOwn(now time.Time, key string) bool {
 	if now.Sub(l.opt.Board.RelayContact.Read().At) > contactTimeout {
 		return false
 	}
-	first, ok := rendez.First(ownerKey(g), l.opt.Board.Members.Read().ByDataCentre[l.opt.DataCentre])
+	first, ok := l.first(key, l.opt.DataCentre)
 	return ok && first == l.opt.VM
 }
 
 func (l *Limiter) serveLease(ctx context.Context, q wire.QuotaLeaseRequest) (wire.QuotaLeaseReply, error) {
-	if !l.mayOwn(l.opt.Clock.Now(), q.Grant) || !l.takeOver(ctx, q.Grant) {
+	if q.Fallback {
+		return l.serveFallback(q), nil
+	}
+	if !l.mayOwn(l.opt.Clock.Now(), ownerKey(q.Grant)) || !l.takeOver(ctx, q.Grant) {
 		return wire.QuotaLeaseReply{}, nil
 	}
 	l.ownersMu.Lock()
@@ -177,7 +181,7 @@
 
 func (l *Limiter) serveLend(ctx context.Context, q wire.QuotaLendRequest) (wire.QuotaLendReply, error) {
 	now := l.opt.Clock.Now()
-	if !l.mayOwn(now, q.Grant) || !l.takeOver(ctx, q.Grant) {
+	if !l.mayOwn(now, ownerKey(q.Grant)) || !l.takeOver(ctx, q.Grant) {
 		return wire.QuotaLendReply{}, nil
 	}
 	l.ownersMu.Lock()
--- a/io/ration/ration.go
+++ b/io/ration/ration.go
@@ -22,11 +22,11 @@
 	"sync"
 	"time"
 
+	"chicorymast/config"
 	"chicorymast/core/board"
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
 	"chicorymast/core/quota"
-	"chicorymast/core/rendez"
 	"chicorymast/io/timer"
 	"chicorymast/io/wire"
 )
@@ -41,6 +41,7 @@
 	Clock      timer.Clock
 	Board      *board.Board
 	Pool       *wire.Pool
+	Config     func() *config.Config
 }
 
 // Limiter is one daemon's part of the rate limiter. Its methods are safe for
@@ -56,6 +57,9 @@
 	// view is the current membership of this data centre.
 	view view
 
+	// fallbacks holds the buckets of the slack, guarded by ownersMu.
+	fallbacks map[ident.Grant]*fallbackOwner
+
 	silent *silentVMs
 }
 
@@ -95,7 +99,7 @@
 
 // New returns a Limiter without tokens or owned grants.
 func New(opt Options) *Limiter {
-	l := &Limiter{opt: opt, holders: map[ident.Grant]*holder{}, owners: map[ident.Grant]*ownedGrant{}, silent: newSilentVMs()}
+	l := &Limiter{opt: opt, holders: map[ident.Grant]*holder{}, owners: map[ident.Grant]*ownedGrant{}, fallbacks: map[ident.Grant]*fallbackOwner{}, silent: newSilentVMs()}
 	l.view.memberLeftAt = opt.Clock.Now()
 	return l
 }
@@ -164,7 +168,7 @@
 	i.LastReply, i.ReplyFrom, i.ReplyAge = h.lastReply, h.replyFrom, now.Sub(h.repliedAt)
 	h.mu.Unlock()
 	i.OwnerDataCentre = l.ownerDataCentre(g)
-	i.Owner, _ = rendez.First(ownerKey(g), l.opt.Board.Members.Read().ByDataCentre[i.OwnerDataCentre])
+	i.Owner, _ = l.first(ownerKey(g), i.OwnerDataCentre)
 	return i
 }
 
@@ -295,7 +299,8 @@
 // leaseFromOwner requests a lease from the grant's owner in this data centre. If that
 // one does not reply, the owners in other data centres are asked, which give tokens
 // from their own shares, until one has tokens for waiting calls. A grant that is too
-// small to be divided has one owner in the fleet.
+// small to be divided has one owner in the fleet, and the fallback owner for one call
+// at a time while that one does not reply.
 func (l *Limiter) leaseFromOwner(q wire.QuotaLeaseRequest) (best leaseAnswer) {
 	const retryDelay = 20 * time.Millisecond
 	ctx, cancel := context.WithTimeout(context.Background(), leaseTimeout)
@@ -303,7 +308,7 @@
 	for ctx.Err() == nil {
 		asked := false
 		for i, dc := range l.lenders(q.Grant) {
-			a := l.leaseFrom(ctx, dc, q)
+			a := l.leaseFrom(ctx, dc, ownerKey(q.Grant), q)
 			if a.reply == quota.ReplyGranted || (i == 0 && a.leased()) {
 				return a
 			}
@@ -314,7 +319,13 @@
 			// The tokens returned with the first request may have been received.
 			q.Want.Unspent, q.Want.Refund = 0, 0
 		}
-		if best.leased() || !asked {
+		if best.leased() {
+			return best
+		}
+		if a, ok := l.leaseFallback(ctx, q); ok {
+			return a
+		}
+		if !asked {
 			return best
 		}
 		// VMs may disagree on the owner for a short time after a membership change.
@@ -347,11 +358,12 @@
 	}
 }
 
-func (l *Limiter) leaseFrom(ctx context.Context, dc ident.DataCentre, q wire.QuotaLeaseRequest) leaseAnswer {
+// leaseFrom requests a lease from the first VM of a data centre for a rendezvous key.
+func (l *Limiter) leaseFrom(ctx context.Context, dc ident.DataCentre, key string, q wire.QuotaLeaseRequest) leaseAnswer {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	members := l.opt.Board.Members.Read()
-	vm, ok := rendez.First(ownerKey(q.Grant), members.ByDataCentre[dc])
+	vm, ok := l.first(key, dc)
 	if !ok {
 		return leaseAnswer{reply: quota.ReplyNoOwner}
 	}
--- a/io/ration/ration_test.go
+++ b/io/ration/ration_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"chicorymast/config"
 	"chicorymast/core/board"
 	"chicorymast/core/ident"
 	"chicorymast/core/intent"
@@ -47,7 +48,8 @@
 		dials.Add(1)
 		return nil, errors.New("no route to host")
 	})
-	l = New(Options{VM: "own", DataCentre: "here", Clock: clock, Board: b, Pool: pool})
+	cfg := config.Default()
+	l = New(Options{VM: "own", DataCentre: "here", Clock: clock, Board: b, Pool: pool, Config: func() *config.Config { return &cfg }})
 	clock.Advance(time.Minute)
 	return l, dials
 }
@@ -76,3 +78,39 @@
 	s.record(now.Add(silentTime), "vm", nil)
 	assert.Assert(t, s.mayAsk(now.Add(silentTime), "vm"))
 }
+
+// A grant that is too small to be divided must not be refused outright where its owner
+// can't be reached, if operators allow some slack.
+func TestSlackIsSpentWhileTheOwnerIsUnreachable(t *testing.T) {
+	l, _ := limiterIn(t, 4, map[ident.DataCentre][]ident.VM{"here": {"own"}, "there": {"far"}})
+	clock := l.opt.Clock.(*timer.Manual)
+	home, single := l.opt.Board.Config.Read().State.Intent.GrantHome(grant)
+	assert.Assert(t, single)
+	assert.Equal(t, home, ident.DataCentre("there"))
+	charge := func() error {
+		_, err := l.Charge(context.Background(), grant)
+		return err
+	}
+	assert.Assert(t, errors.Is(charge(), ErrOwnerUnreachable), "no slack by default")
+	clock.Advance(time.Minute)
+	const slack, window = 20.0, 5 * time.Second
+	l.opt.Config().Rates = config.Rates{Slack: slack, SlackWindow: window}
+	var served []time.Time
+	const step = 50 * time.Millisecond
+	for range 2 * time.Minute / step {
+		clock.Advance(step)
+		if charge() == nil {
+			served = append(served, clock.Now())
+		}
+	}
+	assert.Assert(t, len(served) >= 100, "one call a second is allowed here, %d were served in two minutes", len(served))
+	for i, at := range served {
+		n := 0
+		for _, other := range served[i:] {
+			if other.Sub(at) <= window {
+				n++
+			}
+		}
+		assert.Assert(t, n <= slack/2, "%d calls in %s; the part of one of two data centres is %v", n, window, slack/2)
+	}
+}
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -219,6 +219,8 @@
 	VM    ident.VM           `json:"vm"`
 	Grant ident.Grant        `json:"grant"`
 	Want  quota.LeaseRequest `json:"want"`
+	// Fallback asks for tokens beyond the grant, since its owner can't be reached.
+	Fallback bool `json:"fallback,omitempty"`
 }
 
 // QuotaLeaseReply carries the leased tokens. Owner is false when the receiver
