daemon: a late announcement does not register an upstream that has left

The daemon had restarted 2 s before and was told of the deregistration before any announcement; nothing of it was kept, so an announcement that was delayed by seconds registered the upstream as up.

The new test fails without it.

--- a/io/daemon/upstreams.go
+++ b/io/daemon/upstreams.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -34,8 +35,15 @@
 	latest proxy.Announcement
 	// deregistered is set when that upstream has deregistered.
 	deregistered bool
+	// strangers holds when upstreams deregistered that had not announced themselves
+	// here, such as to a daemon that has restarted.
+	strangers map[ident.Upstream]time.Time
 }
 
+// strangerMemory is how long a deregistration is remembered; announcements may be
+// delayed by some seconds.
+const strangerMemory = 10 * time.Second
+
 // Announce records or renews the announcement of the upstream and returns how long
 // it is valid. An announcement is ignored if a later one of the same process of the
 // upstream, or one of a later process, has been recorded already.
@@ -86,9 +94,12 @@
 	return r.lease, nil
 }
 
-// isOutdated reports whether a later announcement has been recorded already; the
-// mutex is held.
+// isOutdated reports whether a later announcement, or a deregistration, has been
+// recorded already; the mutex is held.
 func (r *upstreamRegistry) isOutdated(a proxy.Announcement) bool {
+	if at, left := r.strangers[a.Upstream]; left && a.StartedMs > 0 && a.StartedMs <= at.UnixMilli() {
+		return true
+	}
 	if a.StartedMs != r.latest.StartedMs {
 		return a.StartedMs < r.latest.StartedMs
 	}
@@ -111,11 +122,26 @@
 // must not register it again.
 func (r *upstreamRegistry) Deregister(u ident.Upstream) {
 	r.mu.Lock()
-	r.deregistered = r.deregistered || u == "" || u == r.latest.Upstream
+	if u == "" || u == r.latest.Upstream {
+		r.deregistered = true
+	} else {
+		r.rememberStranger(u)
+	}
 	r.mu.Unlock()
 	r.setPhase(u, member.PhaseGone, event.UpstreamDeregistered)
 }
 
+// rememberStranger remembers the deregistration of an upstream that is not the one
+// announced last; the mutex is held.
+func (r *upstreamRegistry) rememberStranger(u ident.Upstream) {
+	now := r.clock.Now()
+	if r.strangers == nil {
+		r.strangers = map[ident.Upstream]time.Time{}
+	}
+	maps.DeleteFunc(r.strangers, func(_ ident.Upstream, at time.Time) bool { return now.Sub(at) > strangerMemory })
+	r.strangers[u] = now
+}
+
 func (r *upstreamRegistry) setPhase(u ident.Upstream, p member.Phase, id event.ID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/io/daemon/upstreams_test.go
+++ b/io/daemon/upstreams_test.go
@@ -79,6 +79,30 @@
 	r.mustBeInPhase(t, "b", member.PhaseUp)
 }
 
+// An upstream may deregister at a daemon that has restarted and not heard of it yet. An
+// announcement that was delayed must not register it then.
+func TestLateAnnouncementAfterADeregistrationByAnUnknownUpstream(t *testing.T) {
+	r, clock := newUpstreamRegistry()
+	started := clock.Now().Add(-time.Minute).UnixMilli()
+	r.Deregister("a")
+	for sequence := range uint64(3) {
+		clock.Advance(time.Second)
+		_, err := r.Announce(announcement("a", started, 20+sequence))
+		assert.NilError(t, err)
+		assert.Assert(t, !r.board.Upstream.Read().Present())
+	}
+	t.Run("a later process with its id is registered", func(t *testing.T) {
+		_, err := r.Announce(announcement("a", clock.Now().UnixMilli(), 1))
+		assert.NilError(t, err)
+		r.mustBeInPhase(t, "a", member.PhaseUp)
+	})
+	t.Run("another upstream is registered", func(t *testing.T) {
+		_, err := r.Announce(announcement("b", clock.Now().UnixMilli()+1, 1))
+		assert.NilError(t, err)
+		r.mustBeInPhase(t, "b", member.PhaseUp)
+	})
+}
+
 func TestAnnouncementExpires(t *testing.T) {
 	r, clock := newUpstreamRegistry()
 	_, err := r.Announce(announcement("a", 1, 1))
--- a/io/ration/ration.go
+++ b/io/ration/ration.go
@@ -99,7 +99,10 @@
 
 // New returns a Limiter without tokens or owned grants.
 func New(opt Options) *Limiter {
-	l := &Limiter{opt: opt, holders: map[ident.Grant]*holder{}, owners: map[ident.Grant]*ownedGrant{}, fallbacks: map[ident.Grant]*fallbackOwner{}, silent: newSilentVMs()}
+	l := &Limiter{
+		opt: opt, holders: map[ident.Grant]*holder{},
+		owners: map[ident.Grant]*ownedGrant{}, fallbacks: map[ident.Grant]*fallbackOwner{}, silent: newSilentVMs(),
+	}
 	l.view.memberLeftAt = opt.Clock.Now()
 	return l
 }
