--- /dev/null
+++ b/io/proxy/watch_test.go
@@ -0,0 +1,33 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net/http/httptrace"
+	"net/textproto"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// A nested call has less time than the watchdog gives a peer, so silence must be known
+// before an attempt ends.
+func TestSilentPeerIsSuspectedBeforeTheAttemptIsGivenUp(t *testing.T) {
+	suspected, alive := make(chan error, 2), 0
+	var ctx context.Context
+	var w *watchdog
+	ctx, w, stop := withWatchdog(context.Background(), func() { suspected <- ctx.Err() }, func() { alive++ })
+	defer stop()
+	assert.NilError(t, <-suspected, "the attempt goes on")
+	assert.Assert(t, w.silent.Load())
+	t.Run("a sign of life ends the suspicion", func(t *testing.T) {
+		assert.NilError(t, httptrace.ContextClientTrace(ctx).Got1xxResponse(102, textproto.MIMEHeader{}))
+		assert.Assert(t, !w.silent.Load())
+		assert.Equal(t, alive, 1)
+	})
+	t.Run("silence for long ends the attempt", func(t *testing.T) {
+		assert.NilError(t, <-suspected)
+		<-ctx.Done()
+		assert.Assert(t, errors.Is(context.Cause(ctx), errPeerSilent))
+	})
+}
