--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -22,6 +22,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chicorymast/core/board"
@@ -89,6 +90,8 @@
 	stopOnce   sync.Once
 	stopTimers []func()
 	outbox     *outbox
+	// unwritable is set while the data folder can't be written.
+	unwritable atomic.Bool
 
 	// The fields below are accessed only from the queue's goroutine.
 	token          string
@@ -257,6 +260,7 @@
 		return
 	}
 	c.failed, c.noSpace = false, false
+	c.unwritable.Store(false)
 	c.restored, c.state, c.recentCommands = restored, state.New(), nil
 	c.groupMaintenance = newGroupMaintenance()
 	c.startNode()
@@ -284,6 +288,11 @@
 	c.opt.Board.Config.Write(c.opt.Board.Config.Read().Next(c.state.Clone(), slices.Clone(c.recentCommands)))
 }
 
+// Writable reports whether the data folder can be written, as far as is known.
+func (c *Control) Writable() bool {
+	return !c.unwritable.Load()
+}
+
 // Leading reports whether this node is the leader, as far as it knows.
 func (c *Control) Leading() (leading bool) {
 	c.enqueueAndWait(func() { leading = c.node != nil && !c.failed && c.node.Status().Leading })
--- a/io/ctrl/effects.go
+++ b/io/ctrl/effects.go
@@ -58,6 +58,7 @@
 	}
 	if err != nil {
 		c.failed, c.noSpace = true, errors.Is(err, store.ErrNoSpace)
+		c.unwritable.Store(true)
 		c.failProposals()
 		c.failReads()
 	}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -199,6 +199,7 @@
 	})
 	if err == nil {
 		d.control.Register(d.server)
+		d.registerDataFolderMetrics()
 	}
 	return err
 }
--- a/io/daemon/disk_test.go
+++ b/io/daemon/disk_test.go
@@ -53,6 +53,20 @@
 	})
 }
 
+// gaugeValue returns the value of a gauge without labels.
+func gaugeValue(t testing.TB, d *Daemon, name string) float64 {
+	t.Helper()
+	families, err := d.reg.Gather()
+	assert.NilError(t, err)
+	for _, family := range families {
+		if family.GetName() == name {
+			return family.GetMetric()[0].GetGauge().GetValue()
+		}
+	}
+	t.Fatalf("no gauge %s", name)
+	return 0
+}
+
 // A control daemon whose disk was full must take part again without a restart: one
 // after another, the disks of all of them fill up.
 func TestFullDisksOneAfterAnother(t *testing.T) {
@@ -67,13 +81,24 @@
 			controls = append(controls, d.VM)
 		}
 	}
+	mustBeWritable := func(vm ident.VM, want float64) {
+		t.Helper()
+		eventually(t, func() string {
+			if got := gaugeValue(t, f.daemons[vm].daemon, "chicorymast_data_folder_writable"); got != want {
+				return fmt.Sprintf("%s shows %v", vm, got)
+			}
+			return ""
+		})
+	}
 	var granted []ident.KeyDigest
 	for round, vm := range slices.Concat(controls, controls) {
 		f.fill(true, vm)
 		digest := ident.DigestKey(fmt.Sprint("key of round ", round))
 		f.acceptKey(digest)
 		granted = append(granted, digest)
+		mustBeWritable(vm, 0)
 		f.fill(false, vm)
+		mustBeWritable(vm, 1)
 	}
 	f.waitInForce()
 	t.Run("all at once", func(t *testing.T) {
--- a/io/store/space_test.go
+++ b/io/store/space_test.go
@@ -95,6 +95,19 @@
 	}
 }
 
+func TestFolderUsage(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := openOn(t, dir, &disk{left: plenty})
+	before, err := FolderUsage(dir)
+	assert.NilError(t, err)
+	saveEntries(t, s, 1, 100)
+	after, err := FolderUsage(dir)
+	assert.NilError(t, err)
+	assert.Assert(t, after.Used > before.Used)
+	assert.Assert(t, after.Free > 0)
+	s.Close()
+}
+
 func TestFailedSyncIsNotRecovered(t *testing.T) {
 	s, _, err := OpenWrapped(t.TempDir(), event.Discard(), func(f *os.File) File { return unsyncedFile{f} })
 	assert.NilError(t, err)
