--- a/io/daemon/relays.go
+++ b/io/daemon/relays.go
@@ -138,10 +138,10 @@
 }
 
 // otherRelays lists the relays that this relay pulls from. A root relay pulls from all
-// and any other control daemon from none. A top fallback relay pulls from those in its data centre, so that
-// they know each other's daemons while the data centre is cut off; it learns the
-// members of other data centres from the relay that it syncs with. Others pull from
-// none.
+// and any other control daemon from none: it learns the members from the relay that it
+// syncs with. A top fallback relay pulls from those in its data centre, so that they
+// know each other's daemons while the data centre is cut off, and learns the rest from
+// the relay that it syncs with. Others pull from none.
 func (d *Daemon) otherRelays() []string {
 	cfg := d.Config()
 	own := cfg.Listen.Control
--- a/io/proxy/decisions.go
+++ b/io/proxy/decisions.go
@@ -226,7 +226,7 @@
 	if !blocked {
 		return
 	}
-	p.opt.Trail.Note(event.DataCentreSilent, sample.Key{Reason: "silent", Route: ident.Route(vm.DataCentre)}, func() []zap.Field {
+	p.opt.Trail.Note(event.DataCentreSilent, sample.Key{Reason: "silent/" + string(vm.DataCentre)}, func() []zap.Field {
 		return append(o.subject().fields(), zap.String("to", string(vm.VM)), zap.String("to_data_centre", string(vm.DataCentre)))
 	})
 }
