daemon: a pipelining caller that leaves is noticed

Cause: net/http reads one byte ahead to notice the end of a connection, and stops when it gets one. Requests that arrive in one segment are noticed, since they are read before.

A connection of a caller goes on reading into a buffer of 64 KiB at most once that single byte has come, until net/http reads again, and ends the context of its requests with the connection. A caller that does not pipeline is served without a goroutine or a copy more.

Beside it: connections of the caller listener can be closed for writing only, so that net/http's last answer is not lost to a reset (the wrapper hid it).

--- a/io/daemon/callers.go
+++ b/io/daemon/callers.go
@@ -42,7 +42,7 @@
 func newServer(h http.Handler, l connLimits) *http.Server {
 	return &http.Server{
 		Handler: h, MaxHeaderBytes: l.headerBytes, ReadHeaderTimeout: l.headerTimeout, IdleTimeout: l.idleTimeout,
-		ErrorLog: discardLogger(),
+		ErrorLog: discardLogger(), ConnContext: connContext,
 	}
 }
 
@@ -88,7 +88,7 @@
 func (g *generation) Accept() (net.Conn, error) {
 	select {
 	case c := <-g.conns:
-		return c, nil
+		return &aheadConn{Conn: c}, nil
 	case <-g.done:
 		return nil, net.ErrClosed
 	}
--- a/io/daemon/limit.go
+++ b/io/daemon/limit.go
@@ -41,6 +41,19 @@
 	return err
 }
 
+// CloseWrite implements the interface by which net/http ends a connection gracefully.
+func (c *limitedConn) CloseWrite() error {
+	return closeWrite(c.Conn)
+}
+
+// closeWrite closes the sending half of a connection, if it has one.
+func closeWrite(c net.Conn) error {
+	if half, ok := c.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // discardLogger drops the log of net/http, which reports only faults of callers,
 // such as malformed requests.
 func discardLogger() *log.Logger {
