--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -11,8 +11,8 @@
 //
 // All work on the Raft state happens in one goroutine, which takes it from a
 // queue. After a failed write to the data folder the node stops: it acknowledges
-// nothing more, and the other control daemons elect a new leader. If only the space
-// was used up, the node starts anew from its folder, as after a crash, once a write
+// nothing more, and the other control daemons elect a new leader. If only space
+// or open files were short, the node starts anew from its folder, as after a crash, once a write
 // succeeds again; otherwise it stops for good.
 package ctrl
 
@@ -47,7 +47,7 @@
 	// recentCommandLimit is the number of commands that are kept to be sent as deltas.
 	recentCommandLimit = 1024
 	queueLength        = 1024
-	// resumeInterval is the time between two attempts to write to a full disk.
+	// resumeInterval is the time between two attempts to write during a shortage.
 	resumeInterval = 250 * time.Millisecond
 )
 
@@ -76,8 +76,8 @@
 	Pool  *wire.Pool
 	Log   *event.Log
 	Seed  uint64
-	// WrapFile wraps the files of the data folder; tests simulate full disks with it.
-	WrapFile store.WrapFunc
+	// OpenFile opens the files of the data folder; tests simulate full disks with it.
+	OpenFile store.OpenFunc
 }
 
 // Control is the Raft node of one control daemon.
@@ -104,9 +104,9 @@
 	applied        raft.Index
 	proposals      map[raft.Index]pendingProposal
 	pendingReads   []pendingRead
-	// failed is set after a failed write. With noSpace also set, the node starts anew
-	// when there is space again, and resumeAt is the time of the next attempt.
-	failed, noSpace  bool
+	// failed is set after a failed write. With shortage also set, the node starts anew
+	// when the shortage is over, and resumeAt is the time of the next attempt.
+	failed, shortage bool
 	resumeAt         time.Time
 	groupMaintenance groupMaintenance
 	// voterCount is the number of voters in the last committed membership.
@@ -132,7 +132,7 @@
 		proposals:        map[raft.Index]pendingProposal{},
 		groupMaintenance: newGroupMaintenance(),
 	}
-	if c.store, c.restored, err = store.OpenWrapped(opt.Folder, opt.Log, opt.WrapFile); err != nil {
+	if c.store, c.restored, err = store.OpenWith(opt.Folder, opt.Log, opt.OpenFile); err != nil {
 		return nil, err
 	}
 	if err = c.restoreIdentity(); err != nil {
@@ -247,19 +247,19 @@
 	c.maintainGroups(now)
 }
 
-// resume starts the node anew from its folder if it stopped for lack of space and can
+// resume starts the node anew from its folder if it stopped for a shortage and can
 // write again.
 func (c *Control) resume(now time.Time) {
-	if !c.noSpace || now.Before(c.resumeAt) {
+	if !c.shortage || now.Before(c.resumeAt) {
 		return
 	}
 	c.resumeAt = now.Add(resumeInterval)
 	restored, err := c.store.Recover()
 	if err != nil {
-		c.noSpace = errors.Is(err, store.ErrNoSpace)
+		c.shortage = errors.Is(err, store.ErrShortage)
 		return
 	}
-	c.failed, c.noSpace = false, false
+	c.failed, c.shortage = false, false
 	c.unwritable.Store(false)
 	c.restored, c.state, c.recentCommands = restored, state.New(), nil
 	c.groupMaintenance = newGroupMaintenance()
--- a/io/ctrl/effects.go
+++ b/io/ctrl/effects.go
@@ -57,7 +57,7 @@
 		err = c.store.Save(s)
 	}
 	if err != nil {
-		c.failed, c.noSpace = true, errors.Is(err, store.ErrNoSpace)
+		c.failed, c.shortage = true, errors.Is(err, store.ErrShortage)
 		c.unwritable.Store(true)
 		c.failProposals()
 		c.failReads()
--- a/io/daemon/accept.go
+++ b/io/daemon/accept.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"chicorymast/core/fault"
 	"chicorymast/io/event"
 
 	"go.uber.org/zap"
@@ -47,10 +48,10 @@
 
 // passes reports whether an error of Accept can pass without a change to the listener.
 func passes(err error) bool {
-	for _, e := range []unix.Errno{unix.EMFILE, unix.ENFILE, unix.ECONNABORTED, unix.ENOBUFS, unix.ENOMEM} {
+	for _, e := range []unix.Errno{unix.ECONNABORTED, unix.ENOBUFS, unix.ENOMEM} {
 		if errors.Is(err, e) {
 			return true
 		}
 	}
-	return false
+	return fault.TooManyFiles(err)
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -56,7 +56,7 @@
 	reg   *prometheus.Registry
 
 	secure    *secure.Identity
-	wrapFile  store.WrapFunc
+	openFile  store.OpenFunc
 	dial      wire.DialFunc
 	pool      *wire.Pool
 	server    *wire.Server
@@ -96,8 +96,8 @@
 type wrappers struct {
 	// dial wraps the function that dials other daemons.
 	dial func(wire.DialFunc) wire.DialFunc
-	// file wraps the files of the data folder.
-	file store.WrapFunc
+	// file opens the files of the data folder.
+	file store.OpenFunc
 }
 
 func newWrapped(cfg config.Config, log *event.Log, wrap wrappers) (d *Daemon, err error) {
@@ -115,7 +115,7 @@
 		return nil, err
 	}
 	dialer := &net.Dialer{Timeout: cfg.Calls.ConnectTimeout}
-	d.wrapFile = wrap.file
+	d.openFile = wrap.file
 	d.dial = wrap.dial(func(ctx context.Context, address string) (net.Conn, error) {
 		return d.secure.Dial(ctx, dialer, address)
 	})
@@ -195,7 +195,7 @@
 		Pool:              d.pool,
 		Log:               d.log,
 		Seed:              uint64(d.clock.Now().UnixNano()),
-		WrapFile:          d.wrapFile,
+		OpenFile:          d.openFile,
 	})
 	if err == nil {
 		d.control.Register(d.server)
--- a/io/daemon/disk_test.go
+++ b/io/daemon/disk_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -21,11 +20,14 @@
 type disk struct{ full atomic.Bool }
 
 type diskFile struct {
-	*os.File
+	store.File
 	disk *disk
 }
 
-func (d *disk) wrap(f *os.File) store.File { return diskFile{f, d} }
+func (d *disk) open(path string, flags int) (store.File, error) {
+	f, err := store.OpenFile(path, flags)
+	return diskFile{f, d}, err
+}
 
 func (f diskFile) Write(p []byte) (int, error) {
 	if f.disk.full.Load() {
--- a/io/daemon/fleet_test.go
+++ b/io/daemon/fleet_test.go
@@ -132,7 +132,7 @@
 		log, err = event.Open(os.Stderr, "info", "console")
 		assert.NilError(f.t, err)
 	}
-	daemon, err := newWrapped(cfg, log, wrappers{dial: f.partition.wrap(d.VM), file: f.disks[d.VM].wrap})
+	daemon, err := newWrapped(cfg, log, wrappers{dial: f.partition.wrap(d.VM), file: f.disks[d.VM].open})
 	assert.NilError(f.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{daemon: daemon, stop: cancel, done: make(chan error, 1)}
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -39,7 +39,7 @@
 	LogCorrupt           ID = 1402
 	StoreWriteFailed     ID = 1403
 	SnapshotWritten      ID = 1404
-	StoreNoSpace         ID = 1405
+	StoreShortage        ID = 1405
 	StoreWritable        ID = 1406
 	LeaderElected        ID = 1501
 	LeaderSteppedDown    ID = 1502
@@ -94,7 +94,7 @@
 	{LogCorrupt, zapcore.ErrorLevel, "The log is corrupt before its end; the daemon does not start."},
 	{StoreWriteFailed, zapcore.ErrorLevel, "Writing to the data folder failed; nothing more is acknowledged."},
 	{SnapshotWritten, zapcore.InfoLevel, "A snapshot was written and the log before it was removed."},
-	{StoreNoSpace, zapcore.WarnLevel, "The disk of the data folder is full: this control daemon acknowledges nothing until a write succeeds."},
+	{StoreShortage, zapcore.WarnLevel, "The data folder can't be written for lack of space or open files; nothing is acknowledged until a write succeeds."},
 	{StoreWritable, zapcore.InfoLevel, "The data folder can be written again; this control daemon takes part again."},
 	{LeaderElected, zapcore.InfoLevel, "A leader was elected among the control daemons."},
 	{LeaderSteppedDown, zapcore.WarnLevel, "This control daemon is no longer the leader: it cannot reach a majority."},
--- a/io/store/backup.go
+++ b/io/store/backup.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return err
 	}
-	if err := WrapFunc(nil).writeSynced(filepath.Join(dir, nameSnapshot), Frame(text)); err != nil {
+	if err := OpenFunc(nil).writeSynced(filepath.Join(dir, nameSnapshot), Frame(text)); err != nil {
 		return err
 	}
 	return syncFolder(dir)
--- a/io/store/file.go
+++ b/io/store/file.go
@@ -6,6 +6,8 @@
 	"os"
 	"path/filepath"
 
+	"chicorymast/core/fault"
+
 	"golang.org/x/sys/unix"
 )
 
@@ -17,32 +19,37 @@
 	Close() error
 }
 
-// WrapFunc wraps each file that is opened for writing; tests simulate full disks with
-// it. Nil wraps nothing.
-type WrapFunc func(f *os.File) File
+// OpenFunc opens a file of the data folder for writing. Tests simulate a full disk, or
+// too many open files, with it; nil stands for OpenFile.
+type OpenFunc func(path string, flags int) (File, error)
 
-func (w WrapFunc) open(path string, flags int) (File, error) {
+// OpenFile opens a file of the operating system.
+func OpenFile(path string, flags int) (File, error) {
 	f, err := os.OpenFile(path, flags, fileMode)
 	if err != nil {
 		return nil, err
 	}
-	if w == nil {
-		return f, nil
+	return f, nil
+}
+
+func (fs OpenFunc) open(path string, flags int) (File, error) {
+	if fs == nil {
+		return OpenFile(path, flags)
 	}
-	return w(f), nil
+	return fs(path, flags)
 }
 
-// isNoSpace reports whether a write failed only because the disk or the quota is used
-// up. Nothing that was written before is in doubt then.
-func isNoSpace(err error) bool {
-	return errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT)
+// isShortage reports whether a write failed only for lack of space, quota or open
+// files. Nothing that was written before is in doubt then.
+func isShortage(err error) bool {
+	return errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT) || fault.TooManyFiles(err)
 }
 
 // writeSynced replaces a file so that after a crash it holds either the old or the new
 // content. The file that was begun is removed on failure, so that it takes no space.
-func (w WrapFunc) writeSynced(path string, data []byte) error {
+func (fs OpenFunc) writeSynced(path string, data []byte) error {
 	next := path + ".next"
-	f, err := w.open(next, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
+	f, err := fs.open(next, os.O_CREATE|os.O_TRUNC|os.O_WRONLY)
 	if err != nil {
 		return err
 	}
--- a/io/store/identity.go
+++ b/io/store/identity.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.wrap.writeSynced(s.path(nameIdentity), data); err != nil {
+	if err := s.fs.writeSynced(s.path(nameIdentity), data); err != nil {
 		return err
 	}
 	return syncFolder(s.dir)
--- a/io/store/space_test.go
+++ b/io/store/space_test.go
@@ -13,15 +13,25 @@
 	"pgregory.net/rapid"
 )
 
-// disk is a disk with a number of bytes left, shared by all files.
-type disk struct{ left int }
+// disk is a disk with a number of bytes left, shared by all files. While noFiles is set,
+// no file can be opened.
+type disk struct {
+	left    int
+	noFiles bool
+}
 
 type limitedFile struct {
-	*os.File
+	File
 	disk *disk
 }
 
-func (d *disk) wrap(f *os.File) File { return limitedFile{f, d} }
+func (d *disk) open(path string, flags int) (File, error) {
+	if d.noFiles {
+		return nil, &os.PathError{Op: "open", Path: path, Err: unix.EMFILE}
+	}
+	f, err := OpenFile(path, flags)
+	return limitedFile{f, d}, err
+}
 
 // Write writes as much as fits.
 func (f limitedFile) Write(p []byte) (int, error) {
@@ -37,7 +47,7 @@
 
 func openOn(t testing.TB, dir string, d *disk) (*Store, raft.Restored) {
 	t.Helper()
-	s, r, err := OpenWrapped(dir, event.Discard(), d.wrap)
+	s, r, err := OpenWith(dir, event.Discard(), d.open)
 	assert.NilError(t, err)
 	return s, r
 }
@@ -59,10 +69,10 @@
 		s, _ := openOn(t, dir, d)
 		saveEntries(t, s, 1, 2)
 		d.left = n
-		assert.ErrorIs(t, s.Save(raft.Save{Entries: []raft.Entry{entry(3)}}), ErrNoSpace)
-		assert.ErrorIs(t, s.Save(raft.Save{Entries: []raft.Entry{entry(3)}}), ErrNoSpace)
+		assert.ErrorIs(t, s.Save(raft.Save{Entries: []raft.Entry{entry(3)}}), ErrShortage)
+		assert.ErrorIs(t, s.Save(raft.Save{Entries: []raft.Entry{entry(3)}}), ErrShortage)
 		_, err = s.Recover()
-		assert.ErrorIs(t, err, ErrNoSpace)
+		assert.ErrorIs(t, err, ErrShortage)
 		d.left = plenty
 		assertEntries(t, mustRecover(t, s), 1, 2)
 		saveEntries(t, s, 3, 4)
@@ -82,7 +92,7 @@
 		snap := raft.Snapshot{Index: 3, Term: 1, Data: json.RawMessage(`{}`)}
 		err := s.Replace(snap, raft.HardState{Term: 1}, []raft.Entry{entry(4), entry(5)})
 		if err != nil {
-			assert.ErrorIs(t, err, ErrNoSpace)
+			assert.ErrorIs(t, err, ErrShortage)
 			d.left = plenty
 			mustRecover(t, s)
 		}
@@ -95,6 +105,25 @@
 	}
 }
 
+// A daemon at its limit of open files must write snapshots again when files are closed.
+func TestTooManyOpenFilesDuringSnapshotIsRecovered(t *testing.T) {
+	dir, d := t.TempDir(), &disk{left: plenty}
+	s, _ := openOn(t, dir, d)
+	saveEntries(t, s, 1, 5)
+	d.noFiles = true
+	snap := raft.Snapshot{Index: 3, Term: 1, Data: json.RawMessage(`{}`)}
+	assert.ErrorIs(t, s.Replace(snap, raft.HardState{Term: 1}, nil), ErrShortage)
+	_, err := s.Recover()
+	assert.ErrorIs(t, err, ErrShortage)
+	d.noFiles = false
+	assertEntries(t, mustRecover(t, s), 1, 5)
+	saveEntries(t, s, 6, 6)
+	s.Close()
+	s, r := openOn(t, dir, d)
+	assertEntries(t, r, 1, 6)
+	s.Close()
+}
+
 func TestFolderUsage(t *testing.T) {
 	dir := t.TempDir()
 	s, _ := openOn(t, dir, &disk{left: plenty})
@@ -109,7 +138,7 @@
 }
 
 func TestFailedSyncIsNotRecovered(t *testing.T) {
-	s, _, err := OpenWrapped(t.TempDir(), event.Discard(), func(f *os.File) File { return unsyncedFile{f} })
+	s, _, err := OpenWith(t.TempDir(), event.Discard(), openUnsynced)
 	assert.NilError(t, err)
 	defer s.Close()
 	assert.ErrorIs(t, s.Save(raft.Save{Entries: []raft.Entry{entry(1)}}), ErrFailed)
@@ -117,7 +146,12 @@
 	assert.ErrorIs(t, err, ErrFailed)
 }
 
-type unsyncedFile struct{ *os.File }
+type unsyncedFile struct{ File }
+
+func openUnsynced(path string, flags int) (File, error) {
+	f, err := OpenFile(path, flags)
+	return unsyncedFile{f}, err
+}
 
 func (unsyncedFile) Sync() error { return unix.ENOSPC }
 
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -5,7 +5,7 @@
 //	s, restored, err := store.Open("/var/lib/chicorymast", log)
 //	err = s.Save(raft.Save{...}) // durable when it returns
 //	err = s.Replace(snapshot, hard, entries)
-//	restored, err = s.Recover()  // after ErrNoSpace
+//	restored, err = s.Recover()  // after ErrShortage
 //	s.Close()
 //
 // The folder holds four files: identity (the node's identity), snapshot (the
@@ -15,11 +15,11 @@
 // at the end is truncated; damage before the end is ErrCorrupt, and the daemon
 // does not start.
 //
-// Two kinds of failed writes are told apart. A write that the disk refuses for lack of
-// space puts nothing in doubt: the store refuses writes with ErrNoSpace until Recover
+// Two kinds of failed writes are told apart. One that fails for lack of space or of open
+// files puts nothing in doubt: the store refuses writes with ErrShortage until Recover
 // has cut off what was written of it and succeeded with a synced write. After any
-// other failed write, and after every failed sync, the content of the disk is unknown,
-// and the store refuses all writes with ErrFailed.
+// other failed write, and after a failed sync of the log, the content of the disk is
+// unknown, and the store refuses all writes with ErrFailed.
 package store
 
 import (
@@ -40,10 +40,10 @@
 
 // Errors of the store.
 var (
-	ErrCorrupt = errors.New("the log is damaged before its end; restore a backup, or empty the folder and add this VM as a new control daemon")
-	ErrLocked  = errors.New("another process uses the data folder")
-	ErrFailed  = errors.New("an earlier write to the data folder failed")
-	ErrNoSpace = errors.New("the disk of the data folder is full")
+	ErrCorrupt  = errors.New("the log is damaged before its end; restore a backup, or empty the folder and add this VM as a new control daemon")
+	ErrLocked   = errors.New("another process uses the data folder")
+	ErrFailed   = errors.New("an earlier write to the data folder failed")
+	ErrShortage = errors.New("the data folder can't be written for lack of space or open files")
 )
 
 const (
@@ -62,7 +62,7 @@
 	lock *os.File
 
 	mu   sync.Mutex
-	wrap WrapFunc
+	fs   OpenFunc
 	file File
 	// refusal is why the store refuses writes, nil if it does not.
 	refusal error
@@ -76,16 +76,16 @@
 
 // Open locks the folder and reads its content.
 func Open(dir string, log *event.Log) (s *Store, r raft.Restored, err error) {
-	return OpenWrapped(dir, log, nil)
+	return OpenWith(dir, log, nil)
 }
 
-// OpenWrapped is Open with a wrapper around the files.
-func OpenWrapped(dir string, log *event.Log, wrap WrapFunc) (s *Store, r raft.Restored, err error) {
+// OpenWith is Open with a function that opens the files.
+func OpenWith(dir string, log *event.Log, open OpenFunc) (s *Store, r raft.Restored, err error) {
 	defer fault.Note(&err, "open data folder %s", dir)
 	if err := os.MkdirAll(dir, folderMode); err != nil {
 		return nil, r, err
 	}
-	s = &Store{dir: dir, log: log, wrap: wrap}
+	s = &Store{dir: dir, log: log, fs: open}
 	if err := s.acquireLock(); err != nil {
 		return nil, r, err
 	}
@@ -140,7 +140,7 @@
 	if s.file != nil {
 		_ = s.file.Close()
 	}
-	s.file, err = s.wrap.open(s.path(nameLog), os.O_CREATE|os.O_RDWR|os.O_APPEND)
+	s.file, err = s.fs.open(s.path(nameLog), os.O_CREATE|os.O_RDWR|os.O_APPEND)
 	return err
 }
 
@@ -212,14 +212,14 @@
 
 // fail makes the store refuse writes after a failed one and returns the reason.
 func (s *Store) fail(err error) error {
-	if !isNoSpace(err) {
+	if !isShortage(err) {
 		return s.failForGood(err)
 	}
 	if s.refusal == nil {
-		s.log.Emit(event.StoreNoSpace, zap.Error(err))
+		s.log.Emit(event.StoreShortage, zap.Error(err))
 	}
-	s.refusal = ErrNoSpace
-	return ErrNoSpace
+	s.refusal = ErrShortage
+	return ErrShortage
 }
 
 func (s *Store) failForGood(err error) error {
@@ -228,8 +228,8 @@
 	return ErrFailed
 }
 
-// Recover ends the refusal of writes for lack of space and returns the content of the
-// folder. Errors: ErrNoSpace while there is still none, ErrFailed.
+// Recover ends the refusal of writes after a shortage and returns the content of the
+// folder. Errors: ErrShortage while it lasts, ErrFailed.
 func (s *Store) Recover() (r raft.Restored, err error) {
 	defer fault.Note(&err, "recover data folder %s", s.dir)
 	s.mu.Lock()
@@ -272,7 +272,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.wrap.writeSynced(s.path(nameSnapshot), Frame(text)); err != nil {
+	if err := s.fs.writeSynced(s.path(nameSnapshot), Frame(text)); err != nil {
 		return err
 	}
 	// The log must not lose entries before the snapshot that holds them is durable.
@@ -283,7 +283,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.wrap.writeSynced(s.path(nameLog), Frame(payload)); err != nil {
+	if err := s.fs.writeSynced(s.path(nameLog), Frame(payload)); err != nil {
 		return err
 	}
 	if err := syncFolder(s.dir); err != nil {
--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -150,7 +150,7 @@
 	saveEntries(t, s, 1, 10)
 	s.Close()
 	text := mustJSON(t, raft.Snapshot{Index: 8, Term: 1, Data: json.RawMessage(`"state"`)})
-	assert.NilError(t, WrapFunc(nil).writeSynced(filepath.Join(dir, nameSnapshot), Frame([]byte(text))))
+	assert.NilError(t, OpenFunc(nil).writeSynced(filepath.Join(dir, nameSnapshot), Frame([]byte(text))))
 	s, r := openStore(t, dir)
 	defer s.Close()
 	assertEntries(t, r, 9, 10)
