proxy: too many open files here are no failure of the VM that is called

A daemon at its limit of open files could not connect, counted each attempt as a failure of the VM that it wanted to call, and put up to half of the VMs of a service aside for 1 s and more. When files were closed again, calls went on to fail or crowd the other VMs.

Cause: the outcome of an attempt without a response was read from the refusal's reason alone, and every connection error has the reason upstream_failed.

An attempt that failed with EMFILE or ENFILE now says nothing of the VM: it counts as refused and the call may go to another VM, as before. connectionOutcome holds this decision together with that on silent VMs, which reportSilent had for itself.

--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -298,11 +298,7 @@
 	if err != nil {
 		defer stop()
 		r := transportRefusal(ctx, attemptError(attemptCtx, err), watchdog.wroteHeaders.Load(), o)
-		if watchdog.silent.Load() {
-			p.reportSilent(o, vm, r)
-			return attempt{refusal: r}
-		}
-		p.reportOutcome(o, vm, r, nil)
+		p.reportVM(o, vm, r, route.Report{Outcome: connectionOutcome(err, r, watchdog)})
 		return attempt{refusal: r}
 	}
 	p.router.recordAlive(vm.DataCentre)
@@ -460,17 +456,27 @@
 	if r != nil {
 		outcome = vmOutcome(r)
 	}
-	ejected := p.router.reportOutcome(o.call.Service, vm.VM, route.Report{Outcome: outcome, Load: load})
-	p.noteEjected(o, vm.VM, r, ejected)
+	p.reportVM(o, vm, r, route.Report{Outcome: outcome, Load: load})
 }
 
-// reportSilent reports a failure of a VM that sent nothing, whatever ended the attempt:
-// a caller's timeout may be shorter than that of the watchdog.
-func (p *Proxy) reportSilent(o *outboundCall, vm route.Candidate, r *fault.Refusal) {
-	ejected := p.router.reportOutcome(o.call.Service, vm.VM, route.Report{Outcome: route.OutcomeFailed})
+func (p *Proxy) reportVM(o *outboundCall, vm route.Candidate, r *fault.Refusal, report route.Report) {
+	ejected := p.router.reportOutcome(o.call.Service, vm.VM, report)
 	p.noteEjected(o, vm.VM, r, ejected)
 }
 
+// connectionOutcome classifies an attempt without a response by what it says of the
+// VM's health. A silent VM has failed whatever ended the attempt: a caller's timeout may
+// be shorter than that of the watchdog.
+func connectionOutcome(err error, r *fault.Refusal, w *watchdog) route.Outcome {
+	switch {
+	case w.silent.Load():
+		return route.OutcomeFailed
+	case fault.TooManyFiles(err):
+		return route.OutcomeRefused // this daemon's own fault
+	}
+	return vmOutcome(r)
+}
+
 // vmOutcome classifies a refusal by what it says of the VM's health.
 func vmOutcome(r *fault.Refusal) route.Outcome {
 	switch r.Reason {
