admit, route, timer: one Sleep, an update that is named, comments that read at once

Read as by somebody new to the code; no decision changes.

Six functions waited for a duration or the end of a context, each with its own timer; timer.Sleep is the one that is left. RefuseShare was called for its side effect where a call arrives; updateAdmitShare says so. The last field of a window's acceptance, the range in which a share counts as steady, the two window sizes and the ratio by which another service is told were described by sentences that had to be read twice. suspectTime held a bare 100 ms: it is interimSlack, how late a busy peer may be. The age of a report that was never made is noReport, not a negative number in passing.

Ruled out as repetition (the same shape with another meaning): constants of feedback and inflow, enums and options in quota, raft, fault, import lists of tests.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -195,7 +195,7 @@
 }
 
 func (c *Controller) admitOrQueue(now time.Time, r Request) []Effect {
-	c.RefuseShare(now)
+	c.updateAdmitShare(now)
 	c.feedback.arrived(now, c.meanHoldByRoute[r.Route], r.admittedShare(), r.ServiceRefuseShare)
 	if c.willMissDeadline(now, r) {
 		return []Effect{Refuse{Ticket: r.Ticket, Reason: fault.ReasonDeadline}}
--- a/core/admit/feedback.go
+++ b/core/admit/feedback.go
@@ -17,11 +17,11 @@
 // demand. A controller that only raises and lowers the share while too little or too
 // much work arrives must be slower than the trees, or it swings.
 //
-// The demand is overestimated or underestimated for good where the shares are not those
-// that decided: where the parent of a nested call is guessed, or another service refuses
-// calls of the same trees. An upstream would then stay idle or flooded. So a slow
-// feedback corrects the estimate by the work that arrives, as long as the share is
-// steady, which is when the difference can't be the delay.
+// That estimate stays wrong where a call brings another share than the one by which it
+// was admitted: the parent of a nested call may be guessed, and another service may
+// refuse calls of the same trees. The upstream would then stay idle or flooded. So a slow
+// feedback corrects the estimate by the work that arrives. It does so only while the
+// share is steady, since after a change the arriving work lags behind.
 //
 // Entries refuse by the mean of the shares of a service's upstreams. Each therefore
 // also follows that mean, which calls bring along; otherwise two could drift apart, one
@@ -55,17 +55,19 @@
 	feedbackInterval = 50 * time.Millisecond
 	// followTime is the time constant with which the share follows the demand.
 	followTime = 500 * time.Millisecond
-	// steadyTime is the time constant of steadyAdmit, about the duration of a call tree,
-	// and steadyRange the logarithm of the ratio of both from which nothing is corrected.
-	steadyTime  = time.Second
+	// steadyTime is the time constant of steadyAdmit: a share counts as steady when it
+	// has lasted for as long as a call tree takes.
+	steadyTime = time.Second
+	// steadyRange is the largest |ln(admit/steadyAdmit)| at which the estimate is still
+	// corrected.
 	steadyRange = 0.2
 	// correctionTime is the time constant of the correction. It is longer than the
 	// responses take to carry a share to the entries and the calls to arrive.
 	correctionTime = 4 * time.Second
-	// maxCorrection limits the correction, and one over it.
+	// maxCorrection is the largest correction; 1/maxCorrection is the smallest.
 	maxCorrection = 4.0
-	// elsewhereRatio is the ratio of the share at which calls were admitted to the share
-	// asked for below which another service decides on it.
+	// elsewhereRatio tells whether another service decides how many calls arrive: the
+	// share at which they were admitted is then below this part of admit.
 	elsewhereRatio = 0.8
 	// agreementTime is the time constant with which the share follows the mean of the
 	// service. It is longer than followTime, so that the demand prevails.
@@ -91,9 +93,9 @@
 	f.serviceRefuseShare += shareWeight * (serviceRefuseShare - f.serviceRefuseShare)
 }
 
-// update computes the share to admit and returns it. Full is the work to arrive in
-// steady state, in slots, spare the same without what empties the queue.
-func (f *admitFeedback) update(now time.Time, full, spare float64) float64 {
+// update computes the share to admit and returns it. Capacity is the work in slots that
+// should arrive while no call waits; spare is less than that by what empties the queue.
+func (f *admitFeedback) update(now time.Time, capacity, spare float64) float64 {
 	if f.admit == 0 {
 		return 1
 	}
@@ -102,7 +104,7 @@
 		return f.admit
 	}
 	f.updated = now
-	f.correct(now, elapsed, max(full, 1))
+	f.correct(now, elapsed, max(capacity, 1))
 	target := 1.0
 	if demand := f.demandedWork.Rate(now) / max(spare, 1); demand > f.correction {
 		target = max(f.correction/demand, minAdmitShare)
@@ -114,10 +116,10 @@
 }
 
 // correct adapts the correction to the work that arrives.
-func (f *admitFeedback) correct(now time.Time, elapsed time.Duration, full float64) {
+func (f *admitFeedback) correct(now time.Time, elapsed time.Duration, capacity float64) {
 	f.steadyAdmit = approach(f.steadyAdmit, f.admit, elapsed, steadyTime)
 	arrived, demanded := f.arrivedWork.Rate(now), f.demandedWork.Rate(now)
-	utilisation := min(max(arrived/full, minUtilisation), 1/minUtilisation)
+	utilisation := min(max(arrived/capacity, minUtilisation), 1/minUtilisation)
 	switch {
 	case f.admit == 1 && utilisation <= 1:
 		f.correction = approach(f.correction, 1, elapsed, correctionTime)
@@ -130,7 +132,8 @@
 	}
 }
 
-// approach moves a value toward a target by its time constant, in proportion.
+// approach returns the value moved toward the target along an exponential with a time
+// constant, on a logarithmic scale: a doubling takes as long as a halving.
 func approach(value, target float64, elapsed, timeConstant time.Duration) float64 {
 	return value * math.Pow(target/value, 1-math.Exp(-elapsed.Seconds()/timeConstant.Seconds()))
 }
@@ -138,7 +141,12 @@
 // RefuseShare returns the share of the demand for this upstream that should be
 // refused at the entries, from 0 to 1.
 func (c *Controller) RefuseShare(now time.Time) float64 {
-	return 1 - c.feedback.update(now, targetUtilisation*float64(c.limit.current()), c.spareCapacity())
+	return 1 - c.updateAdmitShare(now)
+}
+
+// updateAdmitShare updates the share to admit and returns it.
+func (c *Controller) updateAdmitShare(now time.Time) float64 {
+	return c.feedback.update(now, targetUtilisation*float64(c.limit.current()), c.spareCapacity())
 }
 
 // spareCapacity returns the slots that arriving calls may take, besides those that
--- a/core/admit/limit.go
+++ b/core/admit/limit.go
@@ -35,15 +35,18 @@
 type reduction struct {
 	// limit is the limit before it, zero if there is none.
 	limit float64
-	// first and last are the samples of its first and last windows; the very first is
-	// left out, since it may have begun before the upstream shed calls.
+	// first and last sum up the first and the last comparedWindows of it. The window that
+	// began the reduction is in neither, since it may hold calls from before the shedding.
 	first, last acceptance
 	windows     int
 }
 
-// acceptance counts calls, those that the upstream accepted, and the calls that were
-// running at their ends.
-type acceptance struct{ calls, accepted, running int }
+// acceptance counts calls that ended, and those of them that the upstream accepted.
+type acceptance struct {
+	calls, accepted int
+	// running is the sum of the calls that were running when each of the calls ended.
+	running int
+}
 
 func (a *acceptance) add(w window) {
 	a.calls += w.samples
@@ -91,9 +94,8 @@
 
 const (
 	minWindowDuration = 100 * time.Millisecond
-	// maxWindowSamples is the number of samples that always close a window, and
-	// minWindowSamples that at a limit as low as this; a low limit must not take long
-	// to rise again.
+	// A window needs as many samples as the limit, but at least minWindowSamples and at
+	// most maxWindowSamples: a low limit must not take long to rise again.
 	maxWindowSamples = 10
 	minWindowSamples = 3
 	// slowRatio is the ratio to the baseline above which latency counts as
@@ -113,8 +115,8 @@
 	// judgeReductionShare is the share of the limit to which it is lowered before
 	// the reduction is judged.
 	judgeReductionShare = 0.5
-	// comparedWindows is the number of windows at the beginning of a reduction, and the
-	// number before it is judged, that are compared.
+	// comparedWindows is the number of windows at either end of a reduction that are
+	// compared with those at the other.
 	comparedWindows = 2
 	// minConcurrencyFall is the factor by which the concurrency must have fallen for a
 	// reduction to be judged by it.
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -109,7 +109,8 @@
 	VM          ident.VM
 	Outstanding int
 	Reported    admit.Load
-	ReportAge   time.Duration
+	// ReportAge is below zero if there was no report.
+	ReportAge time.Duration
 	// EjectedFor is the time for which the VM still gets no calls.
 	EjectedFor time.Duration
 }
@@ -185,10 +186,13 @@
 	return out
 }
 
-// reportAge returns the age of the last reported load, below zero if there was none.
+// noReport is the age of a report that a VM has not made.
+const noReport = -time.Millisecond
+
+// reportAge returns the age of the last reported load.
 func (p *peer) reportAge(now time.Time) time.Duration {
 	if p.reportedAt.IsZero() {
-		return -time.Millisecond
+		return noReport
 	}
 	return now.Sub(p.reportedAt)
 }
--- a/io/change/leader.go
+++ b/io/change/leader.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"chicorymast/io/timer"
 	"chicorymast/io/wire"
 )
 
@@ -67,7 +68,7 @@
 		}
 		if hint == "" || hint == address {
 			hint = ""
-			sleep(ctx, leaderlessPause)
+			timer.Sleep(ctx, leaderlessPause)
 		}
 	}
 	var zero A
@@ -102,12 +103,3 @@
 	defer l.mu.Unlock()
 	l.last = address
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/io/lines/align.go
+++ b/io/lines/align.go
@@ -7,8 +7,8 @@
 	"chicorymast/io/event"
 )
 
-// bounds are the limits of the difference between the clocks of two VMs, and how many
-// lines they come from.
+// bounds limit by how much the clock of a callee is ahead of its caller's. They hold
+// nothing unless known.
 type bounds struct {
 	low, high time.Duration
 	known     bool
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -16,6 +16,7 @@
 	"chicorymast/core/retry"
 	"chicorymast/core/route"
 	"chicorymast/io/header"
+	"chicorymast/io/timer"
 	"chicorymast/io/trace"
 )
 
@@ -206,7 +207,7 @@
 		return d
 	}
 	if r := p.suspects.refuse(p.opt.Clock.Now(), o.fingerprint); r != nil {
-		sleep(ctx, suspectRefusalDelay)
+		timer.Sleep(ctx, suspectRefusalDelay)
 		return retryCrashSuspect
 	}
 	switch {
@@ -266,19 +267,7 @@
 	p.rngMu.Lock()
 	wait := time.Duration(p.rng.Int64N(int64(initialBackoff << min(n, 4))))
 	p.rngMu.Unlock()
-	return sleep(ctx, wait)
-}
-
-// sleep waits for d. It reports false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return timer.Sleep(ctx, wait)
 }
 
 func (a attempt) discard() {
--- a/io/proxy/watch.go
+++ b/io/proxy/watch.go
@@ -20,10 +20,11 @@
 	interimInterval = 250 * time.Millisecond
 	// silenceTimeout is how long a peer may send nothing before its response.
 	silenceTimeout = 4 * interimInterval
-	// suspectTime is how long a peer may send nothing until it counts as silent: its
-	// first 102 Processing is overdue by more than a busy daemon takes. The attempt goes
-	// on until silenceTimeout.
-	suspectTime = interimInterval + 100*time.Millisecond
+	// interimSlack is how late a busy peer may send its 102 Processing.
+	interimSlack = 100 * time.Millisecond
+	// suspectTime is how long a peer may send nothing until it counts as silent. The
+	// attempt goes on until silenceTimeout.
+	suspectTime = interimInterval + interimSlack
 )
 
 // errPeerSilent is the cause with which the watchdog cancels an attempt.
--- a/io/ration/ration.go
+++ b/io/ration/ration.go
@@ -227,14 +227,7 @@
 func (h *holder) sleep(ctx context.Context, d time.Duration) bool {
 	h.delayed++
 	h.mu.Unlock()
-	t := time.NewTimer(d)
-	defer t.Stop()
-	ok := true
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-		ok = false
-	}
+	ok := timer.Sleep(ctx, d)
 	h.mu.Lock()
 	h.delayed--
 	return ok
@@ -332,7 +325,7 @@
 			return best
 		}
 		// VMs may disagree on the owner for a short time after a membership change.
-		sleep(ctx, retryDelay)
+		timer.Sleep(ctx, retryDelay)
 	}
 	return best
 }
@@ -352,15 +345,6 @@
 	return list
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // leaseFrom requests a lease from the first VM of a data centre for a rendezvous key.
 func (l *Limiter) leaseFrom(ctx context.Context, dc ident.DataCentre, key string, q wire.QuotaLeaseRequest) leaseAnswer {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
--- a/io/record/record.go
+++ b/io/record/record.go
@@ -135,14 +135,7 @@
 	r.rngMu.Lock()
 	d = time.Duration(r.rng.Int64N(int64(d))) + time.Millisecond
 	r.rngMu.Unlock()
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return timer.Sleep(ctx, d)
 }
 
 func (r *Records) claim(ctx context.Context, id dedup.ID, fp dedup.Fingerprint, timeout time.Duration) *Claim {
--- a/io/stub/stub.go
+++ b/io/stub/stub.go
@@ -27,6 +27,7 @@
 
 	"chicorymast/core/fault"
 	"chicorymast/core/ident"
+	"chicorymast/io/timer"
 )
 
 // Options configures a stub upstream.
@@ -167,7 +168,7 @@
 
 func (s *Stub) work(w http.ResponseWriter, r *http.Request, f Faults) {
 	s.recordRun(r)
-	if !sleep(r.Context(), s.serviceTime(f)) {
+	if !timer.Sleep(r.Context(), s.serviceTime(f)) {
 		return
 	}
 	reply := Reply{Service: s.opt.Service, Upstream: s.opt.Upstream, Path: r.URL.Path, Action: r.Header.Get("Idempotency-Key"), Pad: s.pad}
@@ -253,17 +254,6 @@
 	return time.Duration(t)
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (s *Stub) ledger(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/timer/timer.go
+++ b/io/timer/timer.go
@@ -8,10 +8,12 @@
 //
 // Every runs its callback in a goroutine of its own, so calls of one callback
 // never overlap. NewManual returns a clock for tests that changes only by
-// Advance, which runs the callbacks that become due before it returns.
+// Advance, which runs the callbacks that become due before it returns. Sleep waits in
+// real time, whatever the clock.
 package timer
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -24,6 +26,18 @@
 	Every(interval time.Duration, f func(now time.Time)) (stop func())
 }
 
+// Sleep waits for d. It reports false if ctx ended first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // NewClock returns the system clock.
 func NewClock() Clock {
 	return systemClock{}
