trial: fleets of different processes draw ports from blocks of their own

Beside three busy loops TestDataCentreCutOffAndBack of io/daemon failed once, 0.04 s into it, with "listen tcp 127.0.0.1:28855: bind: address already in use" (KNOWN-RED 21).

Cause: fleets of io/daemon and io/proof, which are tested at the same time, drew ports from one range. A drawn port is free until its daemon starts, and free again while that one is stopped, so the other process could draw it as well. Ruled out: an outgoing connection, whose ports begin above the range, and a fleet of the same process, since these tests run one after another.

A process now claims a block of 1,000 ports by listening on the first one until it ends, and draws only from its block. 20 processes can do so at a time.

The daemon's code is not touched.

--- a/io/trial/layout.go
+++ b/io/trial/layout.go
@@ -7,8 +7,9 @@
 //	layout := trial.Small()
 //	fleet, err := trial.Write(dir, layout, tokenDigest)
 //
-// The ports are unused when the files are written. docs/MEASUREMENTS.md describes how
-// the layouts relate to real deployments.
+// The ports are unused when the files are written, and no other process draws them as
+// long as this one runs. docs/MEASUREMENTS.md describes how the layouts relate to real
+// deployments.
 package trial
 
 import (
--- a/io/trial/write.go
+++ b/io/trial/write.go
@@ -1,10 +1,7 @@
 package trial
 
 import (
-	"errors"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -98,7 +95,11 @@
 var listenerNames = []string{"caller", "peer", "control", "local", "admin"}
 
 func (f *Fleet) assignPorts() error {
-	addresses, err := freeAddresses(len(f.Daemons)*len(listenerNames) + len(f.Stubs))
+	block, err := processBlock()
+	if err != nil {
+		return err
+	}
+	addresses, err := block.freeAddresses(len(f.Daemons)*len(listenerNames) + len(f.Stubs))
 	if err != nil {
 		return err
 	}
@@ -119,39 +120,6 @@
 	return nil
 }
 
-// Listening ports are below the system's range of ephemeral ports: an outgoing
-// connection could otherwise take the port of a daemon while it restarts.
-const (
-	firstPort = 12_000
-	lastPort  = 32_000
-)
-
-// freeAddresses returns n loopback addresses whose ports are not in use.
-func freeAddresses(n int) (addresses []string, err error) {
-	const attemptsPerPort = 100
-	seen := map[int]bool{}
-	for range n * attemptsPerPort {
-		port := firstPort + rand.IntN(lastPort-firstPort)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if seen[port] || !isFree(address) {
-			continue
-		}
-		seen[port] = true
-		if addresses = append(addresses, address); len(addresses) == n {
-			return addresses, nil
-		}
-	}
-	return nil, errors.New("not enough free ports on loopback")
-}
-
-func isFree(address string) bool {
-	ln, err := net.Listen("tcp", address)
-	if err != nil {
-		return false
-	}
-	return ln.Close() == nil
-}
-
 // settings returns the settings file of a daemon.
 func (f *Fleet) settings(d *Daemon, tokenDigest string) string {
 	var b strings.Builder
