notice, header, proxy: log what upstreams say about themselves in responses

Nothing showed whether a daemon knew the limit that its upstream names, nor how many calls it started beside it. Events 1109, 1911 and 1912, two gauges; the statements of responses are read (package notice) and followed by process and by the time of their first byte, but nothing acts on them yet. The list of VMs says which process an upstream is.

Tried: a hook on interim responses, to date a response by its final head. net/http then stops counting interim responses (TestEndlessBytesOfAnUpstreamEndWithTheCall failed), so a response behind an interim one is dated by that; at worst it counts as older than it is.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -27,6 +27,7 @@
 
 	"chicorymast/core/fault"
 	"chicorymast/core/ident"
+	"chicorymast/core/meter"
 )
 
 // Ticket identifies a call at one controller.
@@ -123,6 +124,8 @@
 	heldAt   map[ident.Route]time.Time
 	shed     shedLevel
 	feedback admitFeedback
+	// started counts the calls that start.
+	started meter.Meter
 	// counts holds the counters of Status; its other fields are unused.
 	counts Status
 }
@@ -147,6 +150,8 @@
 	// has ended. Without it, a mean above the timeout of a route would refuse the
 	// calls that could lower it.
 	holdTTL = time.Second
+	// startedWindow is the averaging time of the rate at which calls start.
+	startedWindow = time.Second
 	// sampleWeight is the weight of a new sample in the mean hold times.
 	sampleWeight = 0.1
 )
@@ -183,6 +188,7 @@
 		meanHoldByRoute: map[ident.Route]time.Duration{},
 		heldAt:          map[ident.Route]time.Time{},
 		shed:            shedLevel{level: ShedLevelNone},
+		started:         meter.New(startedWindow),
 	}
 }
 
@@ -202,7 +208,7 @@
 	}
 	level := r.level()
 	if c.waiting == 0 && len(c.running) < c.limit.current() {
-		return []Effect{c.start(r)}
+		return []Effect{c.start(now, r)}
 	}
 	effects, accepted := c.makeRoom(now, level, r)
 	if !accepted {
@@ -322,7 +328,8 @@
 	return Load{Running: len(c.running), Waiting: c.waiting, Limit: c.limit.current(), ShedLevel: level}
 }
 
-func (c *Controller) start(r Request) Effect {
+func (c *Controller) start(now time.Time, r Request) Effect {
+	c.started.Add(now, 1)
 	c.running[r.Ticket] = r.Route
 	return Start{Ticket: r.Ticket}
 }
@@ -345,7 +352,7 @@
 			effects = append(effects, Refuse{Ticket: r.Ticket, Reason: fault.ReasonDeadline})
 			continue
 		}
-		effects = append(effects, c.start(r))
+		effects = append(effects, c.start(now, r))
 	}
 	return effects
 }
--- a/core/admit/feedback.go
+++ b/core/admit/feedback.go
@@ -162,8 +162,10 @@
 	Slots int
 	// ArrivingSlots is the work that arrives, in slots.
 	ArrivingSlots float64
-	MeanHold      time.Duration
-	RefuseShare   float64
+	// StartedPerSecond is the rate at which calls start.
+	StartedPerSecond float64
+	MeanHold         time.Duration
+	RefuseShare      float64
 	// Arrived, Refused and ShedByUpstream count calls since the controller was
 	// created.
 	Arrived, Refused, ShedByUpstream uint64
@@ -176,6 +178,7 @@
 	s.Slots = c.cfg.Slots
 	s.MeanHold = c.meanHold
 	s.RefuseShare = c.RefuseShare(now)
+	s.StartedPerSecond = c.started.Rate(now)
 	s.ArrivingSlots = c.feedback.arrivedWork.Rate(now)
 	return s
 }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"chicorymast/core/ident"
+	"chicorymast/core/notice"
 	"chicorymast/core/poison"
 )
 
@@ -47,12 +48,19 @@
 type Upstream struct {
 	Service ident.Service  `json:"service"`
 	ID      ident.Upstream `json:"upstream"`
-	Slots   int            `json:"slots"`
+	// StartedMs is the start time of its process in Unix milliseconds, zero if unknown.
+	StartedMs int64 `json:"started_ms,omitempty"`
+	Slots     int   `json:"slots"`
 	// WarmupMs is the rest of the upstream's warm-up time at the announcement.
 	WarmupMs int64 `json:"cold_ms,omitempty"`
 	Phase    Phase `json:"phase"`
 }
 
+// Process returns which process the upstream is.
+func (u Upstream) Process() notice.Process {
+	return notice.Process{Upstream: u.ID, StartedMs: u.StartedMs}
+}
+
 // Entry is the state that one VM announces.
 type Entry struct {
 	VM         ident.VM         `json:"vm"`
--- a/io/daemon/upstreams.go
+++ b/io/daemon/upstreams.go
@@ -64,7 +64,9 @@
 	r.deregistered = false
 	current := r.board.Upstream.Read()
 	next := board.Upstream{
-		Upstream:   member.Upstream{Service: a.Service, ID: a.Upstream, Slots: a.Slots, Phase: member.PhaseUp},
+		Upstream: member.Upstream{
+			Service: a.Service, ID: a.Upstream, StartedMs: a.StartedMs, Slots: a.Slots, Phase: member.PhaseUp,
+		},
 		Address:    a.Address,
 		HealthPath: a.HealthPath,
 		LoadPath:   a.LoadPath,
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -26,6 +26,7 @@
 
 	AnnouncementOutdated ID = 1107
 	AnnouncementInvalid  ID = 1108
+	UpstreamLeaving      ID = 1109
 	DocumentRefused      ID = 1303
 	DocumentAccepted     ID = 1304
 	ConfigApplied        ID = 1201
@@ -62,6 +63,8 @@
 	NestedCallFailed     ID = 1908
 	DecisionsOmitted     ID = 1909
 	DataCentreSilent     ID = 1910
+	LimitChanged         ID = 1911
+	LimitUnreadable      ID = 1912
 )
 
 var catalogue = byID([]Definition{
@@ -88,6 +91,7 @@
 	{DigestMismatch, zapcore.ErrorLevel, "The configuration's digest differs from the relay's; the whole configuration is fetched."},
 	{ChangeAccepted, zapcore.InfoLevel, "A change was accepted."},
 	{ChangeRefused, zapcore.WarnLevel, "A change was refused."},
+	{UpstreamLeaving, zapcore.InfoLevel, "The upstream on this VM said in a response that it leaves; it gets no new calls."},
 	{DocumentRefused, zapcore.WarnLevel, "A document was refused; the configuration in force is unchanged."},
 	{DocumentAccepted, zapcore.InfoLevel, "A document was accepted; it is in force, or was before."},
 	{LogTailTruncated, zapcore.WarnLevel, "An incomplete record at the end of the log was truncated."},
@@ -117,6 +121,8 @@
 	{NestedCallFailed, zapcore.InfoLevel, "A call failed at its upstream after one of its nested calls had failed."},
 	{DecisionsOmitted, zapcore.InfoLevel, "Lines about decisions were left out to bound the log."},
 	{DataCentreSilent, zapcore.InfoLevel, "Several VMs of a data centre sent nothing; calls avoid it until one gets an answer."},
+	{LimitChanged, zapcore.InfoLevel, "The upstream on this VM takes another rate of calls than before."},
+	{LimitUnreadable, zapcore.WarnLevel, "The upstream on this VM named a rate that can't be read; the one before stays in force."},
 })
 
 func byID(definitions []Definition) map[ID]Definition {
--- a/io/header/dialect.go
+++ b/io/header/dialect.go
@@ -2,10 +2,13 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"chicorymast/core/ident"
+	"chicorymast/core/notice"
 )
 
 // Dialect holds the names of the headers that callers and upstreams use. An
@@ -35,6 +38,10 @@
 	NotRunStatus int
 	// Signature must be present on every successful response of an upstream.
 	Signature string
+	// Limit is set by an upstream on its responses while it takes only so many requests
+	// a second from all daemons together, Leaving with the value 1 while it leaves.
+	Limit   string
+	Leaving string
 	// PropagateTrace passes the W3C trace context on to upstreams.
 	PropagateTrace bool
 	// ForwardedFor passes the caller's address on in X-Forwarded-For.
@@ -47,7 +54,7 @@
 func DefaultDialect() Dialect {
 	return Dialect{
 		KeyScheme: "Bearer", Action: IdempotencyKey, Timeout: RequestTimeout, TimeoutUnit: time.Second,
-		NotRun: NotRun, PropagateTrace: true, ForwardedFor: true,
+		NotRun: NotRun, Limit: UpstreamLimit, Leaving: UpstreamLeaving, PropagateTrace: true, ForwardedFor: true,
 	}
 }
 
@@ -100,6 +107,40 @@
 	return notRun != "" && notRun != "false" && notRun != "0"
 }
 
+// leavingValue is the value of the Leaving header of an upstream that leaves.
+const leavingValue = "1"
+
+// Statement returns what a response says about its upstream. Where several limits are
+// named, the lowest that can be read counts.
+func (d Dialect) Statement(resp *http.Response) notice.Statement {
+	s := notice.Statement{Limit: notice.Unnamed{}}
+	if d.Leaving != "" {
+		s.Leaving = slices.Contains(resp.Header.Values(d.Leaving), leavingValue)
+	}
+	if d.Limit == "" || len(resp.Header.Values(d.Limit)) == 0 {
+		return s
+	}
+	text := strings.Join(resp.Header.Values(d.Limit), ",")
+	s.Limit = notice.Unreadable{Text: text}
+	for part := range strings.SplitSeq(text, ",") {
+		rate, ok := parseRate(strings.TrimSpace(part))
+		lowest, named := s.Limit.(notice.Named)
+		if ok && (!named || rate < lowest.Rate) {
+			s.Limit = notice.Named{Rate: rate}
+		}
+	}
+	return s
+}
+
+// parseRate parses a decimal number that is not negative.
+func parseRate(text string) (rate ident.Rate, ok bool) {
+	if strings.Trim(text, "0123456789.") != "" {
+		return 0, false // ParseFloat would take infinity, hexadecimal digits and the like
+	}
+	n, err := strconv.ParseFloat(text, 64)
+	return ident.Rate(n), err == nil
+}
+
 // MatchesRequest reports whether resp carries the action id of req. It always
 // does if upstreams do not echo the id.
 func (d Dialect) MatchesRequest(req *http.Request, resp *http.Response) bool {
--- a/io/header/dialect_test.go
+++ b/io/header/dialect_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"chicorymast/core/notice"
+
 	"gotest.tools/v3/assert"
 )
 
@@ -64,3 +66,26 @@
 	assert.Equal(t, customDialect.FormatRetryAfter(time.Nanosecond), "0.001")
 	assert.Equal(t, DefaultDialect().FormatRetryAfter(1100*time.Millisecond), "2")
 }
+
+func TestStatementOfAResponse(t *testing.T) {
+	d := customDialect
+	d.Limit, d.Leaving = "X-Limit", "X-Leaving"
+	for text, want := range map[string]notice.Limit{
+		"18.8": notice.Named{Rate: 18.8}, "0": notice.Named{}, "7, 5.5": notice.Named{Rate: 5.5}, "x,9": notice.Named{Rate: 9},
+		"": notice.Unreadable{}, "-3": notice.Unreadable{Text: "-3"}, "NaN": notice.Unreadable{Text: "NaN"},
+		"inf": notice.Unreadable{Text: "inf"}, "1e400": notice.Unreadable{Text: "1e400"}, "0x10": notice.Unreadable{Text: "0x10"},
+		"many": notice.Unreadable{Text: "many"},
+	} {
+		t.Run("limit "+text, func(t *testing.T) {
+			assert.DeepEqual(t, d.Statement(response(200, "X-Limit", text)), notice.Statement{Limit: want})
+		})
+	}
+	t.Run("two headers", func(t *testing.T) {
+		resp := &http.Response{Header: http.Header{"X-Limit": {"6", "4"}, "X-Leaving": {"", "1"}}}
+		assert.DeepEqual(t, d.Statement(resp), notice.Statement{Leaving: true, Limit: notice.Named{Rate: 4}})
+	})
+	t.Run("nothing said", func(t *testing.T) {
+		assert.DeepEqual(t, d.Statement(response(200, "X-Leaving", "0")), notice.Statement{Limit: notice.Unnamed{}})
+		assert.DeepEqual(t, customDialect.Statement(response(200, "X-Limit", "4")), notice.Statement{Limit: notice.Unnamed{}})
+	})
+}
--- a/io/header/header.go
+++ b/io/header/header.go
@@ -35,6 +35,10 @@
 	// NotRun is set by an upstream on the response to a request that it did
 	// not run.
 	NotRun = "Chicorymast-Not-Run"
+	// UpstreamLimit and UpstreamLeaving are set by an upstream; see Dialect.Limit and
+	// Dialect.Leaving.
+	UpstreamLimit   = "Chicorymast-Limit"
+	UpstreamLeaving = "Chicorymast-Leaving"
 	// IdempotencyKey carries the caller's action id. Requests are sent with the
 	// lower-case name: net/http retries a request on its own if it has the
 	// canonical name, and would run an action twice.
--- a/io/proxy/metrics.go
+++ b/io/proxy/metrics.go
@@ -16,8 +16,11 @@
 	seconds  *prometheus.HistogramVec
 	retries  prometheus.Counter
 	replays  prometheus.Counter
+	// upstreamLimit is set when the upstream on this VM names another limit.
+	upstreamLimit prometheus.Gauge
 	// The gauges below are set by overloadReporter.
 	limit            prometheus.Gauge
+	startedRate      prometheus.Gauge
 	arrivingSlots    prometheus.Gauge
 	refuseShare      prometheus.Gauge
 	entryRefuseShare *prometheus.GaugeVec
@@ -45,6 +48,12 @@
 		limit: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "chicorymast_admission_limit", Help: "Concurrency limit of the upstream on this VM.",
 		}),
+		upstreamLimit: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "chicorymast_upstream_limit_per_second", Help: "Rate of calls that the upstream on this VM says it takes; 0 for any.",
+		}),
+		startedRate: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "chicorymast_admission_started_per_second", Help: "Rate of calls that this daemon starts at the upstream on this VM.",
+		}),
 		arrivingSlots: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "chicorymast_admission_arriving_slots", Help: "Work that arrives for the upstream on this VM, in slots.",
 		}),
@@ -56,7 +65,7 @@
 		}, []string{"route", "service"}),
 	}
 	reg.MustRegister(m.calls, m.refusals, m.seconds, m.retries, m.replays,
-		m.limit, m.arrivingSlots, m.refuseShare, m.entryRefuseShare)
+		m.limit, m.upstreamLimit, m.startedRate, m.arrivingSlots, m.refuseShare, m.entryRefuseShare)
 	return m
 }
 
--- /dev/null
+++ b/io/proxy/notices.go
@@ -0,0 +1,76 @@
+package proxy
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"chicorymast/core/board"
+	"chicorymast/core/ident"
+	"chicorymast/core/notice"
+	"chicorymast/core/sample"
+	"chicorymast/io/event"
+
+	"go.uber.org/zap"
+)
+
+// notices holds what upstreams say about themselves in their responses.
+type notices struct {
+	mu  sync.Mutex
+	own *notice.Own
+}
+
+func newNotices() *notices {
+	return &notices{own: notice.NewOwn()}
+}
+
+// recordStatement records what a response of the upstream on this VM says that was
+// received at a time.
+func (p *Proxy) recordStatement(upstream *board.Upstream, at time.Time, resp *http.Response) {
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		return // another server is at the address
+	}
+	s := p.opt.Dialect.Statement(resp)
+	announced := p.opt.Board.Upstream.Read().Process()
+	p.notices.mu.Lock()
+	before := p.notices.own.Of(at, announced)
+	n, changed := p.notices.own.Heard(at, upstream.Process(), announced, s, !p.opt.Dialect.ProvesNotRun(resp))
+	p.notices.mu.Unlock()
+	if text, ok := s.Limit.(notice.Unreadable); ok {
+		p.opt.Trail.Note(event.LimitUnreadable, sample.Key{Reason: "unreadable"}, func() []zap.Field {
+			return []zap.Field{zap.String("upstream", string(upstream.ID)), zap.String("text", text.Text)}
+		})
+	}
+	if changed {
+		p.noteNotice(before, n)
+	}
+}
+
+// noteNotice logs another statement of the upstream on this VM.
+func (p *Proxy) noteNotice(before, n notice.Notice) {
+	if n.Leaving && !before.Leaving {
+		p.opt.Log.Emit(event.UpstreamLeaving, zap.String("upstream", string(n.Upstream)))
+	}
+	p.opt.Metrics.upstreamLimit.Set(float64(n.Limit))
+	if n.Limit == before.Limit {
+		return
+	}
+	p.opt.Trail.Note(event.LimitChanged, sample.Key{Reason: limitReason(before.Limit, n.Limit)}, func() []zap.Field {
+		st := p.admission.status(p.opt.Clock.Now())
+		return []zap.Field{
+			zap.String("upstream", string(n.Upstream)), zap.Float64("limit_per_second", float64(n.Limit)),
+			zap.Float64("before", float64(before.Limit)), zap.Float64("started_per_second", st.StartedPerSecond),
+			zap.Int("running", st.Running), zap.Int("waiting", st.Waiting),
+		}
+	})
+}
+
+func limitReason(before, after ident.Rate) string {
+	switch {
+	case before == 0:
+		return "limit_named"
+	case after == 0:
+		return "limit_ended"
+	}
+	return "limit_changed"
+}
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -18,6 +18,7 @@
 	"chicorymast/core/retry"
 	"chicorymast/io/event"
 	"chicorymast/io/header"
+	"chicorymast/io/timer"
 	"chicorymast/io/trace"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -108,18 +109,19 @@
 		p.calls.remove(token)
 		leave(p.measureRun(sc, start, sample))
 	}()
-	req, wroteHeaders := p.upstreamRequest(ctx, r, call, upstream, token)
+	req, exchange := p.upstreamRequest(ctx, r, call, upstream, token)
 	resp, err := p.upstreamTransport.RoundTrip(req)
 	interim.stop()
 	unspentRetries, _, nestedFailure := sc.summary(p.opt.Clock.Now())
 	if err != nil {
-		refusal := p.upstreamRefusal(ctx, err, wroteHeaders.Load())
+		refusal := p.upstreamRefusal(ctx, err, exchange.wroteHeaders.Load())
 		return p.refusePeer(w, r.RemoteAddr, call, retryOutcome{unspentRetries, nestedFailure}, refusal)
 	}
 	defer resp.Body.Close()
 	if refusal := p.checkResponse(req, resp); refusal != nil {
 		return p.refusePeer(w, r.RemoteAddr, call, retryOutcome{unspentRetries, nestedFailure}, refusal)
 	}
+	p.recordStatement(upstream, exchange.receivedAt(p.opt.Clock.Now()), resp)
 	if nestedFailure && resp.StatusCode >= http.StatusInternalServerError {
 		p.noteNestedFailure(call, resp.StatusCode, p.opt.Clock.Now().Sub(start))
 	}
@@ -144,10 +146,9 @@
 	return sample
 }
 
-func (p *Proxy) upstreamRequest(ctx context.Context, r *http.Request, call header.Call, upstream *board.Upstream, token string) (*http.Request, *atomic.Bool) {
-	wroteHeaders := &atomic.Bool{}
+func (p *Proxy) upstreamRequest(ctx context.Context, r *http.Request, call header.Call, upstream *board.Upstream, token string) (*http.Request, *exchange) {
 	left := remaining(ctx, p.opt.Clock.Now())
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { wroteHeaders.Store(true) }})
+	ctx, exchange := traceExchange(ctx, p.opt.Clock)
 	target := &url.URL{
 		Scheme: "http", Host: upstream.Address, Path: r.URL.Path, RawPath: r.URL.RawPath,
 		RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
@@ -168,7 +169,33 @@
 	if r.ContentLength == 0 {
 		setNoBody(req)
 	}
-	return req.WithContext(ctx), wroteHeaders
+	return req.WithContext(ctx), exchange
+}
+
+// exchange records the progress of a request to the upstream.
+type exchange struct {
+	wroteHeaders atomic.Bool
+	received     atomic.Pointer[time.Time]
+}
+
+// traceExchange returns a context whose request is recorded.
+func traceExchange(ctx context.Context, clock timer.Clock) (context.Context, *exchange) {
+	e := &exchange{}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteHeaders: func() { e.wroteHeaders.Store(true) },
+		GotFirstResponseByte: func() {
+			now := clock.Now()
+			e.received.Store(&now)
+		},
+	}), e
+}
+
+// receivedAt returns when the response was received, or the time now if that is unknown.
+func (e *exchange) receivedAt(now time.Time) time.Time {
+	if at := e.received.Load(); at != nil {
+		return *at
+	}
+	return now
 }
 
 func (p *Proxy) upstreamRefusal(ctx context.Context, err error, wroteHeaders bool) *fault.Refusal {
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -91,6 +91,7 @@
 	calls          *callTable
 	entryAdmission *entryAdmission
 	suspects       *suspects
+	notices        *notices
 	running        atomic.Int64
 	rngMu          sync.Mutex
 	rng            *rand.Rand
@@ -113,6 +114,7 @@
 	p.admission = newAdmission(opt)
 	p.entryAdmission = newEntryAdmission(opt)
 	p.suspects = newSuspects(opt)
+	p.notices = newNotices()
 	return p
 }
 
