--- a/io/daemon/mesh_test.go
+++ b/io/daemon/mesh_test.go
@@ -269,6 +269,7 @@
 	t.Run("documents", func(t *testing.T) { m.testDocuments(t) })
 	t.Run("refusals", func(t *testing.T) { m.testMeshRefusals(t) })
 	t.Run("a draining server gets no new calls", func(t *testing.T) { m.testMeshDrain(t) })
+	t.Run("a server that says it leaves gets no new calls", func(t *testing.T) { m.testLeaving(t) })
 	t.Run("invalid announcements change nothing", func(t *testing.T) { m.testInvalid(t) })
 	t.Run("a change among many routes is sent as a delta", func(t *testing.T) { m.testDelta(t) })
 	t.Run("servers stop a run when its caller disconnects", func(t *testing.T) { m.testCancel(t) })
--- a/io/proxy/endless_test.go
+++ b/io/proxy/endless_test.go
@@ -67,15 +67,20 @@
 
 // newUpstreamProxy returns a proxy beside an upstream at an address.
 func newUpstreamProxy(t *testing.T, address string) *Proxy {
+	t.Helper()
+	return newUpstreamProxyAt(t, timer.NewClock(), address, member.Upstream{Service: "shop", ID: "i-1", Phase: member.PhaseUp, Slots: 4})
+}
+
+func newUpstreamProxyAt(t *testing.T, clock timer.Clock, address string, upstream member.Upstream) *Proxy {
 	t.Helper()
 	cfg := config.Default()
 	tracer, err := trace.Open(cfg.Trace, "vm-1")
 	assert.NilError(t, err)
 	t.Cleanup(func() { tracer.Close(context.Background()) })
 	b := board.New()
-	b.Upstream.Write(&board.Upstream{Upstream: member.Upstream{Service: "shop", ID: "i-1", Phase: member.PhaseUp, Slots: 4}, Address: address})
+	b.Upstream.Write(&board.Upstream{Upstream: upstream, Address: address})
 	p := New(Options{
-		Config: func() *config.Config { return &cfg }, Clock: timer.NewClock(), Board: b, Log: event.Discard(), Tracer: tracer,
+		Config: func() *config.Config { return &cfg }, Clock: clock, Board: b, Log: event.Discard(), Tracer: tracer,
 		Metrics: NewMetrics(prometheus.NewRegistry()), Dialect: header.DefaultDialect(),
 	})
 	t.Cleanup(p.Start())
--- a/io/stub/server.go
+++ b/io/stub/server.go
@@ -47,6 +47,9 @@
 	// that are blocked.
 	hold bool
 	held int
+	// limit and leaving are what the server says about itself in its responses.
+	limit   string
+	leaving bool
 }
 
 // NewServer returns a stub server.
@@ -61,6 +64,25 @@
 	s.hold = on
 }
 
+// Say sets what the server says about itself in its responses from now on: the limit
+// that it names, empty for none, and whether it leaves.
+func (s *Server) Say(limit string, leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit, s.leaving = limit, leaving
+}
+
+func (s *Server) setStatement(h http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limit != "" {
+		h.Set(s.opt.Dialect.Limit, s.limit)
+	}
+	if s.leaving {
+		h.Set(s.opt.Dialect.Leaving, "1")
+	}
+}
+
 // HeldRuns returns the number of runs that are blocked until their callers disconnect.
 func (s *Server) HeldRuns() int {
 	s.mu.Lock()
@@ -104,6 +126,7 @@
 	d := s.opt.Dialect
 	id := r.Header.Get(d.Action)
 	w.Header().Set(d.Action, id)
+	s.setStatement(w.Header())
 	if expected := r.Header.Get(d.TargetUpstream); expected != "" && expected != string(s.opt.Upstream) {
 		w.WriteHeader(d.NotRunStatus)
 		return
