admit, proxy: an upstream gets no more calls per second than it says it takes

Cause: admission beside the upstream looked at concurrency and latency only. Both stay as they are where an upstream asks for less, so the limit was never reached.

The daemon beside an upstream carries all of its calls, so a token bucket there keeps the limit for the whole fleet, with no share to divide among 37,000 daemons and no messages. Calls wait for their turn up to 0.2 s and are then refused as not run, so that another upstream gets them. The work of a call counts for at least limit-th part of a second, so that the share to refuse reaches the entries as for slots; a change of the limit rescales what has arrived.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -12,6 +12,7 @@
 //	}
 //	effects := c.Finish(now, ticket, sample)
 //	effects  = c.Tick(now)
+//	effects  = c.SetRate(now, 18.8) // the upstream takes so many calls per second
 //
 // An arriving call that no effect names waits in a queue. Calls are served by
 // priority; within a priority, calls that an earlier hop has admitted come
@@ -105,6 +106,10 @@
 	// which calls are being shed; calls at a higher-numbered level would be
 	// refused. ShedLevelNone means that nothing is shed.
 	ShedLevel int `json:"level"`
+	// RateLimit is the rate of calls that the upstream takes, zero for any, and RateUse
+	// the part of it that is in use.
+	RateLimit ident.Rate `json:"rate,omitempty"`
+	RateUse   float64    `json:"rate_use,omitempty"`
 }
 
 // Controller is the admission controller of one upstream.
@@ -126,6 +131,7 @@
 	feedback admitFeedback
 	// started counts the calls that start.
 	started meter.Meter
+	pace    pacer
 	// counts holds the counters of Status; its other fields are unused.
 	counts Status
 }
@@ -202,12 +208,12 @@
 
 func (c *Controller) admitOrQueue(now time.Time, r Request) []Effect {
 	c.updateAdmitShare(now)
-	c.feedback.arrived(now, c.meanHoldByRoute[r.Route], r.admittedShare(), r.ServiceRefuseShare)
+	c.feedback.arrived(now, c.slotTime(c.meanHoldByRoute[r.Route]), r.admittedShare(), r.ServiceRefuseShare)
 	if c.willMissDeadline(now, r) {
 		return []Effect{Refuse{Ticket: r.Ticket, Reason: fault.ReasonDeadline}}
 	}
 	level := r.level()
-	if c.waiting == 0 && len(c.running) < c.limit.current() {
+	if c.waiting == 0 && c.mayStart(now) {
 		return []Effect{c.start(now, r)}
 	}
 	effects, accepted := c.makeRoom(now, level, r)
@@ -240,10 +246,11 @@
 // held calls for longer than standingQueueAge, without emptying in between, is a
 // standing queue; it only adds delay, so its limit is lower.
 func (c *Controller) queueLimit(now time.Time) int {
+	limit := burstQueueFactor * c.cfg.QueueLimit
 	if c.waiting > 0 && now.Sub(c.queuedSince) > standingQueueAge {
-		return c.cfg.QueueLimit
+		limit = c.cfg.QueueLimit
 	}
-	return burstQueueFactor * c.cfg.QueueLimit
+	return min(limit, c.pace.queueLimit())
 }
 
 // Cancel removes a waiting call whose caller has disconnected. It reports
@@ -325,11 +332,15 @@
 	if now.Before(c.shed.until) {
 		level = c.shed.level
 	}
-	return Load{Running: len(c.running), Waiting: c.waiting, Limit: c.limit.current(), ShedLevel: level}
+	return Load{
+		Running: len(c.running), Waiting: c.waiting, Limit: c.limit.current(), ShedLevel: level,
+		RateLimit: ident.Rate(c.pace.rate), RateUse: c.rateUse(now),
+	}
 }
 
 func (c *Controller) start(now time.Time, r Request) Effect {
 	c.started.Add(now, 1)
+	c.pace.take()
 	c.running[r.Ticket] = r.Route
 	return Start{Ticket: r.Ticket}
 }
@@ -346,7 +357,7 @@
 // startWaiting starts waiting calls while there are free slots.
 func (c *Controller) startWaiting(now time.Time) []Effect {
 	var effects []Effect
-	for c.waiting > 0 && len(c.running) < c.limit.current() {
+	for c.waiting > 0 && c.mayStart(now) {
 		r := c.pop()
 		if c.tooLate(now, r) {
 			effects = append(effects, Refuse{Ticket: r.Ticket, Reason: fault.ReasonDeadline})
@@ -371,13 +382,13 @@
 // given the mean time of the calls ahead of it and of its own route.
 func (c *Controller) willMissDeadline(now time.Time, r Request) bool {
 	ahead := 0
-	if len(c.running) >= c.limit.current() {
+	if !c.mayStart(now) {
 		for i := range r.level() + 1 {
 			ahead += c.queues[i].size
 		}
 	}
 	wait := c.meanHold * time.Duration(ahead) / time.Duration(max(1, c.limit.current()))
-	return c.tooLate(now.Add(wait), r)
+	return c.tooLate(now.Add(max(wait, c.pace.wait(now, ahead))), r)
 }
 
 // shedOne selects the call to shed when a call r arrives at a priority level,
--- a/core/admit/feedback.go
+++ b/core/admit/feedback.go
@@ -93,6 +93,12 @@
 	f.serviceRefuseShare += shareWeight * (serviceRefuseShare - f.serviceRefuseShare)
 }
 
+// scaleWork applies another cost of a call to those that have arrived.
+func (f *admitFeedback) scaleWork(factor float64) {
+	f.arrivedWork.Scale(factor)
+	f.demandedWork.Scale(factor)
+}
+
 // update computes the share to admit and returns it. Capacity is the work in slots that
 // should arrive while no call waits; spare is less than that by what empties the queue.
 func (f *admitFeedback) update(now time.Time, capacity, spare float64) float64 {
--- a/core/admit/feedback_test.go
+++ b/core/admit/feedback_test.go
@@ -64,6 +64,8 @@
 	asked  []float64
 	ends   map[Ticket]time.Time
 	ticket Ticket
+	// started holds the times at which calls started.
+	started []time.Time
 }
 
 // run lets a controller with 20 slots serve the entries and returns the mean number
@@ -78,6 +80,7 @@
 		for _, effect := range effects {
 			if s, ok := effect.(Start); ok {
 				e.ends[s.Ticket] = now.Add(holdTime)
+				e.started = append(e.started, *now)
 			}
 		}
 	}
@@ -90,6 +93,7 @@
 				startCalls(ctl.Finish(*now, t, Sample{SelfTime: holdTime}))
 			}
 		}
+		startCalls(ctl.Tick(*now))
 		e.asked = append(e.asked, ctl.RefuseShare(*now))
 		refused := e.elsewhere
 		if before := len(e.asked) - int(e.delay/step); before >= 0 {
--- /dev/null
+++ b/core/admit/pace.go
@@ -0,0 +1,126 @@
+package admit
+
+import (
+	"math"
+	"time"
+
+	"chicorymast/core/ident"
+)
+
+// pacer starts calls at no more than a rate, in a token bucket. It answers upstreams
+// that name a limit in calls, whatever time a call takes there.
+type pacer struct {
+	// rate is in calls per second; zero stands for any rate.
+	rate    float64
+	tokens  float64
+	updated time.Time
+}
+
+const (
+	// paceBurst is the time for which tokens are saved, at most. It is longer than
+	// the interval of Tick.
+	paceBurst = 100 * time.Millisecond
+	// maxPaceWait is the longest time for which calls may wait for their turn. A call
+	// that would wait longer is refused at once: another upstream may have room.
+	maxPaceWait = 200 * time.Millisecond
+)
+
+// set changes the rate. A pacer that had none starts without tokens, since calls have
+// just started without it.
+func (p *pacer) set(now time.Time, rate ident.Rate) {
+	if p.rate == float64(rate) {
+		return
+	}
+	p.refill(now)
+	if p.rate == 0 {
+		p.tokens = 0
+	}
+	p.rate = float64(rate)
+	p.tokens = min(p.tokens, p.capacity())
+}
+
+func (p *pacer) limited() bool { return p.rate > 0 }
+
+// capacity returns the number of tokens that are saved, at least the one that a call needs.
+func (p *pacer) capacity() float64 {
+	return max(1, p.rate*paceBurst.Seconds())
+}
+
+func (p *pacer) refill(now time.Time) {
+	if now.After(p.updated) {
+		p.tokens = min(p.capacity(), p.tokens+p.rate*now.Sub(p.updated).Seconds())
+		p.updated = now
+	}
+}
+
+// ready reports whether a call may start now.
+func (p *pacer) ready(now time.Time) bool {
+	if !p.limited() {
+		return true
+	}
+	p.refill(now)
+	return p.tokens >= 1
+}
+
+// take uses the token of a call that starts.
+func (p *pacer) take() {
+	if p.limited() {
+		p.tokens--
+	}
+}
+
+// wait returns the time until a call may start that has others ahead of it.
+func (p *pacer) wait(now time.Time, ahead int) time.Duration {
+	if !p.limited() {
+		return 0
+	}
+	p.refill(now)
+	missing := max(0, float64(ahead+1)-p.tokens)
+	return time.Duration(missing / p.rate * float64(time.Second))
+}
+
+// queueLimit returns how many calls may wait for their turn.
+func (p *pacer) queueLimit() int {
+	if !p.limited() {
+		return math.MaxInt
+	}
+	return max(1, int(p.rate*maxPaceWait.Seconds()))
+}
+
+// SetRate sets the rate at which calls may start, zero for any, and starts waiting calls.
+func (c *Controller) SetRate(now time.Time, rate ident.Rate) []Effect {
+	if float64(rate) == c.pace.rate {
+		return nil
+	}
+	before := c.slotTime(c.meanHold)
+	c.pace.set(now, rate)
+	if before > 0 {
+		c.feedback.scaleWork(float64(c.slotTime(c.meanHold)) / float64(before))
+	}
+	effects := c.startWaiting(now)
+	c.countRefused(effects)
+	return effects
+}
+
+// mayStart reports whether the upstream takes another call now.
+func (c *Controller) mayStart(now time.Time) bool {
+	return len(c.running) < c.limit.current() && c.pace.ready(now)
+}
+
+// slotTime returns the time for which a call takes a slot from others: a rate below what
+// the slots would allow leaves slots idle that no other call can use.
+func (c *Controller) slotTime(hold time.Duration) time.Duration {
+	if !c.pace.limited() {
+		return hold
+	}
+	return max(hold, time.Duration(float64(c.limit.current())/c.pace.rate*float64(time.Second)))
+}
+
+// rateUse returns the part of the rate that is in use, waiting calls included; 1 and
+// above means that no more calls can start.
+func (c *Controller) rateUse(now time.Time) float64 {
+	if !c.pace.limited() {
+		return 0
+	}
+	return (c.started.Rate(now) + float64(c.waiting)) / c.pace.rate
+}
--- a/core/meter/meter.go
+++ b/core/meter/meter.go
@@ -51,6 +51,11 @@
 	return m.sum
 }
 
+// Scale multiplies what was added so far, when the unit of the events changes.
+func (m *Meter) Scale(factor float64) {
+	m.sum *= factor
+}
+
 // Rate returns the mean per second.
 func (m *Meter) Rate(now time.Time) float64 {
 	if m.timeConstant <= 0 {
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -109,7 +109,7 @@
 	{ActionOutcomeUnknown, zapcore.WarnLevel, "An action that must run at most once ended with an unknown outcome."},
 	{ConnectionReplaced, zapcore.InfoLevel, "An unresponsive connection was closed and replaced."},
 	{LibraryMessage, zapcore.WarnLevel, "A library reported a problem, mostly bytes on a connection that belong to no response."},
-	{UpstreamOverloaded, zapcore.InfoLevel, "The upstream on this VM is overloaded or its concurrency limit is lowered."},
+	{UpstreamOverloaded, zapcore.InfoLevel, "The upstream on this VM is overloaded, or takes less than its slots allow."},
 	{EntryShedding, zapcore.InfoLevel, "New calls are refused at this entry because services of their call trees are overloaded."},
 	{RequestRefused, zapcore.InfoLevel, "A request was refused, or failed, where it entered the fleet."},
 	{CallRefused, zapcore.InfoLevel, "A call was refused, or failed, beside its upstream."},
--- a/io/proxy/admission.go
+++ b/io/proxy/admission.go
@@ -7,6 +7,7 @@
 
 	"chicorymast/core/admit"
 	"chicorymast/core/fault"
+	"chicorymast/core/ident"
 	"chicorymast/io/header"
 )
 
@@ -25,10 +26,17 @@
 	return &admission{opt: opt, controller: admit.New(cfg), cfg: cfg, waiters: map[admit.Ticket]chan admit.Effect{}}
 }
 
+// upstreamCapacity is what the upstream on this VM says that it takes.
+type upstreamCapacity struct {
+	slots int
+	// rate is zero for any rate.
+	rate ident.Rate
+}
+
 // enter waits until the call may run. If it returns no refusal, leave must be
 // called with the ticket when the call has ended.
-func (a *admission) enter(ctx context.Context, c header.Call, slots int) (admit.Ticket, *fault.Refusal) {
-	ticket, decision := a.arrive(c, slots)
+func (a *admission) enter(ctx context.Context, c header.Call, capacity upstreamCapacity) (admit.Ticket, *fault.Refusal) {
+	ticket, decision := a.arrive(c, capacity)
 	select {
 	case e := <-decision:
 		return ticket, refusalOf(e)
@@ -37,11 +45,12 @@
 	}
 }
 
-func (a *admission) arrive(c header.Call, slots int) (admit.Ticket, <-chan admit.Effect) {
+func (a *admission) arrive(c header.Call, capacity upstreamCapacity) (admit.Ticket, <-chan admit.Effect) {
 	now := a.opt.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.resize(slots)
+	a.resize(capacity.slots)
+	a.apply(a.controller.SetRate(now, capacity.rate))
 	a.lastTicket++
 	decision := make(chan admit.Effect, 1)
 	a.waiters[a.lastTicket] = decision
@@ -72,6 +81,13 @@
 	a.controller.Resize(cfg)
 }
 
+// setRate sets the rate of calls that the upstream takes, zero for any.
+func (a *admission) setRate(rate ident.Rate) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.apply(a.controller.SetRate(a.opt.Clock.Now(), rate))
+}
+
 // abandon removes a call from the queue when its context has ended. A call that
 // was started in the meantime releases its slot unused.
 func (a *admission) abandon(ctx context.Context, t admit.Ticket, decision <-chan admit.Effect) *fault.Refusal {
--- a/io/proxy/decisions.go
+++ b/io/proxy/decisions.go
@@ -169,6 +169,8 @@
 	enc.AddInt("running", c.Reported.Running)
 	enc.AddInt("waiting", c.Reported.Waiting)
 	enc.AddInt("limit", c.Reported.Limit)
+	enc.AddFloat64("limit_per_second", float64(c.Reported.RateLimit))
+	enc.AddFloat64("rate_use", c.Reported.RateUse)
 	enc.AddInt64("age_ms", c.ReportAge.Milliseconds())
 	enc.AddInt64("ejected_ms", c.EjectedFor.Milliseconds())
 	return nil
@@ -272,6 +274,7 @@
 	return []zap.Field{
 		zap.String("upstream", string(u.ID)), zap.String("upstream_phase", string(u.Phase)), zap.Int("depth", call.Depth),
 		zap.Int("running", st.Running), zap.Int("waiting", st.Waiting), zap.Int("limit", st.Limit), zap.Int("slots", st.Slots),
+		zap.Float64("limit_per_second", float64(st.RateLimit)),
 		zap.Float64("refuse_share", st.RefuseShare), zap.Int64("mean_hold_ms", st.MeanHold.Milliseconds()),
 		zap.Int64("timeout_ms", call.TimeoutMs),
 	}
--- a/io/proxy/notices.go
+++ b/io/proxy/notices.go
@@ -42,10 +42,19 @@
 		})
 	}
 	if changed {
+		p.admission.setRate(n.Limit)
 		p.noteNotice(before, n)
 	}
 }
 
+// upstreamCapacity returns what the upstream on this VM says that it takes.
+func (p *Proxy) upstreamCapacity(upstream *board.Upstream) upstreamCapacity {
+	p.notices.mu.Lock()
+	defer p.notices.mu.Unlock()
+	n := p.notices.own.Of(p.opt.Clock.Now(), upstream.Process())
+	return upstreamCapacity{slots: upstream.Slots, rate: n.Limit}
+}
+
 // noteNotice logs another statement of the upstream on this VM.
 func (p *Proxy) noteNotice(before, n notice.Notice) {
 	if n.Leaving && !before.Leaving {
--- a/io/proxy/overload_test.go
+++ b/io/proxy/overload_test.go
@@ -63,7 +63,7 @@
 	opt := Options{Log: event.Discard(), Clock: timer.NewManual(time.Unix(1000, 0)), Config: func() *config.Config { return &cfg }}
 	a := newAdmission(opt)
 	for range 20 {
-		a.arrive(header.Call{Route: "r", TimeoutMs: 1000, AdmittedShare: 1}, 10)
+		a.arrive(header.Call{Route: "r", TimeoutMs: 1000, AdmittedShare: 1}, upstreamCapacity{slots: 10})
 	}
 	assert.Equal(t, a.load().Running, 9)
 	assert.Equal(t, a.load().Waiting, 9+2)
--- a/io/proxy/selftime_test.go
+++ b/io/proxy/selftime_test.go
@@ -25,7 +25,7 @@
 		var tickets []admit.Ticket
 		for n := range 2 * pairs {
 			c := header.Call{Route: "shop", Service: "shop", TimeoutMs: 5000, AdmittedShare: 1}
-			ticket, _ := p.admission.arrive(c, 2*pairs)
+			ticket, _ := p.admission.arrive(c, upstreamCapacity{slots: 2 * pairs})
 			tickets = append(tickets, ticket)
 			runs = append(runs, &servedCall{call: c, deadline: start.Add(5*time.Second + time.Duration(n/2)*time.Second)})
 		}
