proxy, daemon: no calls to an upstream that has said in a response that it leaves

Cause: that an upstream leaves was known from its announcements only. These are late, lost, or made to a daemon that then restarts and believes the next one.

The daemon beside the upstream now drains it at once, for good, also if its lease lapses in between. Each daemon that calls it remembers the process (id and start) by the result of its call and does not pick it again, whatever the list of VMs says; a new process with the same id, or another one at the address, is another entry. It costs no message.

TestLeavingUpstreamIsNotAnnouncedAgain covers the registry.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -22,6 +22,7 @@
 
 	"chicorymast/core/admit"
 	"chicorymast/core/ident"
+	"chicorymast/core/notice"
 )
 
 // Candidate is a VM that serves the service.
@@ -30,6 +31,8 @@
 	DataCentre ident.DataCentre
 	Address    string
 	Slots      int
+	// Process is the process of the upstream there.
+	Process notice.Process
 }
 
 // Outcome is how a call to a VM ended, as an indication of the VM's health.
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -220,6 +220,8 @@
 		Records: d.records,
 		Dial:    d.dial,
 		Dialect: dialectFor(cfg.Platform),
+
+		UpstreamLeaves: d.upstreams.Leave,
 	})
 }
 
--- a/io/daemon/leaving_test.go
+++ b/io/daemon/leaving_test.go
@@ -14,17 +14,16 @@
 // beside it has restarted.
 func (m *mesh) testLeaving(t *testing.T) {
 	vm := m.daemons["shop-1"]
+	_, before := vm.server.Runs("")
+	vm.server.Say("", true)
 	eventually(t, func() string {
-		_, before := vm.server.Runs("")
 		m.callShop(t, 10)
 		if _, after := vm.server.Runs(""); after == before {
 			return "shop-1 gets no calls" // its drain has just ended
 		}
 		return ""
 	})
-	vm.server.Say("", true)
-	m.callShop(t, 20)
-	_, before := vm.server.Runs("")
+	_, before = vm.server.Runs("")
 	mustNotGetCalls := func(t *testing.T) {
 		t.Helper()
 		m.callShop(t, 20)
@@ -51,7 +50,7 @@
 		})
 		mustNotGetCalls(t)
 	})
-	t.Run("a new process of it gets calls", func(t *testing.T) {
+	t.Run("but its new process does", func(t *testing.T) {
 		vm.server.Say("", false)
 		vm.mu.Lock()
 		vm.latest.StartedMs, vm.latest.Sequence = vm.latest.StartedMs+1, 0
--- a/io/daemon/upstreams.go
+++ b/io/daemon/upstreams.go
@@ -8,6 +8,7 @@
 	"chicorymast/core/board"
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
+	"chicorymast/core/notice"
 	"chicorymast/io/event"
 	"chicorymast/io/proxy"
 	"chicorymast/io/timer"
@@ -35,6 +36,8 @@
 	latest proxy.Announcement
 	// deregistered is set when that upstream has deregistered.
 	deregistered bool
+	// leaving is the process that has said in a response that it leaves.
+	leaving notice.Process
 	// strangers holds when upstreams deregistered that had not announced themselves
 	// here, such as to a daemon that has restarted.
 	strangers map[ident.Upstream]time.Time
@@ -80,7 +83,7 @@
 		}
 	}
 	// A renewal does not end a drain; only a new process of the upstream does.
-	if a.Draining || (sameProcess && current.Phase == member.PhaseDraining) {
+	if a.Draining || (sameProcess && current.Phase == member.PhaseDraining) || r.leaving == next.Process() {
 		next.Phase = member.PhaseDraining
 	}
 	if *current == next {
@@ -119,6 +122,18 @@
 	r.setPhase("", member.PhaseDraining, event.UpstreamDraining)
 }
 
+// Leave marks a process of the upstream as draining that has said in a response that it
+// leaves. Its announcements may not say so yet.
+func (r *upstreamRegistry) Leave(p notice.Process) {
+	r.mu.Lock()
+	r.leaving = p
+	announced := r.board.Upstream.Read().Process() == p
+	r.mu.Unlock()
+	if announced {
+		r.setPhase(p.Upstream, member.PhaseDraining, event.UpstreamDraining)
+	}
+}
+
 // Deregister marks the upstream as gone; an empty id stands for the current one.
 // The upstream still runs for a moment, so delayed announcements of the same process
 // must not register it again.
--- a/io/daemon/upstreams_test.go
+++ b/io/daemon/upstreams_test.go
@@ -7,6 +7,7 @@
 	"chicorymast/core/board"
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
+	"chicorymast/core/notice"
 	"chicorymast/io/event"
 	"chicorymast/io/proxy"
 	"chicorymast/io/timer"
@@ -117,3 +118,44 @@
 	assert.NilError(t, err)
 	r.mustBeInPhase(t, "a", member.PhaseUp)
 }
+
+// An upstream may say in a response that it leaves while its announcements are late or
+// its lease has just expired.
+func TestLeavingUpstreamIsNotAnnouncedAgain(t *testing.T) {
+	leaving := func(t *testing.T) (*upstreamRegistry, *timer.Manual) {
+		t.Helper()
+		r, clock := newUpstreamRegistry()
+		_, err := r.Announce(announcement("a", 1, 1))
+		assert.NilError(t, err)
+		r.Leave(notice.Process{Upstream: "a", StartedMs: 1})
+		r.mustBeInPhase(t, "a", member.PhaseDraining)
+		return r, clock
+	}
+	announce := func(t *testing.T, r *upstreamRegistry, a proxy.Announcement, p member.Phase) {
+		t.Helper()
+		_, err := r.Announce(a)
+		assert.NilError(t, err)
+		r.mustBeInPhase(t, a.Upstream, p)
+	}
+	t.Run("by a late announcement", func(t *testing.T) {
+		r, _ := leaving(t)
+		announce(t, r, announcement("a", 1, 2), member.PhaseDraining)
+	})
+	t.Run("after its lease has expired", func(t *testing.T) {
+		r, clock := leaving(t)
+		clock.Advance(2 * defaultUpstreamLease)
+		r.tick(clock.Now())
+		r.mustBeInPhase(t, "a", member.PhaseGone)
+		announce(t, r, announcement("a", 1, 3), member.PhaseDraining)
+	})
+	t.Run("unless as a new process", func(t *testing.T) {
+		r, _ := leaving(t)
+		announce(t, r, announcement("a", 2, 1), member.PhaseUp)
+	})
+	t.Run("a process that was replaced does not drain its successor", func(t *testing.T) {
+		r, _ := newUpstreamRegistry()
+		announce(t, r, announcement("b", 2, 1), member.PhaseUp)
+		r.Leave(notice.Process{Upstream: "a", StartedMs: 1})
+		r.mustBeInPhase(t, "b", member.PhaseUp)
+	})
+}
--- a/io/header/header.go
+++ b/io/header/header.go
@@ -23,6 +23,7 @@
 	"chicorymast/core/fault"
 	"chicorymast/core/ident"
 	"chicorymast/core/inflow"
+	"chicorymast/core/notice"
 )
 
 // Header names.
@@ -108,6 +109,9 @@
 	// NestedFailure is set if a nested call failed. It has been retried where
 	// it was dispatched, so the call itself is not retried.
 	NestedFailure bool `json:"deeper,omitempty"`
+	// Notice is what the upstream says about itself, nil for nothing or if the daemon
+	// has not heard from it yet.
+	Notice *notice.Notice `json:"notice,omitempty"`
 }
 
 // SetCall sets the call header.
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -299,6 +299,7 @@
 		p.reportOutcome(o, vm, r, nil)
 		return attempt{refusal: r}
 	}
+	p.notices.learn(p.opt.Clock.Now(), vm, result)
 	p.entryAdmission.recordCosts(o.call.Route, vm.VM, result.ServiceCosts)
 	if result.Reason != "" {
 		defer stop()
--- a/io/proxy/notices.go
+++ b/io/proxy/notices.go
@@ -3,25 +3,61 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chicorymast/core/board"
 	"chicorymast/core/ident"
 	"chicorymast/core/notice"
+	"chicorymast/core/route"
 	"chicorymast/core/sample"
 	"chicorymast/io/event"
+	"chicorymast/io/header"
 
 	"go.uber.org/zap"
 )
 
 // notices holds what upstreams say about themselves in their responses.
 type notices struct {
-	mu  sync.Mutex
-	own *notice.Own
+	mu sync.Mutex
+	// own is about the upstream on this VM, book about those that calls go to.
+	own  *notice.Own
+	book *notice.Book
+	// leaving counts the processes in book that leave.
+	leaving atomic.Uint64
 }
 
 func newNotices() *notices {
-	return &notices{own: notice.NewOwn()}
+	return &notices{own: notice.NewOwn(), book: notice.NewBook()}
+}
+
+// leavingCount returns a number that changes when another process is known to leave.
+func (n *notices) leavingCount() uint64 {
+	return n.leaving.Load()
+}
+
+// of returns what is known of a process that calls go to.
+func (n *notices) of(now time.Time, p notice.Process) notice.Notice {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.book.Of(now, p)
+}
+
+// learn records what the daemon on a VM says of the upstream there, with its response to
+// a call. Without a notice, a response of the upstream itself shows that it says nothing.
+func (n *notices) learn(now time.Time, vm route.Candidate, result header.Result) {
+	told := notice.Notice{Process: vm.Process}
+	switch {
+	case result.Notice != nil:
+		told = *result.Notice
+	case result.Reason != "":
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.book.Learn(now, told) {
+		n.leaving.Add(1)
+	}
 }
 
 // recordStatement records what a response of the upstream on this VM says that was
@@ -47,6 +83,17 @@
 	}
 }
 
+// ownNotice returns what the upstream on this VM says about itself, nil for nothing.
+func (p *Proxy) ownNotice(upstream *board.Upstream) *notice.Notice {
+	p.notices.mu.Lock()
+	defer p.notices.mu.Unlock()
+	n := p.notices.own.Of(p.opt.Clock.Now(), upstream.Process())
+	if n.IsEmpty() {
+		return nil
+	}
+	return &n
+}
+
 // upstreamCapacity returns what the upstream on this VM says that it takes.
 func (p *Proxy) upstreamCapacity(upstream *board.Upstream) upstreamCapacity {
 	p.notices.mu.Lock()
@@ -59,6 +106,9 @@
 func (p *Proxy) noteNotice(before, n notice.Notice) {
 	if n.Leaving && !before.Leaving {
 		p.opt.Log.Emit(event.UpstreamLeaving, zap.String("upstream", string(n.Upstream)))
+		if p.opt.UpstreamLeaves != nil {
+			p.opt.UpstreamLeaves(n.Process)
+		}
 	}
 	p.opt.Metrics.upstreamLimit.Set(float64(n.Limit))
 	if n.Limit == before.Limit {
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -90,6 +90,7 @@
 		Load: p.admission.load(), UnspentRetries: retries.unspentRetries, Reason: r.Reason, Detail: r.Detail,
 		NotRun: r.NotRun, NestedFailure: retries.nestedFailure,
 		ServiceCosts: p.entryAdmission.serviceCosts(call.Route, p.admission.refuseShare()),
+		Notice:       p.ownNotice(p.opt.Board.Upstream.Read()),
 	})
 	WriteProblem(w, p.opt.Dialect, r, 0)
 	return HTTPStatus(r)
@@ -128,7 +129,7 @@
 	sample.Shed = resp.StatusCode == http.StatusServiceUnavailable && !nestedFailure
 	p.passResponse(w, resp, header.Result{
 		Load: p.admission.load(), UnspentRetries: unspentRetries, NestedFailure: nestedFailure, NotRun: p.opt.Dialect.ProvesNotRun(resp),
-		ServiceCosts: p.entryAdmission.serviceCosts(call.Route, p.admission.refuseShare()),
+		ServiceCosts: p.entryAdmission.serviceCosts(call.Route, p.admission.refuseShare()), Notice: p.ownNotice(upstream),
 	})
 	return resp.StatusCode
 }
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -29,6 +29,7 @@
 	"chicorymast/core/board"
 	"chicorymast/core/dedup"
 	"chicorymast/core/ident"
+	"chicorymast/core/notice"
 	"chicorymast/core/quota"
 	"chicorymast/io/event"
 	"chicorymast/io/header"
@@ -58,6 +59,9 @@
 	// Quota enforces the rates of grants. An action is charged once, however
 	// often it is retried.
 	Quota Quota
+	// UpstreamLeaves is called when the upstream on this VM has said in a response that
+	// it leaves; nil ignores it.
+	UpstreamLeaves func(notice.Process)
 	// Records ensures that an action runs at most once.
 	Records Records
 }
@@ -110,11 +114,11 @@
 	p.peerTransport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
 		return opt.Dial(ctx, address)
 	}
-	p.router = newRouter(opt, rand.New(rand.NewPCG(opt.Seed+1, opt.Seed)))
+	p.notices = newNotices()
+	p.router = newRouter(opt, p.notices, rand.New(rand.NewPCG(opt.Seed+1, opt.Seed)))
 	p.admission = newAdmission(opt)
 	p.entryAdmission = newEntryAdmission(opt)
 	p.suspects = newSuspects(opt)
-	p.notices = newNotices()
 	return p
 }
 
--- a/io/proxy/router.go
+++ b/io/proxy/router.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,7 @@
 // throttle for each service called.
 type router struct {
 	opt      Options
+	notices  *notices
 	mu       sync.Mutex
 	rng      *rand.Rand
 	services map[ident.Service]*serviceState
@@ -46,11 +48,13 @@
 	throttle retry.Throttle
 	members  *board.Members
 	config   *board.Config
+	// leaving is the number of processes that were known to leave.
+	leaving uint64
 }
 
-func newRouter(opt Options, rng *rand.Rand) *router {
+func newRouter(opt Options, n *notices, rng *rand.Rand) *router {
 	return &router{
-		opt: opt, rng: rng, services: map[ident.Service]*serviceState{}, splits: map[ident.Route]*route.Split{},
+		opt: opt, notices: n, rng: rng, services: map[ident.Service]*serviceState{}, splits: map[ident.Route]*route.Split{},
 		reach: route.NewReach(opt.Config().Daemon.DataCentre),
 	}
 }
@@ -104,7 +108,7 @@
 	now := rt.opt.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.refresh(now, rt.opt.Board, name)
+	s.refresh(now, rt.opt.Board, rt.notices, name)
 	vm, ok := s.balancer.PickAvoiding(now, level, tried, rt.blocked(now))
 	if ok {
 		rt.startProbe(now, vm.DataCentre)
@@ -168,21 +172,28 @@
 	return s.throttle.Credit()
 }
 
-// refresh updates the balancer if the members or the configuration on the board
-// have changed. VMs whose daemons are stopping are used if there are no others.
-func (s *serviceState) refresh(now time.Time, b *board.Board, name ident.Service) {
-	members, config := b.Members.Read(), b.Config.Read()
-	if members == s.members && config == s.config {
+// refresh updates the balancer if the members or the configuration on the board have
+// changed, or another process is known to leave. VMs whose daemons are stopping are used
+// if there are no others.
+func (s *serviceState) refresh(now time.Time, b *board.Board, n *notices, name ident.Service) {
+	members, config, leaving := b.Members.Read(), b.Config.Read(), n.leavingCount()
+	if members == s.members && config == s.config && leaving == s.leaving {
 		return
 	}
-	s.members, s.config = members, config
-	candidates := undrainedCandidates(members.ByService[name], config)
+	s.members, s.config, s.leaving = members, config, leaving
+	candidates := staying(now, n, undrainedCandidates(members.ByService[name], config))
 	if len(candidates) == 0 {
-		candidates = undrainedCandidates(members.StoppingByService[name], config)
+		candidates = staying(now, n, undrainedCandidates(members.StoppingByService[name], config))
 	}
 	s.balancer.Update(now, candidates)
 }
 
+// staying returns the candidates whose upstreams have not said that they leave. The list
+// of VMs may not show it yet, or again not after a restart of the daemon there.
+func staying(now time.Time, n *notices, candidates []route.Candidate) []route.Candidate {
+	return slices.DeleteFunc(candidates, func(c route.Candidate) bool { return n.of(now, c.Process).Leaving })
+}
+
 // undrainedCandidates returns the entries as candidates, without VMs that
 // operators drain.
 func undrainedCandidates(entries []member.Entry, config *board.Config) (candidates []route.Candidate) {
@@ -191,7 +202,7 @@
 			continue
 		}
 		candidates = append(candidates, route.Candidate{
-			VM: e.VM, DataCentre: e.DataCentre, Address: e.Addresses.Peer, Slots: e.Upstream.Slots,
+			VM: e.VM, DataCentre: e.DataCentre, Address: e.Addresses.Peer, Slots: e.Upstream.Slots, Process: e.Upstream.Process(),
 		})
 	}
 	return candidates
--- a/io/proxy/router_test.go
+++ b/io/proxy/router_test.go
@@ -27,7 +27,7 @@
 	picked := func(entries ...member.Entry) (vm ident.VM) {
 		b.Members.Write(board.NewMembers(entries))
 		s := &serviceState{balancer: route.New("east", rand.New(rand.NewPCG(1, 2)))}
-		s.refresh(time.Unix(1, 0), b, service)
+		s.refresh(time.Unix(1, 0), b, newNotices(), service)
 		c, _ := s.balancer.Pick(time.Unix(1, 0), 0, nil)
 		return c.VM
 	}
