proxy: a daemon that restarts learns its upstream's limit from the calls of others

Daemons keep the limits of processes that they call for 30 s after the last response, and send them along with calls to that process; the daemon beside it uses the lowest of them until the upstream has answered once, with a limit or without. Keeping it on disk was ruled out (no disk there), the list of VMs as well: a limit that changes with each second would be sent to the whole fleet.

TestRestartedDaemonKeepsTheLimitThatOthersKnow fails without adoption and passes.

--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -332,6 +332,7 @@
 	call.Retries = lent
 	call.ServiceRefuseShare = p.entryAdmission.serviceRefuseShare(call.Route, call.Service)
 	call.TimeoutMs = remaining(ctx, p.opt.Clock.Now()).Milliseconds()
+	call.Told = p.notices.told(p.opt.Clock.Now(), vm.Process)
 	header.LowerIdempotencyKey(req.Header)
 	header.SetCall(req.Header, call)
 	if p.opt.Dialect.PropagateTrace {
--- a/io/proxy/notices.go
+++ b/io/proxy/notices.go
@@ -43,6 +43,16 @@
 	return n.book.Of(now, p)
 }
 
+// told returns what to tell the daemon beside a limited upstream along with a call, nil
+// for nothing.
+func (n *notices) told(now time.Time, p notice.Process) *notice.Notice {
+	known := n.of(now, p)
+	if known.Limit == 0 {
+		return nil
+	}
+	return &known
+}
+
 // learn records what the daemon on a VM says of the upstream there, with its response to
 // a call. Without a notice, a response of the upstream itself shows that it says nothing.
 func (n *notices) learn(now time.Time, vm route.Candidate, result header.Result) {
@@ -94,11 +104,20 @@
 	return &n
 }
 
-// upstreamCapacity returns what the upstream on this VM says that it takes.
-func (p *Proxy) upstreamCapacity(upstream *board.Upstream) upstreamCapacity {
+// upstreamCapacity returns what the upstream on this VM says that it takes, as far as
+// this daemon or the sender of a call knows.
+func (p *Proxy) upstreamCapacity(upstream *board.Upstream, call header.Call) upstreamCapacity {
+	now, process := p.opt.Clock.Now(), upstream.Process()
 	p.notices.mu.Lock()
-	defer p.notices.mu.Unlock()
-	n := p.notices.own.Of(p.opt.Clock.Now(), upstream.Process())
+	before := p.notices.own.Of(now, process)
+	n, adopted := before, false
+	if call.Told != nil {
+		n, adopted = p.notices.own.Adopt(now, process, *call.Told)
+	}
+	p.notices.mu.Unlock()
+	if adopted {
+		p.noteNotice(before, n)
+	}
 	return upstreamCapacity{slots: upstream.Slots, rate: n.Limit}
 }
 
--- a/io/proxy/notices_test.go
+++ b/io/proxy/notices_test.go
@@ -8,8 +8,11 @@
 	"testing"
 	"time"
 
+	"chicorymast/core/fault"
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
+	"chicorymast/core/notice"
+	"chicorymast/core/route"
 	"chicorymast/io/header"
 	"chicorymast/io/timer"
 
@@ -113,3 +116,64 @@
 		assert.Equal(t, u.requests.Load()-before, int64(4*limit))
 	})
 }
+
+// A daemon that restarts knows no limit, while the others go on sending.
+func TestRestartedDaemonKeepsTheLimitThatOthersKnow(t *testing.T) {
+	const limit = 10
+	process := notice.Process{Upstream: "i-1", StartedMs: 1000}
+	newCalls := func(t *testing.T, said string) (*sayingUpstream, *peerCalls) {
+		t.Helper()
+		u := newSayingUpstream(t, said)
+		c := newPeerCalls(t, u.address())
+		c.call.Told = &notice.Notice{Process: process, Limit: limit}
+		return u, c
+	}
+	t.Run("before the upstream has said anything", func(t *testing.T) {
+		u, c := newCalls(t, "10")
+		c.send(100)
+		assert.Equal(t, u.requests.Load(), int64(0))
+		c.offer(4*limit, 4*time.Second)
+		assert.Assert(t, u.requests.Load() <= 4*limit*3/2+5, "%d calls in 4 s", u.requests.Load())
+	})
+	t.Run("until the upstream says otherwise", func(t *testing.T) {
+		u, c := newCalls(t, "")
+		c.offer(4*limit, time.Second)
+		before := u.requests.Load()
+		c.offer(4*limit, time.Second)
+		assert.Equal(t, u.requests.Load()-before, int64(4*limit))
+	})
+	t.Run("but not that of another process", func(t *testing.T) {
+		u, c := newCalls(t, "")
+		c.call.Told.StartedMs++
+		c.offer(4*limit, time.Second)
+		assert.Equal(t, u.requests.Load(), int64(4*limit))
+	})
+}
+
+func TestDispatcherTellsWhatItKnowsOfALimit(t *testing.T) {
+	now, process := time.Unix(1000, 0), notice.Process{Upstream: "i-1", StartedMs: 1000}
+	vm := route.Candidate{VM: "vm-1", Process: process}
+	n := newNotices()
+	mustTell := func(t *testing.T, want ident.Rate) {
+		t.Helper()
+		told := n.told(now, process)
+		assert.Equal(t, told != nil, want > 0)
+		assert.Assert(t, told == nil || told.Limit == want)
+	}
+	n.learn(now, vm, header.Result{Notice: &notice.Notice{Process: process, Limit: 7}})
+	mustTell(t, 7)
+	t.Run("also after a refusal of a daemon that has not heard of it", func(t *testing.T) {
+		n.learn(now, vm, header.Result{Reason: fault.ReasonOverload})
+		mustTell(t, 7)
+	})
+	t.Run("until the upstream responds without one", func(t *testing.T) {
+		n.learn(now, vm, header.Result{})
+		mustTell(t, 0)
+	})
+	t.Run("that another process at the VM leaves is not held against it", func(t *testing.T) {
+		before := n.leavingCount()
+		n.learn(now, vm, header.Result{Notice: &notice.Notice{Process: notice.Process{Upstream: "i-0"}, Leaving: true}})
+		assert.Equal(t, n.leavingCount(), before+1)
+		assert.DeepEqual(t, staying(now, n, []route.Candidate{vm}), []route.Candidate{vm})
+	})
+}
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -60,7 +60,7 @@
 	interim := startInterimSender(w)
 	defer interim.stop()
 	arrived := p.opt.Clock.Now()
-	ticket, refusal := p.admission.enter(ctx, call, p.upstreamCapacity(upstream))
+	ticket, refusal := p.admission.enter(ctx, call, p.upstreamCapacity(upstream, call))
 	p.noteQueued(call, p.opt.Clock.Now().Sub(arrived))
 	if refusal != nil {
 		interim.stop()
