route, admit, proxy: calls that a limited upstream does not take go where there is room

Cause: nobody but the daemon beside the upstream knew. The balancer saw few running calls there, so little load; and the share to refuse that it reported reached the entries as the lack of the whole service, and went on for 6 s after the limit had ended, since calls that others had served counted as demand.

A report now names the limit and the rate of arriving calls relative to it. That is a load like slots in use; and each daemon thins its calls to such an upstream by a share that it adapts by this figure, while another has room. All see the same figure, so it takes neither the number of daemons nor messages between them. Calls say whether their sender knows of room elsewhere: those are no demand that the service lacks, and the share to refuse that an upstream reports doesn't count at that sender. Where all are full, all count.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -65,7 +65,9 @@
 	// ServiceRefuseShare is the mean of the shares that the upstreams of the service
 	// ask to refuse, as the sender of the call knows it.
 	ServiceRefuseShare float64
-	Deadline           time.Time
+	// RoomElsewhere is set if the sender knows of another upstream with room.
+	RoomElsewhere bool
+	Deadline      time.Time
 }
 
 // Effect is what the caller of a controller must do next: Start or Refuse.
@@ -107,7 +109,7 @@
 	// refused. ShedLevelNone means that nothing is shed.
 	ShedLevel int `json:"level"`
 	// RateLimit is the rate of calls that the upstream takes, zero for any, and RateUse
-	// the part of it that is in use.
+	// the rate of those that arrive, relative to it.
 	RateLimit ident.Rate `json:"rate,omitempty"`
 	RateUse   float64    `json:"rate_use,omitempty"`
 }
@@ -129,9 +131,9 @@
 	heldAt   map[ident.Route]time.Time
 	shed     shedLevel
 	feedback admitFeedback
-	// started counts the calls that start.
-	started meter.Meter
-	pace    pacer
+	// arrivals counts the calls that arrive, started those that start.
+	arrivals, started meter.Meter
+	pace              pacer
 	// counts holds the counters of Status; its other fields are unused.
 	counts Status
 }
@@ -156,8 +158,8 @@
 	// has ended. Without it, a mean above the timeout of a route would refuse the
 	// calls that could lower it.
 	holdTTL = time.Second
-	// startedWindow is the averaging time of the rate at which calls start.
-	startedWindow = time.Second
+	// rateWindow is the averaging time of the rates at which calls arrive and start.
+	rateWindow = time.Second
 	// sampleWeight is the weight of a new sample in the mean hold times.
 	sampleWeight = 0.1
 )
@@ -194,7 +196,8 @@
 		meanHoldByRoute: map[ident.Route]time.Duration{},
 		heldAt:          map[ident.Route]time.Time{},
 		shed:            shedLevel{level: ShedLevelNone},
-		started:         meter.New(startedWindow),
+		arrivals:        meter.New(rateWindow),
+		started:         meter.New(rateWindow),
 	}
 }
 
@@ -207,8 +210,11 @@
 }
 
 func (c *Controller) admitOrQueue(now time.Time, r Request) []Effect {
+	c.arrivals.Add(now, 1)
 	c.updateAdmitShare(now)
-	c.feedback.arrived(now, c.slotTime(c.meanHoldByRoute[r.Route]), r.admittedShare(), r.ServiceRefuseShare)
+	if !c.takenElsewhere(r) {
+		c.feedback.arrived(now, c.slotTime(c.meanHoldByRoute[r.Route]), r.admittedShare(), r.ServiceRefuseShare)
+	}
 	if c.willMissDeadline(now, r) {
 		return []Effect{Refuse{Ticket: r.Ticket, Reason: fault.ReasonDeadline}}
 	}
@@ -228,6 +234,12 @@
 	return append(effects, c.startWaiting(now)...)
 }
 
+// takenElsewhere reports whether another upstream serves the call if this one has too
+// many: the call then shows no lack of capacity of the service.
+func (c *Controller) takenElsewhere(r Request) bool {
+	return c.pace.limited() && r.RoomElsewhere
+}
+
 // makeRoom sheds calls until one more may wait. It reports false when the
 // arriving call itself was shed.
 func (c *Controller) makeRoom(now time.Time, level int, r Request) (effects []Effect, accepted bool) {
--- a/core/admit/feedback.go
+++ b/core/admit/feedback.go
@@ -93,10 +93,14 @@
 	f.serviceRefuseShare += shareWeight * (serviceRefuseShare - f.serviceRefuseShare)
 }
 
-// scaleWork applies another cost of a call to those that have arrived.
-func (f *admitFeedback) scaleWork(factor float64) {
+// rescale applies another cost of a call to those that have arrived. What was learned of
+// the error of the estimate does not hold for the other cost.
+func (f *admitFeedback) rescale(factor float64) {
 	f.arrivedWork.Scale(factor)
 	f.demandedWork.Scale(factor)
+	if f.admit > 0 {
+		f.correction = 1
+	}
 }
 
 // update computes the share to admit and returns it. Capacity is the work in slots that
--- a/core/admit/pace.go
+++ b/core/admit/pace.go
@@ -95,7 +95,7 @@
 	before := c.slotTime(c.meanHold)
 	c.pace.set(now, rate)
 	if before > 0 {
-		c.feedback.scaleWork(float64(c.slotTime(c.meanHold)) / float64(before))
+		c.feedback.rescale(float64(c.slotTime(c.meanHold)) / float64(before))
 	}
 	effects := c.startWaiting(now)
 	c.countRefused(effects)
@@ -116,11 +116,10 @@
 	return max(hold, time.Duration(float64(c.limit.current())/c.pace.rate*float64(time.Second)))
 }
 
-// rateUse returns the part of the rate that is in use, waiting calls included; 1 and
-// above means that no more calls can start.
+// rateUse returns the rate of arriving calls relative to the limit, zero without one.
 func (c *Controller) rateUse(now time.Time) float64 {
 	if !c.pace.limited() {
 		return 0
 	}
-	return (c.started.Rate(now) + float64(c.waiting)) / c.pace.rate
+	return c.arrivals.Rate(now) / c.pace.rate
 }
--- a/core/inflow/inflow.go
+++ b/core/inflow/inflow.go
@@ -47,6 +47,16 @@
 	RefuseShare float64 `json:"r"`
 }
 
+// WithoutService returns the costs at all services but one.
+func WithoutService(costs []ServiceCost, svc ident.Service) (others []ServiceCost) {
+	for _, c := range costs {
+		if c.Service != svc {
+			others = append(others, c)
+		}
+	}
+	return others
+}
+
 const (
 	// profileWindow is the averaging time of runs and their calls; it covers
 	// about a hundred runs of a route with little traffic.
--- a/core/inflow/overload_test.go
+++ b/core/inflow/overload_test.go
@@ -108,13 +108,17 @@
 
 type vm struct {
 	dispatcher
-	service    ident.Service
-	speed      float64
-	slots      int
+	service ident.Service
+	speed   float64
+	slots   int
+	// limit is the rate of calls that the upstream takes, zero for any.
+	limit      ident.Rate
 	controller *admit.Controller
 	profiles   *inflow.Profiles
 	running    []*simCall
-	waiters    map[admit.Ticket]*simCall
+	// started holds the times at which calls started.
+	started []time.Time
+	waiters map[admit.Ticket]*simCall
 }
 
 // parentOf returns the run that a nested call of c is attributed to.
@@ -137,6 +141,7 @@
 	isNested bool
 	// serviceRefuseShare is what the sender knows of the service.
 	serviceRefuseShare float64
+	roomElsewhere      bool
 	done               func(ok bool, costs []inflow.ServiceCost)
 }
 
@@ -273,13 +278,15 @@
 	var attempt func()
 	attempt = func() {
 		b := d.balancers[service]
-		picked, ok := b.Pick(f.now, admit.PriorityLevel(c.priority, true), tried)
+		level := admit.PriorityLevel(c.priority, true)
+		picked, ok := b.Pick(f.now, level, tried)
 		if !ok {
 			c.done(false, nil)
 			return
 		}
 		tried[picked.VM] = true
 		once := *c
+		once.roomElsewhere = !b.LacksRoom(f.now, level, picked.VM)
 		once.serviceRefuseShare = d.shedder.ServiceRefuseShare(f.now, c.route, service)
 		once.done = func(ok bool, costs []inflow.ServiceCost) {
 			f.after(hopLatency, func() {
@@ -289,6 +296,9 @@
 					outcome = route.OutcomeRefused
 				}
 				b.Done(f.now, picked.VM, route.Report{Outcome: outcome, Load: &load})
+				if !b.LacksRoom(f.now, level, picked.VM) {
+					costs = inflow.WithoutService(costs, service)
+				}
 				d.shedder.Observe(f.now, c.route, costs)
 				if !ok && service == "deep" && len(tried) < 2 && f.now.Before(c.deadline) {
 					attempt()
@@ -309,6 +319,7 @@
 	f.apply(v, v.controller.Arrive(f.now, admit.Request{
 		Ticket: t, Route: c.route, Priority: c.priority, Rank: c.rank, Nested: c.isNested,
 		AdmittedAtEntry: c.share < 1, AdmittedShare: c.share, Deadline: c.deadline, ServiceRefuseShare: c.serviceRefuseShare,
+		RoomElsewhere: c.roomElsewhere,
 	}))
 }
 
@@ -334,6 +345,7 @@
 func (f *fleet) start(v *vm, t admit.Ticket, c *simCall) {
 	began := f.now
 	v.running = append(v.running, c)
+	v.started = append(v.started, f.now)
 	work := shopWork
 	if v.service == "deep" {
 		work = deepWork
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -9,7 +9,9 @@
 //
 // Of two candidates drawn at random, the balancer picks the less loaded one. The
 // load of a VM is what its last response reported, but at least the number of
-// outstanding calls to it. VMs of the own data centre are preferred until they
+// outstanding calls to it. An upstream that takes a limited rate of calls is loaded by
+// the part of the rate that is in use, and gets none beyond it while another has room.
+// VMs of the own data centre are preferred until they
 // are nearly full. A newly announced VM starts slowly, with a rising share of the calls.
 // A failing VM is ejected for a while, but never more than half of all VMs at
 // once. A Balancer is not safe for concurrent use.
@@ -79,6 +81,7 @@
 	outstanding  int
 	reported     admit.Load
 	reportedAt   time.Time
+	rate         rateShare
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
@@ -210,6 +213,7 @@
 	p.outstanding = max(0, p.outstanding-1)
 	p.probing = false
 	if r.Load != nil {
+		p.rate.observe(now, *r.Load)
 		p.reported, p.reportedAt = *r.Load, now
 	}
 	if r.Outcome != OutcomeFailed {
@@ -265,13 +269,13 @@
 // choose prefers the own data centre as long as the better of two VMs drawn
 // there is not nearly full.
 func (b *Balancer) choose(now time.Time, level int, usable []*peer) *peer {
+	usable = b.belowLimit(now, level, usable)
 	local, remote := b.splitByLocality(usable)
 	if len(local) == 0 {
 		return b.betterOfTwo(now, level, remote)
 	}
 	p := b.betterOfTwo(now, level, local)
-	nearlyFull := p.score(now) >= maxPreferredLoad || p.shedding(now, level)
-	if !nearlyFull || len(remote) == 0 {
+	if p.hasRoom(now, level) || len(remote) == 0 {
 		return p
 	}
 	q := b.betterOfTwo(now, level, remote)
@@ -282,6 +286,42 @@
 	return q
 }
 
+// belowLimit leaves out limited peers for the share of calls that is too much for them,
+// as long as another has room.
+func (b *Balancer) belowLimit(now time.Time, level int, usable []*peer) []*peer {
+	below := make([]*peer, 0, len(usable))
+	room := false
+	for _, p := range usable {
+		if share := p.rate.share(now); share >= 1 || b.rng.Float64() < share {
+			below = append(below, p)
+			room = room || p.hasRoom(now, level)
+		}
+	}
+	if !room {
+		return usable
+	}
+	return below
+}
+
+// hasRoom reports whether the VM is known to take calls of a priority level.
+func (p *peer) hasRoom(now time.Time, level int) bool {
+	return p.score(now) < maxPreferredLoad && !p.shedding(now, level)
+}
+
+// LacksRoom reports whether too many calls of a priority level for a VM are too many for
+// the whole service. They are not if its upstream is limited and another VM has room.
+func (b *Balancer) LacksRoom(now time.Time, level int, vm ident.VM) bool {
+	if p := b.peers[vm]; p == nil || p.reported.RateLimit == 0 {
+		return true
+	}
+	for _, p := range b.order {
+		if p.VM != vm && !now.Before(p.ejectedUntil) && p.hasRoom(now, level) {
+			return false
+		}
+	}
+	return true
+}
+
 func (b *Balancer) splitByLocality(usable []*peer) (local, remote []*peer) {
 	for _, p := range usable {
 		if p.DataCentre == b.home {
@@ -317,11 +357,13 @@
 func (p *peer) score(now time.Time) float64 {
 	capacity := float64(max(1, p.Slots))
 	inFlight := float64(p.outstanding)
+	rateUse := 0.0
 	if now.Sub(p.reportedAt) < loadTTL {
+		rateUse = p.reported.RateUse
 		capacity = float64(max(1, p.reported.Limit))
 		inFlight = max(inFlight, float64(p.reported.Running+p.reported.Waiting))
 	}
-	return (inFlight + 1) / (capacity * p.slowStartFactor(now))
+	return max((inFlight+1)/(capacity*p.slowStartFactor(now)), rateUse)
 }
 
 // slowStartFactor returns the part of its capacity that a VM is used at, which
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -170,3 +170,59 @@
 	}
 	assert.Equal(t, pickMany(t, b, epoch, 8)["near-0"], 8)
 }
+
+// report answers a call to a VM with a load.
+func report(b *Balancer, now time.Time, vm ident.VM, load admit.Load) {
+	b.Done(now, vm, Report{Outcome: OutcomeAnswered, Load: &load})
+}
+
+func TestLimitedVMGetsNoCallsBeyondItsRate(t *testing.T) {
+	used := admit.Load{Limit: 10, RateLimit: 20, RateUse: 1.2, ShedLevel: admit.ShedLevelNone}
+	half := admit.Load{Limit: 10, RateLimit: 20, RateUse: 0.5, ShedLevel: admit.ShedLevelNone}
+	idle := admit.Load{Limit: 10, ShedLevel: admit.ShedLevelNone}
+	t.Run("while another has room", func(t *testing.T) {
+		b := newBalancer(2, 1)
+		report(b, epoch, "near-0", used)
+		report(b, epoch, "near-1", used)
+		report(b, epoch, "far-0", idle)
+		assert.Equal(t, pickMany(t, b, epoch, 6)["far-0"], 6)
+	})
+	t.Run("but when all are limited, the one with most room", func(t *testing.T) {
+		b := newBalancer(2, 0)
+		report(b, epoch, "near-0", used)
+		report(b, epoch, "near-1", half)
+		assert.Equal(t, pickMany(t, b, epoch, 5)["near-1"], 5)
+	})
+	t.Run("and the limit may have ended when it has not been called for a while", func(t *testing.T) {
+		b := newBalancer(2, 0)
+		now, tried := epoch, 0
+		for range 300 {
+			report(b, now, "near-1", idle)
+			c, _ := b.Pick(now, 0, nil)
+			if c.VM == "near-0" {
+				tried++
+				report(b, now, "near-0", admit.Load{Limit: 10, RateLimit: 1, RateUse: 3, ShedLevel: admit.ShedLevelNone})
+			} else {
+				report(b, now, c.VM, idle)
+			}
+			now = now.Add(50 * time.Millisecond)
+		}
+		const seconds = 15
+		assert.Assert(t, tried >= seconds/5 && tried <= 2*seconds, "%d times in %d s", tried, seconds)
+	})
+}
+
+// What a limited upstream asks to refuse is not what its service lacks while another one
+// has room.
+func TestLimitedVMSpeaksForItsServiceOnlyWithoutRoomElsewhere(t *testing.T) {
+	limited := admit.Load{Limit: 10, RateLimit: 20, RateUse: 1.2, ShedLevel: admit.ShedLevelNone}
+	b := newBalancer(2, 0)
+	report(b, epoch, "near-0", limited)
+	report(b, epoch, "near-1", admit.Load{Limit: 10, Running: 2, ShedLevel: admit.ShedLevelNone})
+	assert.Assert(t, !b.LacksRoom(epoch, 0, "near-0"))
+	assert.Assert(t, b.LacksRoom(epoch, 0, "near-1"))
+	report(b, epoch, "near-1", admit.Load{Limit: 10, Running: 9})
+	assert.Assert(t, b.LacksRoom(epoch, 0, "near-0"))
+	report(b, epoch, "near-1", admit.Load{Limit: 10, RateLimit: 5, RateUse: 0.9})
+	assert.Assert(t, b.LacksRoom(epoch, 0, "near-0"))
+}
--- a/io/header/header.go
+++ b/io/header/header.go
@@ -76,6 +76,9 @@
 	// ServiceRefuseShare is the share of the demand for Service that the VMs of the
 	// service ask to refuse, as the mean of those that the dispatching daemon calls.
 	ServiceRefuseShare float64 `json:"refuse,omitempty"`
+	// RoomElsewhere is set on a call to a limited upstream while another VM of the
+	// service is known to have room.
+	RoomElsewhere bool `json:"room,omitempty"`
 	// FairShareWorkspace is the workspace whose fair share of the upstream the
 	// call uses: the workspace of the action, even where Workspace is not shown
 	// to the upstream.
--- a/io/proxy/admission.go
+++ b/io/proxy/admission.go
@@ -66,6 +66,7 @@
 		Deadline:        now.Add(time.Duration(c.TimeoutMs) * time.Millisecond),
 
 		ServiceRefuseShare: c.ServiceRefuseShare,
+		RoomElsewhere:      c.RoomElsewhere,
 	})
 	a.apply(effects)
 	return a.lastTicket, decision
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -12,6 +12,7 @@
 	"chicorymast/core/admit"
 	"chicorymast/core/fault"
 	"chicorymast/core/ident"
+	"chicorymast/core/inflow"
 	"chicorymast/core/poison"
 	"chicorymast/core/retry"
 	"chicorymast/core/route"
@@ -150,7 +151,7 @@
 // pick chooses a VM that has not been tried, or any VM in pass-through mode once
 // all have been tried.
 func (p *Proxy) pick(c header.Call, tried map[ident.VM]bool) (route.Candidate, route.Spill, bool) {
-	level := admit.PriorityLevel(c.Priority(), c.Nested || c.AdmittedShare < 1)
+	level := admissionLevel(c)
 	vm, spill, ok := p.router.pick(c.Service, level, tried)
 	if !ok && len(tried) > 0 && p.passThrough() {
 		return p.router.pick(c.Service, level, nil)
@@ -158,6 +159,10 @@
 	return vm, spill, ok
 }
 
+func admissionLevel(c header.Call) int {
+	return admit.PriorityLevel(c.Priority(), c.Nested || c.AdmittedShare < 1)
+}
+
 // retryableResponse reports whether the upstream's own response permits a retry
 // on another VM.
 func retryableResponse(o *outboundCall, a attempt) bool {
@@ -300,7 +305,7 @@
 		return attempt{refusal: r}
 	}
 	p.notices.learn(p.opt.Clock.Now(), vm, result)
-	p.entryAdmission.recordCosts(o.call.Route, vm.VM, result.ServiceCosts)
+	p.entryAdmission.recordCosts(o.call.Route, vm.VM, p.serviceCosts(o.call, vm.VM, result))
 	if result.Reason != "" {
 		defer stop()
 		discardBody(resp)
@@ -315,6 +320,14 @@
 	return p.receive(ctx, o, vm, resp, result, stop)
 }
 
+// serviceCosts returns the costs of a result that count at this daemon.
+func (p *Proxy) serviceCosts(c header.Call, vm ident.VM, result header.Result) []inflow.ServiceCost {
+	if result.Load.RateLimit == 0 || p.router.lacksRoom(c.Service, admissionLevel(c), vm) {
+		return result.ServiceCosts
+	}
+	return inflow.WithoutService(result.ServiceCosts, c.Service)
+}
+
 // attemptError returns errPeerSilent if the watchdog cancelled the attempt, and
 // err otherwise.
 func attemptError(ctx context.Context, err error) error {
@@ -332,6 +345,7 @@
 	call.Retries = lent
 	call.ServiceRefuseShare = p.entryAdmission.serviceRefuseShare(call.Route, call.Service)
 	call.TimeoutMs = remaining(ctx, p.opt.Clock.Now()).Milliseconds()
+	call.RoomElsewhere = !p.router.lacksRoom(call.Service, admissionLevel(call), vm.VM)
 	call.Told = p.notices.told(p.opt.Clock.Now(), vm.Process)
 	header.LowerIdempotencyKey(req.Header)
 	header.SetCall(req.Header, call)
--- a/io/proxy/router.go
+++ b/io/proxy/router.go
@@ -116,6 +116,15 @@
 	return vm, s.balancer.LastSpill(), ok
 }
 
+// lacksRoom reports whether too many calls for a VM are too many for the whole service.
+func (rt *router) lacksRoom(name ident.Service, level int, vm ident.VM) bool {
+	s := rt.service(name)
+	now := rt.opt.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.balancer.LacksRoom(now, level, vm)
+}
+
 // blocked returns the data centres that can't be reached at present.
 func (rt *router) blocked(now time.Time) map[ident.DataCentre]bool {
 	if !rt.suspected.Load() || rt.opt.Config().Daemon.Mode == config.ModePassThrough {
