--- a/io/proxy/notices_test.go
+++ b/io/proxy/notices_test.go
@@ -24,17 +24,23 @@
 	*httptest.Server
 	requests atomic.Int64
 	limit    atomic.Pointer[string]
+	// respond writes the rest of a response; nil responds without a body.
+	respond http.HandlerFunc
 }
 
 func newSayingUpstream(t *testing.T, limit string) *sayingUpstream {
 	t.Helper()
 	u := &sayingUpstream{}
 	u.say(limit)
-	u.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	u.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		u.requests.Add(1)
 		if text := *u.limit.Load(); text != "" {
 			w.Header().Set(header.UpstreamLimit, text)
 		}
+		if u.respond != nil {
+			u.respond(w, r)
+			return
+		}
 		w.Header().Set("Content-Length", "0")
 	}))
 	t.Cleanup(u.Close)
@@ -117,6 +123,46 @@
 	})
 }
 
+// A wrong or foreign statement must not stop a service.
+func TestStatementsThatDoNotLimitAnUpstream(t *testing.T) {
+	for name, c := range map[string]struct {
+		limit   string
+		respond http.HandlerFunc
+	}{
+		"no number":               {limit: "many"},
+		"a negative number":       {limit: "-1"},
+		"not a number":            {limit: "NaN"},
+		"another server responds": {"1", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }},
+		"a spoilt response": {"1", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Connection", "close")
+			w.Header().Set("Transfer-Encoding", "identity")
+			_, _ = w.Write([]byte("without a length"))
+		}},
+		"an interim response": {"", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(header.UpstreamLimit, "1")
+			w.WriteHeader(http.StatusEarlyHints)
+			w.Header().Del(header.UpstreamLimit)
+			w.WriteHeader(http.StatusOK)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := newSayingUpstream(t, c.limit)
+			u.respond = c.respond
+			calls := newPeerCalls(t, u.address())
+			calls.offer(20, time.Second)
+			assert.Equal(t, u.requests.Load(), int64(20))
+		})
+	}
+	t.Run("a limit of zero still lets some calls through", func(t *testing.T) {
+		u := newSayingUpstream(t, "0")
+		calls := newPeerCalls(t, u.address())
+		calls.send(1)
+		calls.offer(20, 4*time.Second)
+		got := u.requests.Load() - 1
+		assert.Assert(t, got >= 3 && got <= 5, "%d calls in 4 s", got)
+	})
+}
+
 // A daemon that restarts knows no limit, while the others go on sending.
 func TestRestartedDaemonKeepsTheLimitThatOthersKnow(t *testing.T) {
 	const limit = 10
