admit, proxy, route: a limit beyond any rate, a gauge that follows, no draws without limits

Callers would have met a queue of one call beside an upstream that names 24 digits: the length overflowed. TestCallsDoNotQueueForALimitedUpstream/unless_the_limit_is_beyond_any_rate failed before. The gauge of the limit stayed after the upstream was replaced or had not repeated its limit for 30 s; it is now set with the others, each second. Placing skips the shares where no candidate is limited, which is nearly always.

--- a/core/admit/pace.go
+++ b/core/admit/pace.go
@@ -84,7 +84,7 @@
 	if !p.limited() {
 		return math.MaxInt
 	}
-	return max(1, int(p.rate*maxPaceWait.Seconds()))
+	return int(min(max(1, p.rate*maxPaceWait.Seconds()), math.MaxInt32))
 }
 
 // SetRate sets the rate at which calls may start, zero for any, and starts waiting calls.
--- a/core/admit/pace_test.go
+++ b/core/admit/pace_test.go
@@ -96,6 +96,13 @@
 	assert.Equal(t, waiting, int(20*maxPaceWait.Seconds()))
 	assert.Equal(t, refusedCalls, 100-waiting)
 	assert.Assert(t, ctl.Load(epoch).RateUse > 0)
+	t.Run("unless the limit is beyond any rate", func(t *testing.T) {
+		high := New(Config{Slots: 1, QueueLimit: 3})
+		high.SetRate(epoch, 1e24)
+		for n := range 4 {
+			assert.Equal(t, len(refused(high.Arrive(epoch, request(n, ident.ClassNormal)))), 0)
+		}
+	})
 	t.Run("the most important first", func(t *testing.T) {
 		nested := request(200, ident.ClassHigh)
 		nested.Nested = true
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -10,9 +10,8 @@
 // Of two candidates drawn at random, the balancer picks the less loaded one. The
 // load of a VM is what its last response reported, but at least the number of
 // outstanding calls to it. An upstream that takes a limited rate of calls is loaded by
-// the part of the rate that is in use, and gets none beyond it while another has room.
-// VMs of the own data centre are preferred until they
-// are nearly full. A newly announced VM starts slowly, with a rising share of the calls.
+// the part of the rate that is in use, and gets few calls beyond it while another has
+// room. VMs of the own data centre are preferred until they are nearly full. A newly announced VM starts slowly, with a rising share of the calls.
 // A failing VM is ejected for a while, but never more than half of all VMs at
 // once. A Balancer is not safe for concurrent use.
 package route
@@ -289,6 +288,9 @@
 // belowLimit leaves out limited peers for the share of calls that is too much for them,
 // as long as another has room.
 func (b *Balancer) belowLimit(now time.Time, level int, usable []*peer) []*peer {
+	if !slices.ContainsFunc(usable, func(p *peer) bool { return p.rate.limited }) {
+		return usable
+	}
 	below := make([]*peer, 0, len(usable))
 	room := false
 	for _, p := range usable {
--- a/io/proxy/metrics.go
+++ b/io/proxy/metrics.go
@@ -16,10 +16,9 @@
 	seconds  *prometheus.HistogramVec
 	retries  prometheus.Counter
 	replays  prometheus.Counter
-	// upstreamLimit is set when the upstream on this VM names another limit.
-	upstreamLimit prometheus.Gauge
 	// The gauges below are set by overloadReporter.
 	limit            prometheus.Gauge
+	upstreamLimit    prometheus.Gauge
 	startedRate      prometheus.Gauge
 	arrivingSlots    prometheus.Gauge
 	refuseShare      prometheus.Gauge
--- a/io/proxy/notices.go
+++ b/io/proxy/notices.go
@@ -129,7 +129,6 @@
 			p.opt.UpstreamLeaves(n.Process)
 		}
 	}
-	p.opt.Metrics.upstreamLimit.Set(float64(n.Limit))
 	if n.Limit == before.Limit {
 		return
 	}
--- a/io/proxy/overload.go
+++ b/io/proxy/overload.go
@@ -33,6 +33,7 @@
 func (o *overloadReporter) reportUpstream(s admit.Status) {
 	m := o.p.opt.Metrics
 	m.limit.Set(float64(s.Limit))
+	m.upstreamLimit.Set(float64(s.RateLimit))
 	m.startedRate.Set(s.StartedPerSecond)
 	m.arrivingSlots.Set(s.ArrivingSlots)
 	m.refuseShare.Set(s.RefuseShare)
