--- a/core/route/route.go
+++ b/core/route/route.go
@@ -11,9 +11,10 @@
 // load of a VM is what its last response reported, but at least the number of
 // outstanding calls to it. An upstream that takes a limited rate of calls is loaded by
 // the part of the rate that is in use, and gets few calls beyond it while another has
-// room. VMs of the own data centre are preferred until they are nearly full. A newly announced VM starts slowly, with a rising share of the calls.
-// A failing VM is ejected for a while, but never more than half of all VMs at
-// once. A Balancer is not safe for concurrent use.
+// room. VMs of the own data centre are preferred until they are nearly full. A newly
+// announced VM starts slowly, with a rising share of the calls. A failing VM is ejected
+// for a while, but never more than half of all VMs at once. A Balancer is not safe for
+// concurrent use.
 package route
 
 import (
