proxy: timers of a call run only once the call can reset them

A daemon that is suspended for 250 ms between the start of such a timer and the assignment of its variable would end with a nil pointer, and all of its calls with it. Nobody has seen it: go test -race ./io/proxy shows the unsynchronised write (interimSender.timer read by send; the watchdog has the same order). It is as old as the watch on silent peers; the new tests with calls that wait in a queue made it show.

The timers are now made stopped and started by their first Reset. The race in TestSilentPeerIsSuspectedBeforeTheAttemptIsGivenUp was one of the test, whose callback read a variable that was being assigned; it checks the same after the callback. With both, go test -race passes for the tests of limits, silence and restarts.

--- a/io/proxy/watch.go
+++ b/io/proxy/watch.go
@@ -47,7 +47,8 @@
 func withWatchdog(ctx context.Context, onSilent, onAlive func()) (context.Context, *watchdog, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &watchdog{onSilent: onSilent, onAlive: onAlive, cancel: cancel}
-	w.timer = time.AfterFunc(suspectTime, w.expire)
+	w.timer = newStoppedTimer(w.expire)
+	w.timer.Reset(suspectTime)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		WroteHeaders: func() { w.wroteHeaders.Store(true) },
 		WroteRequest: func(httptrace.WroteRequestInfo) { w.reset() },
@@ -63,6 +64,14 @@
 	}
 }
 
+// newStoppedTimer returns a timer that calls f after its first Reset, when the variable is
+// set through which f resets it. A process may be suspended at any point before that.
+func newStoppedTimer(f func()) *time.Timer {
+	t := time.AfterFunc(time.Hour, f)
+	t.Stop()
+	return t
+}
+
 // expire suspects a silent peer and, when it stays silent, cancels the attempt.
 func (w *watchdog) expire() {
 	if w.disarmed.Load() {
@@ -119,7 +128,8 @@
 
 func startInterimSender(w http.ResponseWriter) *interimSender {
 	s := &interimSender{w: w}
-	s.timer = time.AfterFunc(interimInterval, s.send)
+	s.timer = newStoppedTimer(s.send)
+	s.timer.Reset(interimInterval)
 	return s
 }
 
--- a/io/proxy/watch_test.go
+++ b/io/proxy/watch_test.go
@@ -13,12 +13,11 @@
 // A nested call has less time than the watchdog gives a peer, so silence must be known
 // before an attempt ends.
 func TestSilentPeerIsSuspectedBeforeTheAttemptIsGivenUp(t *testing.T) {
-	suspected, alive := make(chan error, 2), 0
-	var ctx context.Context
-	var w *watchdog
-	ctx, w, stop := withWatchdog(context.Background(), func() { suspected <- ctx.Err() }, func() { alive++ })
+	suspected, alive := make(chan struct{}, 2), 0
+	ctx, w, stop := withWatchdog(context.Background(), func() { suspected <- struct{}{} }, func() { alive++ })
 	defer stop()
-	assert.NilError(t, <-suspected, "the attempt goes on")
+	<-suspected
+	assert.NilError(t, ctx.Err(), "the attempt goes on")
 	assert.Assert(t, w.silent.Load())
 	t.Run("a sign of life ends the suspicion", func(t *testing.T) {
 		assert.NilError(t, httptrace.ContextClientTrace(ctx).Got1xxResponse(102, textproto.MIMEHeader{}))
@@ -26,7 +25,8 @@
 		assert.Equal(t, alive, 1)
 	})
 	t.Run("silence for long ends the attempt", func(t *testing.T) {
-		assert.NilError(t, <-suspected)
+		<-suspected
+		assert.NilError(t, ctx.Err())
 		<-ctx.Done()
 		assert.Assert(t, errors.Is(context.Cause(ctx), errPeerSilent))
 	})
