route, notice, header, proxy: one name for one thing

Read as a newcomer: LacksRoom was the opposite of what calls carry as RoomElsewhere; Limit was a rate in a notice and what a response states in a statement; Told and told named what Result calls a notice. They are RoomElsewhere, StatedLimit and UpstreamNotice now, and two constants have their reasons back.

--- a/core/inflow/overload_test.go
+++ b/core/inflow/overload_test.go
@@ -286,7 +286,7 @@
 		}
 		tried[picked.VM] = true
 		once := *c
-		once.roomElsewhere = !b.LacksRoom(f.now, level, picked.VM)
+		once.roomElsewhere = b.RoomElsewhere(f.now, level, picked.VM)
 		once.serviceRefuseShare = d.shedder.ServiceRefuseShare(f.now, c.route, service)
 		once.done = func(ok bool, costs []inflow.ServiceCost) {
 			f.after(hopLatency, func() {
@@ -296,7 +296,7 @@
 					outcome = route.OutcomeRefused
 				}
 				b.Done(f.now, picked.VM, route.Report{Outcome: outcome, Load: &load})
-				if !b.LacksRoom(f.now, level, picked.VM) {
+				if b.RoomElsewhere(f.now, level, picked.VM) {
 					costs = inflow.WithoutService(costs, service)
 				}
 				d.shedder.Observe(f.now, c.route, costs)
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -55,11 +55,11 @@
 // Statement is what one response says.
 type Statement struct {
 	Leaving bool
-	Limit   Limit
+	Limit   StatedLimit
 }
 
-// Limit is what one response says about the rate: Named, Unnamed or Unreadable.
-type Limit interface{ isLimit() }
+// StatedLimit is what one response says about the rate: Named, Unnamed or Unreadable.
+type StatedLimit interface{ isStatedLimit() }
 
 // Named is a rate that an upstream asks for.
 type Named struct{ Rate ident.Rate }
@@ -70,9 +70,9 @@
 // Unreadable is a rate that can't be read; it changes nothing.
 type Unreadable struct{ Text string }
 
-func (Named) isLimit()      {}
-func (Unnamed) isLimit()    {}
-func (Unreadable) isLimit() {}
+func (Named) isStatedLimit()      {}
+func (Unnamed) isStatedLimit()    {}
+func (Unreadable) isStatedLimit() {}
 
 // MinLimit is the lowest rate that is kept, in calls per second. An upstream that names
 // less gets this much, since only a response can say that the limit has ended.
@@ -130,7 +130,7 @@
 	}
 }
 
-func (o *Own) applyLimit(at time.Time, l Limit, ran bool) {
+func (o *Own) applyLimit(at time.Time, l StatedLimit, ran bool) {
 	switch l := l.(type) {
 	case Named:
 		o.current.Limit, o.heardAt, o.limitAt = max(l.Rate, MinLimit), at, at
--- a/core/route/rate.go
+++ b/core/route/rate.go
@@ -18,9 +18,11 @@
 }
 
 const (
-	// targetRateUse is the part of a limit to use while others have room.
+	// targetRateUse is the part of a limit to use while others have room; the rest takes
+	// up bursts, so that few calls are sent in vain.
 	targetRateUse = 0.95
-	// rateShareTime is the time in which the share follows the use.
+	// rateShareTime is the time in which the share follows the use, the averaging time of
+	// the reported rate: a faster share would swing.
 	rateShareTime = time.Second
 	// minRateShare is the smallest share: some calls show when there is room again.
 	minRateShare = 0.02
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -311,18 +311,18 @@
 	return p.score(now) < maxPreferredLoad && !p.shedding(now, level)
 }
 
-// LacksRoom reports whether too many calls of a priority level for a VM are too many for
-// the whole service. They are not if its upstream is limited and another VM has room.
-func (b *Balancer) LacksRoom(now time.Time, level int, vm ident.VM) bool {
-	if p := b.peers[vm]; p == nil || p.reported.RateLimit == 0 {
-		return true
+// RoomElsewhere reports whether calls of a priority level that are too many for a VM can go
+// to another: its upstream takes a limited rate, and another VM is known to have room.
+func (b *Balancer) RoomElsewhere(now time.Time, level int, vm ident.VM) bool {
+	if p := b.peers[vm]; p == nil || !p.rate.limited {
+		return false
 	}
 	for _, p := range b.order {
 		if p.VM != vm && !now.Before(p.ejectedUntil) && p.hasRoom(now, level) {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 func (b *Balancer) splitByLocality(usable []*peer) (local, remote []*peer) {
--- a/io/header/dialect_test.go
+++ b/io/header/dialect_test.go
@@ -70,7 +70,7 @@
 func TestStatementOfAResponse(t *testing.T) {
 	d := customDialect
 	d.Limit, d.Leaving = "X-Limit", "X-Leaving"
-	for text, want := range map[string]notice.Limit{
+	for text, want := range map[string]notice.StatedLimit{
 		"18.8": notice.Named{Rate: 18.8}, "0": notice.Named{}, "7, 5.5": notice.Named{Rate: 5.5}, "x,9": notice.Named{Rate: 9},
 		"": notice.Unreadable{}, "-3": notice.Unreadable{Text: "-3"}, "NaN": notice.Unreadable{Text: "NaN"},
 		"inf": notice.Unreadable{Text: "inf"}, "1e400": notice.Unreadable{Text: "1e400"}, "0x10": notice.Unreadable{Text: "0x10"},
--- a/io/header/header.go
+++ b/io/header/header.go
@@ -90,9 +90,9 @@
 	// Retries is the retry budget of the call and all its nested calls.
 	Retries   int   `json:"retries"`
 	TimeoutMs int64 `json:"timeout_ms"`
-	// Told is what the dispatching daemon knows of a limited upstream that the call goes
-	// to, for a daemon beside it that has restarted.
-	Told *notice.Notice `json:"told,omitempty"`
+	// UpstreamNotice is what the dispatching daemon knows of a limited upstream that the
+	// call goes to, for a daemon beside it that has restarted.
+	UpstreamNotice *notice.Notice `json:"notice,omitempty"`
 }
 
 // Priority returns the priority of the call.
--- a/io/proxy/notices.go
+++ b/io/proxy/notices.go
@@ -43,9 +43,8 @@
 	return n.book.Of(now, p)
 }
 
-// told returns what to tell the daemon beside a limited upstream along with a call, nil
-// for nothing.
-func (n *notices) told(now time.Time, p notice.Process) *notice.Notice {
+// limitOf returns what is known of a limited process that calls go to, nil for another.
+func (n *notices) limitOf(now time.Time, p notice.Process) *notice.Notice {
 	known := n.of(now, p)
 	if known.Limit == 0 {
 		return nil
@@ -111,8 +110,8 @@
 	p.notices.mu.Lock()
 	before := p.notices.own.Of(now, process)
 	n, adopted := before, false
-	if call.Told != nil {
-		n, adopted = p.notices.own.Adopt(now, process, *call.Told)
+	if call.UpstreamNotice != nil {
+		n, adopted = p.notices.own.Adopt(now, process, *call.UpstreamNotice)
 	}
 	p.notices.mu.Unlock()
 	if adopted {
--- a/io/proxy/notices_test.go
+++ b/io/proxy/notices_test.go
@@ -171,7 +171,7 @@
 		t.Helper()
 		u := newSayingUpstream(t, said)
 		c := newPeerCalls(t, u.address())
-		c.call.Told = &notice.Notice{Process: process, Limit: limit}
+		c.call.UpstreamNotice = &notice.Notice{Process: process, Limit: limit}
 		return u, c
 	}
 	t.Run("before the upstream has said anything", func(t *testing.T) {
@@ -190,7 +190,7 @@
 	})
 	t.Run("but not that of another process", func(t *testing.T) {
 		u, c := newCalls(t, "")
-		c.call.Told.StartedMs++
+		c.call.UpstreamNotice.StartedMs++
 		c.offer(4*limit, time.Second)
 		assert.Equal(t, u.requests.Load(), int64(4*limit))
 	})
@@ -202,7 +202,7 @@
 	n := newNotices()
 	mustTell := func(t *testing.T, want ident.Rate) {
 		t.Helper()
-		told := n.told(now, process)
+		told := n.limitOf(now, process)
 		assert.Equal(t, told != nil, want > 0)
 		assert.Assert(t, told == nil || told.Limit == want)
 	}
--- a/io/proxy/router.go
+++ b/io/proxy/router.go
@@ -116,13 +116,13 @@
 	return vm, s.balancer.LastSpill(), ok
 }
 
-// lacksRoom reports whether too many calls for a VM are too many for the whole service.
-func (rt *router) lacksRoom(name ident.Service, level int, vm ident.VM) bool {
+// roomElsewhere reports whether calls that are too many for a VM can go to another.
+func (rt *router) roomElsewhere(name ident.Service, level int, vm ident.VM) bool {
 	s := rt.service(name)
 	now := rt.opt.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.balancer.LacksRoom(now, level, vm)
+	return s.balancer.RoomElsewhere(now, level, vm)
 }
 
 // blocked returns the data centres that can't be reached at present.
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -55,12 +55,13 @@
 	return p.receive(ctx, o, vm, resp, result, stop)
 }
 
-// serviceCosts returns the costs of a result that count at this daemon.
+// serviceCosts returns the costs of a result that count at this daemon: what a limited
+// upstream asks to refuse does not while another one has room.
 func (p *Proxy) serviceCosts(c header.Call, vm ident.VM, result header.Result) []inflow.ServiceCost {
-	if result.Load.RateLimit == 0 || p.router.lacksRoom(c.Service, admissionLevel(c), vm) {
-		return result.ServiceCosts
+	if result.Load.RateLimit > 0 && p.router.roomElsewhere(c.Service, admissionLevel(c), vm) {
+		return inflow.WithoutService(result.ServiceCosts, c.Service)
 	}
-	return inflow.WithoutService(result.ServiceCosts, c.Service)
+	return result.ServiceCosts
 }
 
 // attemptError returns errPeerSilent if the watchdog cancelled the attempt, and
@@ -80,8 +81,8 @@
 	call.Retries = lent
 	call.ServiceRefuseShare = p.entryAdmission.serviceRefuseShare(call.Route, call.Service)
 	call.TimeoutMs = remaining(ctx, p.opt.Clock.Now()).Milliseconds()
-	call.RoomElsewhere = !p.router.lacksRoom(call.Service, admissionLevel(call), vm.VM)
-	call.Told = p.notices.told(p.opt.Clock.Now(), vm.Process)
+	call.RoomElsewhere = p.router.roomElsewhere(call.Service, admissionLevel(call), vm.VM)
+	call.UpstreamNotice = p.notices.limitOf(p.opt.Clock.Now(), vm.Process)
 	header.LowerIdempotencyKey(req.Header)
 	header.SetCall(req.Header, call)
 	if p.opt.Dialect.PropagateTrace {
