review: case 1, payments without a body run twice

A POST without a body and with X-Idempotency-Key is sent again by net/http when the server resets a kept connection after the run. The request runs twice and the caller gets the answer of the second run.

--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -31,8 +31,11 @@
 		`"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"3000ms","idle_timeout":"15000ms"},`+
 		`"tenants":[{"name":"pulo780","api_keys":["6wsjnbanfqasnmgkcuyj"],"priority":1,"rate_per_s":97,"burst":97}],`+
 		`"listeners":[{"host":"hulo84.example","rules":[{"name":"r-1","type":"idempotent","target_latency":"2000ms","priority":2,"public":false,`+
-		`"match":{"path_prefix":"/leny950/"},"action":{"service":"huvo11a","timeout":"%dms","max_attempts":2}}]}],`+
-		`"clusters":[{"name":"huvo11a","health_check_path":"/health","max_connections":532,"protocol":"h1","tls":false}]}`,
+		`"match":{"path_prefix":"/leny950/"},"action":{"service":"huvo11a","timeout":"%dms","max_attempts":2}}]},`+
+		`{"host":"jepu9.example","rules":[{"name":"r-2","type":"non_idempotent","target_latency":"2000ms","priority":0,"public":false,`+
+		`"match":{"path_prefix":"/puka111/"},"action":{"service":"wuno96b","timeout":"1500ms","max_attempts":2}}]}],`+
+		`"clusters":[{"name":"huvo11a","health_check_path":"/health","max_connections":532,"protocol":"h1","tls":false},`+
+		`{"name":"wuno96b","health_check_path":"/health","max_connections":622,"protocol":"h1","tls":false}]}`,
 		version, base, 1000+version)
 }
 
--- /dev/null
+++ b/review/standin/server.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// server is the application server of a sidecar machine. It announces itself to the
+// daemon beside it and runs requests.
+type server struct {
+	rec     *record
+	machine *machine
+	id      string
+	ln      net.Listener
+	http    *http.Server
+	stopped chan struct{}
+	// lose says whether the answer to a run is lost; nil loses none.
+	lose func(id string) bool
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// serviceTime is how long a run takes.
+const serviceTime = 20 * time.Millisecond
+
+func startServer(rec *record, m *machine, lose func(id string) bool) (*server, error) {
+	ln, err := net.Listen("tcp", m.ip+":0")
+	if err != nil {
+		return nil, err
+	}
+	s := &server{rec: rec, machine: m, id: "i-" + m.name, ln: ln, stopped: make(chan struct{}), lose: lose, runs: map[string]int{}}
+	s.http = &http.Server{Handler: s}
+	go func() { _ = s.http.Serve(ln) }()
+	go s.announce()
+	return s, nil
+}
+
+func (s *server) stop() {
+	close(s.stopped)
+	_ = s.http.Close()
+}
+
+// announce sends a heartbeat every 1.5 s, and every 200 ms until one was acknowledged.
+func (s *server) announce() {
+	const interval, retry = 1500 * time.Millisecond, 200 * time.Millisecond
+	born := time.Now().UnixMilli()
+	client := &http.Client{Timeout: time.Second}
+	for sequence := 1; ; sequence++ {
+		wait := interval
+		if !s.beat(client, born, sequence) {
+			wait = retry
+		}
+		select {
+		case <-s.stopped:
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (s *server) beat(client *http.Client, born int64, sequence int) (acknowledged bool) {
+	body, err := json.Marshal(map[string]any{
+		"born": born, "address": s.ln.Addr().String(),
+		"info":   map[string]any{"service": s.machine.service, "version": "v1", "zone": s.machine.zone, "slots": 41},
+		"status": map[string]any{"state": "ready", "sequence": sequence, "cold_remaining": "0ms"},
+	})
+	if err != nil {
+		return false
+	}
+	url := "http://" + s.machine.address(s.machine.fleet.ports.control) + "/instances/" + s.id
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// ServeHTTP runs a request. Where the answer is lost, the connection is reset after the run.
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Attempt-Id")
+	w.Header().Set("X-Attempt-Id", id)
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != s.id {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	s.mu.Lock()
+	s.runs[id]++
+	n := s.runs[id]
+	s.mu.Unlock()
+	s.rec.note("%s runs %s, run %d, on the connection from %s", s.id, id, n, r.RemoteAddr)
+	time.Sleep(serviceTime)
+	if n == 1 && s.lose != nil && s.lose(id) {
+		s.reset(w, id)
+		return
+	}
+	w.Header().Set("X-Response-Signature", "stand-in")
+	_, _ = fmt.Fprintf(w, "run of %s\n", id)
+}
+
+func (s *server) reset(w http.ResponseWriter, id string) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+	s.rec.note("%s has lost its answer to %s: the connection was reset", s.id, id)
+}
+
+// counts returns a copy of the runs by request.
+func (s *server) counts() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]int{}
+	for id, n := range s.runs {
+		out[id] = n
+	}
+	return out
+}
