review: case 4, a late heartbeat brings a deregistered server back

The daemon beside a server that has deregistered is killed and started again. A heartbeat that was sent before the DELETE and arrives late registers the server once more, and requests reach it later than drain after the acknowledgement.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,7 +6,7 @@
 //
 //	standin CASE --program target/chicorymast --templates deploy --record record.txt [--trouble=false]
 //
-// The cases are twice (review/1) and disks (review/2). The exit code is 1 if the rule was broken, 0 if it held and 2 if the case could not run.
+// The cases are twice (review/1), disks (review/2) and leave (review/4). The exit code is 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 package main
 
 import (
@@ -42,7 +42,7 @@
 	flags.StringVar(&opt.record, "record", "record.txt", "file for the record of the run")
 	flags.BoolVar(&opt.trouble, "trouble", true, "cause the disruption")
 	_ = flags.Parse(os.Args[2:]) // ExitOnError
-	cases := map[string]func(options, *record) (broken bool, err error){"disks": runDisks, "twice": runTwice}
+	cases := map[string]func(options, *record) (broken bool, err error){"disks": runDisks, "twice": runTwice, "leave": runLeave}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "standin: unknown case", os.Args[1])
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -19,11 +19,24 @@
 	ln      net.Listener
 	http    *http.Server
 	stopped chan struct{}
+	// silent is closed when the server sends no more heartbeats, and silenced when
+	// none is on its way any more.
+	silent, silenced chan struct{}
+	born             int64
 	// lose says whether the answer to a run is lost; nil loses none.
 	lose func(id string) bool
 
-	mu   sync.Mutex
-	runs map[string]int
+	mu       sync.Mutex
+	sequence int
+	runs     map[string]int
+	// arrivals holds when requests reached the server.
+	arrivals []arrival
+}
+
+// arrival is a request that reached a server.
+type arrival struct {
+	id string
+	at time.Time
 }
 
 // serviceTime is how long a run takes.
@@ -34,7 +47,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{rec: rec, machine: m, id: "i-" + m.name, ln: ln, stopped: make(chan struct{}), lose: lose, runs: map[string]int{}}
+	s := &server{
+		rec: rec, machine: m, id: "i-" + m.name, ln: ln, stopped: make(chan struct{}), lose: lose,
+		silent: make(chan struct{}), silenced: make(chan struct{}), born: time.Now().UnixMilli(), runs: map[string]int{},
+	}
 	s.http = &http.Server{Handler: s}
 	go func() { _ = s.http.Serve(ln) }()
 	go s.announce()
@@ -49,32 +65,53 @@
 // announce sends a heartbeat every 1.5 s, and every 200 ms until one was acknowledged.
 func (s *server) announce() {
 	const interval, retry = 1500 * time.Millisecond, 200 * time.Millisecond
-	born := time.Now().UnixMilli()
-	client := &http.Client{Timeout: time.Second}
-	for sequence := 1; ; sequence++ {
+	defer close(s.silenced)
+	for {
 		wait := interval
-		if !s.beat(client, born, sequence) {
+		if !s.deliver(s.heartbeat()) {
 			wait = retry
 		}
 		select {
 		case <-s.stopped:
 			return
+		case <-s.silent:
+			return
 		case <-time.After(wait):
 		}
 	}
 }
 
-func (s *server) beat(client *http.Client, born int64, sequence int) (acknowledged bool) {
+// heartbeat returns the next heartbeat.
+func (s *server) heartbeat() []byte {
+	s.mu.Lock()
+	s.sequence++
+	sequence := s.sequence
+	s.mu.Unlock()
 	body, err := json.Marshal(map[string]any{
-		"born": born, "address": s.ln.Addr().String(),
+		"born": s.born, "address": s.ln.Addr().String(),
 		"info":   map[string]any{"service": s.machine.service, "version": "v1", "zone": s.machine.zone, "slots": 41},
 		"status": map[string]any{"state": "ready", "sequence": sequence, "cold_remaining": "0ms"},
 	})
 	if err != nil {
-		return false
+		return nil // maps of text and numbers always marshal
 	}
+	return body
+}
+
+// deliver brings a heartbeat to the daemon beside the server.
+func (s *server) deliver(heartbeat []byte) (acknowledged bool) {
+	return s.call(http.MethodPut, heartbeat)
+}
+
+// deregister sends the DELETE of a server that leaves.
+func (s *server) deregister() (acknowledged bool) {
+	return s.call(http.MethodDelete, nil)
+}
+
+func (s *server) call(method string, body []byte) (acknowledged bool) {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	url := "http://" + s.machine.address(s.machine.fleet.ports.control) + "/instances/" + s.id
-	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
+	req, err := http.NewRequest(method, url, bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
@@ -99,6 +136,7 @@
 	s.mu.Lock()
 	s.runs[id]++
 	n := s.runs[id]
+	s.arrivals = append(s.arrivals, arrival{id, time.Now()})
 	s.mu.Unlock()
 	s.rec.note("%s runs %s, run %d, on the connection from %s", s.id, id, n, r.RemoteAddr)
 	time.Sleep(serviceTime)
