--- a/review/standin/leave.go
+++ b/review/standin/leave.go
@@ -35,17 +35,10 @@
 	if err != nil {
 		return false, err
 	}
-	var servers []*server
-	for _, m := range f.machines {
-		if m.core {
-			continue
-		}
-		s, err := startServer(rec, m, nil)
-		if err != nil {
-			return false, err
-		}
-		defer s.stop()
-		servers = append(servers, s)
+	servers, err := startServers(f, nil)
+	defer stopServers(servers)
+	if err != nil {
+		return false, err
 	}
 	if !awaitServed(rec, front) {
 		return false, errors.New("no request was served before the disruption")
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -57,6 +57,27 @@
 	return s, nil
 }
 
+// startServers starts a server on each sidecar machine of a fleet.
+func startServers(f *fleet, lose func(id string) bool) (servers []*server, err error) {
+	for _, m := range f.machines {
+		if m.core {
+			continue
+		}
+		s, err := startServer(f.rec, m, lose)
+		if err != nil {
+			return servers, err
+		}
+		servers = append(servers, s)
+	}
+	return servers, nil
+}
+
+func stopServers(servers []*server) {
+	for _, s := range servers {
+		s.stop()
+	}
+}
+
 func (s *server) stop() {
 	close(s.stopped)
 	_ = s.http.Close()
--- a/review/standin/twice.go
+++ b/review/standin/twice.go
@@ -37,17 +37,10 @@
 	var losing atomic.Bool
 	var runs atomic.Int64
 	lose := func(string) bool { return runs.Add(1)%lostOneIn == 0 && losing.Load() }
-	var servers []*server
-	for _, m := range f.machines {
-		if m.core {
-			continue
-		}
-		s, err := startServer(rec, m, lose)
-		if err != nil {
-			return false, err
-		}
-		defer s.stop()
-		servers = append(servers, s)
+	servers, err := startServers(f, lose)
+	defer stopServers(servers)
+	if err != nil {
+		return false, err
 	}
 	if !awaitServed(rec, front) {
 		return false, errors.New("no request was served before the disruption")
