raft, ctrl: a superseded voter is removed as soon as its successor has joined

Callers saw: after two control machines had lost their disks in turn, the second later than catch_up (4 s) after the first was back, no change was acknowledged and no configuration could be read any more (CONFIG).

Cause: a machine that has lost its disk joins as a new learner; its former node kept its vote until the leader had missed it for 5 s, counted anew by each leader. A second lost disk in that time leaves one live voter of three, so no leader and no way to change the members.

Ruled out: a slow start, join or copy.

Fix: VoterPolicy (core/raft) removes a node that has been silent for four heartbeats while another member replies at its address, then promotes a learner that holds the log. Each step is a change of one member, so a mistake loses nothing. A late or repeated request to join changes no vote, since the address must answer as the new node and the former one be silent. Learners that are lost again are removed the same way.

The model has the replacement with lost disks (SUCCEED): 12,012 states with two lost disks, no error; the mutants KEEP_FORMER, REPLACE_AT_ONCE and REMOVE_UNDECIDED fail.

--- a/core/raft/elect.go
+++ b/core/raft/elect.go
@@ -95,6 +95,7 @@
 	n.peers = map[ident.Node]*progress{}
 	n.sentAt = map[uint64]int{}
 	n.confirmedAt = n.tick
+	n.leadingSince = n.tick
 	n.trackPeers()
 	n.emit(LeaderChange{Term: n.hard.Term, Leading: true, Leader: n.cfg.ID})
 	// A leader commits entries of earlier terms only along with one of its own.
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -83,6 +83,8 @@
 	forced bool
 	// leaderSeen is set once a leader has been known since the start.
 	leaderSeen bool
+	// leadingSince is the tick at which this node became the leader.
+	leadingSince int
 
 	effects []Effect
 }
@@ -324,8 +326,10 @@
 	// set at the leader only.
 	Match map[ident.Node]Index
 	// SinceReply is the time since the last reply of each other member. It is set at
-	// the leader only.
+	// the leader only. It counts from the start of the leadership.
 	SinceReply map[ident.Node]Ticks
+	// LeadingTicks is how long this node has been the leader; zero if it is not.
+	LeadingTicks Ticks
 }
 
 // Status returns the node's current state.
@@ -335,6 +339,7 @@
 		Commit: n.log.commit, Last: n.log.last(), Members: n.members, QuorumAgeTicks: n.quorumAge(),
 	}
 	if s.Leading {
+		s.LeadingTicks = Ticks(n.tick - n.leadingSince)
 		s.Match, s.SinceReply = map[ident.Node]Index{}, map[ident.Node]Ticks{}
 		for id, p := range n.peers {
 			s.Match[id], s.SinceReply[id] = p.match, Ticks(n.tick-p.lastReplyAt)
--- a/io/ctrl/members.go
+++ b/io/ctrl/members.go
@@ -33,7 +33,7 @@
 	var err error
 	switch q.Op {
 	case wire.MembershipAdd:
-		effects, err = c.addLearner(joiner)
+		effects, err = c.node.AddLearner(joiner)
 	case wire.MembershipRemove:
 		effects, err = c.node.Remove(q.Node)
 	}
--- a/io/ctrl/voters.go
+++ b/io/ctrl/voters.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"chicorymast/core/ident"
 	"chicorymast/core/raft"
 	"chicorymast/io/wire"
 )
@@ -14,6 +13,9 @@
 	// unreachableTicks is how long a voter may send no reply before it is replaced.
 	// It is longer than a restart takes, so that a planned restart changes nothing.
 	unreachableTicks = raft.Ticks(5 * time.Second / TickInterval)
+	// silentTicks is the time without a reply after which a member does not count as
+	// responsive: four heartbeats.
+	silentTicks = raft.Ticks(4 * heartbeatTicks)
 	// joinTimeout bounds one request to be added.
 	joinTimeout = time.Second
 )
@@ -62,60 +64,35 @@
 	return false
 }
 
-// addLearner adds a node as a learner. Another learner with the same address is
-// an earlier node that has lost its data folder and never returns, so it is
-// removed first.
-func (c *Control) addLearner(joiner raft.Peer) ([]raft.Effect, error) {
-	for _, p := range c.node.Status().Members.Learners {
-		if p.Address == joiner.Address && p.ID != joiner.ID {
-			return c.node.Remove(p.ID)
-		}
-	}
-	return c.node.AddLearner(joiner)
-}
-
 // maintainVoters keeps 2n+1 voters, n being ToleratedFailures; with n zero it
-// promotes every learner. An unreachable voter is replaced by a learner that
-// holds the whole log: the learner is promoted first, then the voter is removed,
-// so that the number of voters never falls in between.
+// promotes every learner. Where control daemons join by themselves, a node at whose
+// address another one has joined is an earlier node that has lost its data folder. It
+// never returns, so it is removed at once.
 func (c *Control) maintainVoters() {
-	st := c.node.Status()
-	if !st.Leading {
-		return
-	}
-	unreachable := unreachableVoter(st)
-	voterTarget := 2*c.opt.ToleratedFailures + 1
-	if c.opt.ToleratedFailures > 0 && len(st.Members.Voters) > voterTarget && unreachable != "" {
-		c.changeVoters(c.node.Remove(unreachable))
-		return
+	policy := raft.VoterPolicy{
+		UnreachableAfter: unreachableTicks, SilentAfter: silentTicks, RemoveSuperseded: c.opt.ControlAddresses != nil,
 	}
-	if c.opt.ToleratedFailures > 0 && len(st.Members.Voters) >= voterTarget &&
-		(unreachable == "" || len(st.Members.Voters) > voterTarget) {
-		return
+	if c.opt.ToleratedFailures > 0 {
+		policy.Target = 2*c.opt.ToleratedFailures + 1
 	}
-	for _, p := range st.Members.Learners {
-		if st.SinceReply[p.ID] > unreachableTicks {
-			continue
-		}
-		if c.changeVoters(c.node.Promote(p.ID)) {
+	for _, change := range policy.Changes(c.node.Status()) {
+		if c.startVoterChange(change) {
 			return
 		}
 	}
 }
 
-// changeVoters carries out the effects of a membership change. It reports
-// whether the change was started or another one is pending, so that no other
-// one should be tried now.
-func (c *Control) changeVoters(effects []raft.Effect, err error) bool {
+// startVoterChange reports whether the change was started or another one is pending, so
+// that no other one should be tried now.
+func (c *Control) startVoterChange(change raft.VoterChange) bool {
+	var effects []raft.Effect
+	var err error
+	switch change := change.(type) {
+	case raft.RemoveMember:
+		effects, err = c.node.Remove(change.ID)
+	case raft.PromoteLearner:
+		effects, err = c.node.Promote(change.ID)
+	}
 	c.handleEffects(effects)
 	return err == nil || errors.Is(err, raft.ErrChangePending)
 }
-
-func unreachableVoter(st raft.Status) ident.Node {
-	for _, p := range st.Members.Voters {
-		if p.ID != st.ID && st.SinceReply[p.ID] > unreachableTicks {
-			return p.ID
-		}
-	}
-	return ""
-}
--- a/io/daemon/mesh_test.go
+++ b/io/daemon/mesh_test.go
@@ -37,6 +37,7 @@
 	// noTimeout is the HTTP client of the servers, without a timeout.
 	noTimeout *http.Client
 	requests  int
+	log       *logBuffer
 }
 
 // meshVM is a VM with a daemon and, beside most, a server.
@@ -63,10 +64,18 @@
 
 func newMesh(t *testing.T) *mesh {
 	t.Helper()
-	m := &mesh{t: t, dir: t.TempDir(), daemons: map[string]*meshVM{}, client: &http.Client{Timeout: 10 * time.Second}, noTimeout: &http.Client{}}
+	return newMeshOf(t, "core-1", "core-2", "core-3", "shop-1", "shop-2", "stock-1", "stock-2", "rate-1")
+}
+
+func newMeshOf(t *testing.T, vms ...string) *mesh {
+	t.Helper()
+	m := &mesh{
+		t: t, dir: t.TempDir(), daemons: map[string]*meshVM{}, log: &logBuffer{},
+		client: &http.Client{Timeout: 10 * time.Second}, noTimeout: &http.Client{},
+	}
 	// The pid in the addresses keeps concurrent test processes apart.
 	pid := os.Getpid()
-	for i, name := range []string{"core-1", "core-2", "core-3", "shop-1", "shop-2", "stock-1", "stock-2", "rate-1"} {
+	for i, name := range vms {
 		vm := &meshVM{name: name, zone: []string{"east", "west"}[i%2], ip: fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&0x7f, pid&0xff, i+1)}
 		vm.api = platform.Client{Address: vm.addr(portAPI), HTTP: m.client}
 		m.daemons[name] = vm
@@ -115,7 +124,9 @@
 	m.t.Helper()
 	cfg, err := config.Parse(vm.name+".ini", []byte(m.settings(vm, bootstrap)))
 	assert.NilError(m.t, err)
-	d, err := New(cfg, event.Discard())
+	log, err := event.Open(m.log, "info", "json")
+	assert.NilError(m.t, err)
+	d, err := New(cfg, log)
 	assert.NilError(m.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	vm.run = &running{daemon: d, stop: cancel, done: make(chan error, 1)}
--- a/model/agreement.pml
+++ b/model/agreement.pml
@@ -9,14 +9,21 @@
  *
  * With REPLACE, node 3 starts as a learner and replaces a voter that the leader
  * takes for unreachable, rightly or not: node 3 becomes a voter first, then the
- * unreachable voter is removed (io/ctrl/voters.go). Disks may be lost as long as
+ * unreachable voter is removed (core/raft/voters.go). Disks may be lost as long as
  * every set of voters in use keeps a majority, and again after each repair.
  *
+ * With SUCCEED, too, node 3 runs at the address of node 2, which the leader therefore
+ * takes for gone, rightly or not: node 2 is removed first, then node 3 becomes a voter.
+ * The disk of node 2 may be lost at any time, and one more disk after the replacement
+ * is committed.
+ *
  * Checked: at most one leader in each term; a committed entry never changes; with
- * REPLACE, a new leader has all entries committed in earlier terms.
+ * REPLACE, a new leader has all entries committed in earlier terms; with SUCCEED, a
+ * leader can still be elected after each lost disk.
  * Mutants, flags that break a rule so that the check must fail:
  * VOTE_UNSYNCED, NO_TERM_CHECK, COUNT_OLD_TERMS, TWO_CHANGES,
- * WIPED_VOTER, VOTE_FOR_SHORTER, REPLACE_AT_ONCE, REMOVE_UNDECIDED.
+ * WIPED_VOTER, VOTE_FOR_SHORTER, REPLACE_AT_ONCE, REMOVE_UNDECIDED, and with SUCCEED
+ * KEEP_FORMER: the next disk may be lost once node 3 holds the committed entries.
  */
 #ifndef NODES
 #define NODES 3
@@ -350,6 +357,80 @@
 	od
 }
 
+#define SUCCEEDED ((FIRST ^ 4) | 8) /* the voters after the replacement */
+
+/* sets result to whether the disk of node mw may be lost now */
+inline may_lose(mw) {
+	result = (crashes == 0 && mw == 2);
+	k = 0;
+	do
+	:: k < MAXLOG ->
+#ifdef KEEP_FORMER
+		result = result || (crashes == 1 && committed[0] && size[3] > k && commit[3] == k + 1 && (k + 1 == MAXLOG || !committed[k + 1]));
+#else
+		result = result || (crashes == 1 && committed[k] && committed_cfg[k] == SUCCEEDED);
+#endif
+		k++
+	:: else -> break
+	od
+}
+
+/* sets result to whether some node that has its disk can win an election */
+inline electable() {
+	to = 0;
+	x = 0;
+	do
+	:: x < NODES ->
+		if
+		:: !disk_lost[x] ->
+			voters_of(x);
+			if
+			:: IN(cfg, x) ->
+				match_set = 0;
+				k = 0;
+				do
+				:: k < NODES ->
+					if
+					:: !disk_lost[k] && UPTODATE(x, k) -> match_set = match_set | (1 << k)
+					:: else
+					fi;
+					k++
+				:: else -> break
+				od;
+				majority(match_set);
+				to = to || result
+			:: else
+			fi
+		:: else
+		fi;
+		x++
+	:: else -> break
+	od;
+	result = to
+}
+
+/* The leader sr removes node 2, then makes node 3 a voter. */
+inline succeed_voter(sr) {
+	undecided_change(sr);
+#ifdef REMOVE_UNDECIDED
+	result = false;
+#endif
+	if
+	:: !result && OWN_ENTRY(sr) && sr != 2 ->
+		voters_of(sr);
+		if
+#ifdef REPLACE_AT_ONCE
+		:: cfg == FIRST -> append(sr, SUCCEEDED)
+#else
+		:: cfg == FIRST -> append(sr, FIRST ^ 4)
+		:: cfg == (FIRST ^ 4) && match[M(sr, 3)] >= commit[sr] -> append(sr, SUCCEEDED)
+#endif
+		:: else
+		fi
+	:: else
+	fi
+}
+
 inline replace_voter(rp) {
 	undecided_change(rp);
 #ifdef REMOVE_UNDECIDED
@@ -404,7 +485,9 @@
 #ifdef MEMBERS
 	:: atomic { !disk_lost[i] && is_leader[i] && size[i] < MAXLOG -> change_members(i) }
 #endif
-#ifdef REPLACE
+#ifdef SUCCEED
+	:: atomic { !disk_lost[i] && is_leader[i] && size[i] < MAXLOG -> succeed_voter(i) }
+#elif defined(REPLACE)
 	:: atomic { !disk_lost[i] && is_leader[i] && size[i] < MAXLOG -> replace_voter(i) }
 #endif
 	:: atomic { !disk_lost[i] && is_leader[i] && size[i] > 0 ->
@@ -427,7 +510,17 @@
 			fi
 		:: else
 		fi; at = 0 }
-#ifdef REPLACE
+#ifdef SUCCEED
+	:: atomic { !disk_lost[i] && crashes < CRASHES ->
+		may_lose(i);
+		if
+		:: result ->
+			wipe(i);
+			electable();
+			assert(result)
+		:: else
+		fi }
+#elif defined(REPLACE)
 	:: atomic { !disk_lost[i] && i < 3 && crashes < CRASHES ->
 		bearable(i);
 		if
