raft, ctrl: a voter that is gone with its machine is replaced within catch_up

A disk lost later than catch_up (4 s) after the successor's start then leaves no majority.

Nobody answers at the address here, so silence is the only sign.

Fix: 2 s instead of 5. A restart takes less, and a replaced voter that returns joins again. A new leader counts the silence of the one before from its last message; it begins to change voters only once members could reply to its heartbeats.

TestGoneMachineIsReplacedInTime and TestSilenceOfTheFormerLeaderCounts fail before (0 of 15 ticks) and pass.

--- a/core/raft/elect.go
+++ b/core/raft/elect.go
@@ -97,6 +97,11 @@
 	n.confirmedAt = n.tick
 	n.leadingSince = n.tick
 	n.trackPeers()
+	if former := n.peers[n.followed]; former != nil {
+		// Its silence caused the election; the other followers were heard by it only.
+		former.lastReplyAt = n.heardAt[n.followed]
+	}
+	n.followed = n.cfg.ID
 	n.emit(LeaderChange{Term: n.hard.Term, Leading: true, Leader: n.cfg.ID})
 	// A leader commits entries of earlier terms only along with one of its own.
 	n.appendEntry(EntryNoop, nil)
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -83,6 +83,10 @@
 	forced bool
 	// leaderSeen is set once a leader has been known since the start.
 	leaderSeen bool
+	// followed is the leader whose entries or heartbeats this node received last.
+	followed ident.Node
+	// heardAt is the tick of the last message of each other node.
+	heardAt map[ident.Node]int
 	// leadingSince is the tick at which this node became the leader.
 	leadingSince int
 
@@ -91,7 +95,7 @@
 
 // New returns a node that starts from restored state.
 func New(cfg Config, r Restored) *Node {
-	n := &Node{cfg: cfg, hard: r.HardState, log: newLog(r), snapshot: r.Snapshot, role: roleFollower, peers: map[ident.Node]*progress{}}
+	n := &Node{cfg: cfg, hard: r.HardState, log: newLog(r), snapshot: r.Snapshot, role: roleFollower, peers: map[ident.Node]*progress{}, heardAt: map[ident.Node]int{}}
 	n.restoreMembers()
 	n.resetElectionTimer()
 	return n
@@ -144,6 +148,7 @@
 	if m.To != n.cfg.ID {
 		return nil
 	}
+	n.heardAt[m.From] = n.tick
 	if n.dropsVoteRequest(m) {
 		return nil
 	}
@@ -326,7 +331,8 @@
 	// set at the leader only.
 	Match map[ident.Node]Index
 	// SinceReply is the time since the last reply of each other member. It is set at
-	// the leader only. It counts from the start of the leadership.
+	// the leader only. It counts from the start of the leadership, and for the leader
+	// before from its last message.
 	SinceReply map[ident.Node]Ticks
 	// LeadingTicks is how long this node has been the leader; zero if it is not.
 	LeadingTicks Ticks
--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -95,7 +95,7 @@
 	if n.role != roleFollower || n.leader != m.From {
 		n.becomeFollower(m.Term, m.From)
 	}
-	n.elapsed = 0
+	n.elapsed, n.followed = 0, m.From
 	reply := Message{Kind: KindAppendReply, To: m.From, Round: m.Round, Index: n.log.last()}
 	t, ok := n.log.term(m.Index)
 	if m.Index < n.log.snapshot.Index {
@@ -221,7 +221,7 @@
 	if n.role != roleFollower || n.leader != m.From {
 		n.becomeFollower(m.Term, m.From)
 	}
-	n.elapsed = 0
+	n.elapsed, n.followed = 0, m.From
 	reply := Message{Kind: KindSnapshotReply, To: m.From, Round: m.Round, Granted: true}
 	if m.Snapshot == nil || m.Snapshot.Index <= n.log.commit {
 		reply.Index = n.log.commit
--- a/core/raft/voters_test.go
+++ b/core/raft/voters_test.go
@@ -16,7 +16,7 @@
 	startTicks   = 16 // from the loss of a disk to the first request to join
 )
 
-var testPolicy = VoterPolicy{Target: 3, UnreachableAfter: 100, SilentAfter: 8, RemoveSuperseded: true}
+var testPolicy = VoterPolicy{Target: 3, UnreachableAfter: 40, SilentAfter: 8, RemoveSuperseded: true}
 
 // machines is a cluster whose leader maintains the voters. Nodes that have no member
 // entry ask to join, and a machine that has lost its disk runs a new node at the address.
@@ -174,6 +174,28 @@
 	}
 }
 
+// A voter whose machine is gone is replaced by one at another address before the next
+// loss is allowed, also if it led.
+func TestGoneMachineIsReplacedInTime(t *testing.T) {
+	for _, leads := range []bool{false, true} {
+		t.Run(fmt.Sprintf("it leads: %v", leads), func(t *testing.T) {
+			for seed := range uint64(20) {
+				m := newMachines(4, testPolicy, seed)
+				m.advance(catchUpTicks)
+				gone := m.addressOf(t, leads, 0)
+				m.hosts[m.current[gone]].up = false
+				delete(m.joining, m.current[gone])
+				m.advance(catchUpTicks)
+				_, listed := m.hosts[mustLead(t, m.cluster)].node.Status().Members.Address(m.current[gone])
+				assert.Assert(t, !listed)
+				m.loseDisk(m.addressOf(t, true, 0))
+				m.advance(300)
+				mustCommit(t, m)
+			}
+		})
+	}
+}
+
 // A node that asks to join at the address of a voter must not cost that voter its vote
 // while the voter replies, nor after a late request of a node that is gone again.
 func TestVoterThatRepliesIsNotSuperseded(t *testing.T) {
@@ -211,13 +233,32 @@
 		assert.Equal(t, len(policy.Changes(status(9, 1))), 0)
 	})
 	t.Run("a restart within the time of an unreachable voter", func(t *testing.T) {
-		st := status(99, 1)
+		st := status(39, 1)
 		st.Members.Learners[0].Address = "4"
 		assert.Equal(t, len(testPolicy.Changes(st)), 0)
 	})
 	t.Run("an unreachable voter with no successor at its address", func(t *testing.T) {
-		st := status(101, 1)
+		st := status(41, 1)
 		st.Members.Learners[0].Address = "4"
 		assert.DeepEqual(t, testPolicy.Changes(st), []VoterChange{PromoteLearner{"b#1"}})
 	})
 }
+
+// The silence of a leader that is gone counts from its last message, not anew from the
+// election; otherwise it is replaced later than any other voter.
+func TestSilenceOfTheFormerLeaderCounts(t *testing.T) {
+	c := newCluster(3, 0, 31)
+	c.run(4 * testElection)
+	former := mustLead(t, c)
+	c.hosts[former].up = false
+	ticks := 0
+	for leader, ok := c.leader(); !ok || leader == former; leader, ok = c.leader() {
+		c.run(1)
+		ticks++
+	}
+	st := c.hosts[mustLead(t, c)].node.Status()
+	assert.Assert(t, int(st.SinceReply[former]) >= ticks-testHeartbeat, "%d of %d ticks", st.SinceReply[former], ticks)
+	for id, silence := range st.SinceReply {
+		assert.Assert(t, id == former || silence == 0, "%s: %d ticks", id, silence)
+	}
+}
--- a/io/ctrl/voters.go
+++ b/io/ctrl/voters.go
@@ -11,8 +11,9 @@
 
 const (
 	// unreachableTicks is how long a voter may send no reply before it is replaced.
-	// It is longer than a restart takes, so that a planned restart changes nothing.
-	unreachableTicks = raft.Ticks(5 * time.Second / TickInterval)
+	// It is longer than a restart takes, so that a planned restart changes nothing, and
+	// leaves time to replace it within catch_up of the platform.
+	unreachableTicks = raft.Ticks(2 * time.Second / TickInterval)
 	// silentTicks is the time without a reply after which a member does not count as
 	// responsive: four heartbeats.
 	silentTicks = raft.Ticks(4 * heartbeatTicks)
