tenure, relay, agent: an acknowledged departure outlives the daemon beside the upstream

Callers saw: requests reached a server up to 8 s after the daemon beside it had acknowledged that it is gone (DRAIN, bound 2 s), if that daemon was killed in between and a heartbeat from before arrived late.

Cause: what is acknowledged to a server lived in the memory of one process. A registry that starts empty takes any announcement, also `ready` after an acknowledged `draining`; a deregistration by an unknown server was kept for 10 s only.

Ruled out: daemons that go on by what they knew.

Fix: core/tenure judges announcements. Departures travel with the VM's entry in the directory, and relays return them to a daemon that starts, which registers nothing before. The acknowledgement waits until a relay has the departure, 0.3 s at most (event 1111). Where no relay knows any more, a process older than the daemon that is first heard of late counts with its second announcement. A departure names a process by id and start, so no sound server is kept out by one.

One check was replaced: TestMesh waited after a restart until the server that had said it leaves was listed as up; it is now never listed so, and the test requires that it is listed as draining.

--- a/core/board/daemon.go
+++ b/core/board/daemon.go
@@ -11,6 +11,7 @@
 	"chicorymast/core/member"
 	"chicorymast/core/poison"
 	"chicorymast/core/state"
+	"chicorymast/core/tenure"
 )
 
 // Board holds the sections of one daemon.
@@ -26,6 +27,9 @@
 	RelayContact *Section[RelayContact]
 	// Upstream is written by the controller of the local upstream.
 	Upstream *Section[Upstream]
+	// Departures is written by the same controller as Upstream and holds the processes
+	// of upstreams that have left this VM.
+	Departures *Section[[]tenure.Departure]
 	// Lifecycle is written by the daemon itself.
 	Lifecycle *Section[Lifecycle]
 	// Crashes is written by the proxy and holds the crashes that this VM announces.
@@ -40,6 +44,7 @@
 		Members:      NewSection(&Members{}),
 		RelayContact: NewSection(&RelayContact{}),
 		Upstream:     NewSection(&Upstream{}),
+		Departures:   NewSection(&[]tenure.Departure{}),
 		Lifecycle:    NewSection(&Lifecycle{Phase: PhaseStarting}),
 		Crashes:      NewSection(&[]poison.CrashCount{}),
 	}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -23,6 +23,7 @@
 	"chicorymast/core/ident"
 	"chicorymast/core/notice"
 	"chicorymast/core/poison"
+	"chicorymast/core/tenure"
 )
 
 // DefaultLease is how long an entry stays valid without renewal.
@@ -74,6 +75,9 @@
 	Control bool `json:"control,omitempty"`
 	// Crashes are the requests during which the VM saw upstreams crash.
 	Crashes []poison.CrashCount `json:"crashes,omitempty"`
+	// Departures are the processes of upstreams that have left the VM. Relays return them
+	// to a daemon that has restarted.
+	Departures []tenure.Departure `json:"departures,omitempty"`
 	// Version orders the announcements of one VM. It starts at the daemon's
 	// start time, so that a restarted daemon supersedes its former entries.
 	Version uint64 `json:"version"`
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -22,6 +22,7 @@
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
 	"chicorymast/core/poison"
+	"chicorymast/core/tenure"
 	"chicorymast/io/event"
 	"chicorymast/io/timer"
 	"chicorymast/io/wire"
@@ -66,6 +67,9 @@
 	RelayAddresses func() []string
 	// RelayActive reports whether other daemons use this one as their relay.
 	RelayActive func() bool
+	// Recall gets the departures that a relay knows of this VM from before; it is called
+	// for each relay that is probed or used for the first time.
+	Recall func([]tenure.Departure)
 	// Control is set for a control daemon.
 	Control bool
 	// FollowConfig is false on control daemons, which get the configuration from
@@ -102,8 +106,9 @@
 	phase       member.Phase
 	relay       string
 	relayActive bool
-	// crashes is compared by identity, as a pointer to the section's value.
-	crashes *[]poison.CrashCount
+	// crashes and departures are compared by identity, as pointers to the sections' values.
+	crashes    *[]poison.CrashCount
+	departures *[]tenure.Departure
 }
 
 // New returns an agent without a relay.
@@ -160,6 +165,7 @@
 		return
 	}
 	a.opt.Board.RelayContact.Write(&board.RelayContact{At: sent})
+	a.recall(reply)
 	a.applyReply(reply)
 }
 
@@ -188,8 +194,8 @@
 // so that a drain is known at once. The returned function stops it and reports
 // whether it cancelled the sync.
 func (a *Agent) interruptOnChange(ctx context.Context, cancel context.CancelFunc) (stop func() bool) {
-	upstream, lifecycle, crashes := a.opt.Board.Upstream.Changed(),
-		a.opt.Board.Lifecycle.Changed(), a.opt.Board.Crashes.Changed()
+	upstream, lifecycle, crashes, departures := a.opt.Board.Upstream.Changed(),
+		a.opt.Board.Lifecycle.Changed(), a.opt.Board.Crashes.Changed(), a.opt.Board.Departures.Changed()
 	result := make(chan bool, 1)
 	finished := make(chan struct{})
 	go func() {
@@ -197,6 +203,7 @@
 		case <-upstream:
 		case <-lifecycle:
 		case <-crashes:
+		case <-departures:
 		case <-ctx.Done():
 			result <- false
 			return
@@ -254,9 +261,9 @@
 		e.Phase = member.PhaseDraining
 	}
 	e.Relay = a.opt.RelayActive()
-	crashes := a.opt.Board.Crashes.Read()
-	e.Crashes = *crashes
-	content := entryContent{phase: e.Phase, relay: a.relay, relayActive: e.Relay, crashes: crashes}
+	crashes, departures := a.opt.Board.Crashes.Read(), a.opt.Board.Departures.Read()
+	e.Crashes, e.Departures = *crashes, *departures
+	content := entryContent{phase: e.Phase, relay: a.relay, relayActive: e.Relay, crashes: crashes, departures: departures}
 	if s := a.opt.Board.Upstream.Read(); s.Present() {
 		upstream := s.Upstream
 		if s.Drained {
--- a/io/agent/reply.go
+++ b/io/agent/reply.go
@@ -24,6 +24,13 @@
 	a.updateFreshness(reply)
 }
 
+// recall passes on what a relay knows of upstreams that have left this VM.
+func (a *Agent) recall(reply wire.SyncReply) {
+	if a.opt.Recall != nil && (a.cursor.Epoch == "" || len(reply.Departures) > 0) {
+		a.opt.Recall(reply.Departures)
+	}
+}
+
 func (a *Agent) applyMembers(reply wire.SyncReply) {
 	a.cursor = reply.Directory
 	for _, e := range reply.Members {
--- a/io/agent/search.go
+++ b/io/agent/search.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"chicorymast/core/tenure"
 	"chicorymast/io/event"
 	"chicorymast/io/wire"
 
@@ -34,6 +35,8 @@
 	// rank is the relay's place in the list of relays.
 	rank int
 	age  time.Duration
+	// departures are those of this VM that the relay knows.
+	departures []tenure.Departure
 }
 
 // selectRelay sets a relay, a fresh one if possible. It reports whether the
@@ -102,7 +105,7 @@
 				results <- nil // the loop below waits for one result of each relay
 				return
 			}
-			results <- &probeResult{rank: rank, age: time.Duration(reply.AgeMs) * time.Millisecond}
+			results <- &probeResult{rank: rank, age: time.Duration(reply.AgeMs) * time.Millisecond, departures: reply.Departures}
 		}()
 	}
 	settle := time.NewTimer(searchTimeout)
@@ -115,6 +118,9 @@
 				continue
 			}
 			replies = append(replies, *result)
+			if a.opt.Recall != nil && len(result.departures) > 0 {
+				a.opt.Recall(result.departures)
+			}
 			if result.age <= staleAfter && !fresh {
 				fresh = true
 				settle.Reset(searchSettle)
--- a/io/agent/search_test.go
+++ b/io/agent/search_test.go
@@ -25,12 +25,15 @@
 		ok         bool
 	}{
 		{name: "no relay answers", responsive: false, age: old},
-		{name: "first fresh relay in the list", replies: []probeResult{{3, fresh}, {1, 2 * fresh}, {0, old}}, responsive: true, age: old, want: 1, ok: true},
-		{name: "relay before the current one", replies: []probeResult{{0, fresh}}, responsive: true, age: fresh, want: 0, ok: true},
-		{name: "all relays are stale", replies: []probeResult{{0, old}, {1, old}}, responsive: true, age: old},
-		{name: "current relay is older by far", replies: []probeResult{{0, ancient}, {1, old}}, responsive: true, age: ancient, want: 1, ok: true},
-		{name: "stale relay replaces an unresponsive one", replies: []probeResult{{0, ancient}, {1, old}}, responsive: false, want: 1, ok: true},
-		{name: "no relay has a configuration", replies: []probeResult{{2, 1<<63 - 1}}, responsive: true, age: 1<<63 - 1},
+		{
+			name:    "first fresh relay in the list",
+			replies: []probeResult{{rank: 3, age: fresh}, {rank: 1, age: 2 * fresh}, {rank: 0, age: old}}, responsive: true, age: old, want: 1, ok: true,
+		},
+		{name: "relay before the current one", replies: []probeResult{{rank: 0, age: fresh}}, responsive: true, age: fresh, want: 0, ok: true},
+		{name: "all relays are stale", replies: []probeResult{{rank: 0, age: old}, {rank: 1, age: old}}, responsive: true, age: old},
+		{name: "current relay is older by far", replies: []probeResult{{rank: 0, age: ancient}, {rank: 1, age: old}}, responsive: true, age: ancient, want: 1, ok: true},
+		{name: "stale relay replaces an unresponsive one", replies: []probeResult{{rank: 0, age: ancient}, {rank: 1, age: old}}, responsive: false, want: 1, ok: true},
+		{name: "no relay has a configuration", replies: []probeResult{{rank: 2, age: 1<<63 - 1}}, responsive: true, age: 1<<63 - 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			rank, ok := pickRelay(tc.replies, tc.responsive, tc.age)
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -124,7 +124,8 @@
 	if d.tracer, err = trace.Open(cfg.Trace, cfg.Daemon.VM); err != nil {
 		return nil, err
 	}
-	d.upstreams = &upstreamRegistry{vm: cfg.Daemon.VM, clock: d.clock, board: d.board, log: d.log, lease: upstreamLease(cfg.Platform)}
+	d.upstreams = newUpstreamRegistry(cfg.Daemon.VM, d.clock, d.board, d.log, upstreamLease(cfg.Platform))
+	d.upstreams.recalling = true // until the agent has reached a relay
 	d.changes = change.New(change.Options{Board: d.board, Clock: d.clock, Pool: d.pool, ControlAddresses: d.controls})
 	if err := d.buildPeerServices(); err != nil {
 		return nil, err
@@ -157,6 +158,7 @@
 		Log:            d.log,
 		RelayAddresses: d.relays,
 		RelayActive:    d.relay.Active,
+		Recall:         d.upstreams.Recall,
 		Control:        cfg.Daemon.Role == config.RoleControl,
 		FollowConfig:   cfg.Daemon.Role != config.RoleControl,
 	})
--- a/io/daemon/leaving_test.go
+++ b/io/daemon/leaving_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"testing"
 
+	"chicorymast/core/ident"
 	"chicorymast/core/member"
 
 	"gotest.tools/v3/assert"
@@ -41,12 +42,12 @@
 		m.start(vm, false)
 		eventually(t, func() string {
 			m.announce(vm)
-			for _, e := range m.daemons["rate-1"].run.daemon.board.Members.Read().ByService["shop"] {
-				if string(e.VM) == vm.name {
-					return ""
-				}
+			e := m.daemons["rate-1"].run.daemon.board.Members.Read().ByVM[ident.VM(vm.name)]
+			if e.Phase != member.PhaseUp || e.Upstream == nil {
+				return "rate-1 does not know of shop-1"
 			}
-			return "rate-1 does not know of shop-1"
+			assert.Equal(t, e.Upstream.Phase, member.PhaseDraining)
+			return ""
 		})
 		mustNotGetCalls(t)
 	})
--- a/io/daemon/mesh_test.go
+++ b/io/daemon/mesh_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,6 +51,8 @@
 
 	mu     sync.Mutex
 	latest proxy.Announcement
+	// silent stops the regular announcements.
+	silent atomic.Bool
 }
 
 const (
@@ -150,7 +153,11 @@
 		Service: ident.Service(service), Upstream: ident.Upstream("i-" + name), Address: ln.Addr().String(), Slots: 8, StartedMs: 1000,
 	}
 	m.announce(vm)
-	stop := vm.run.daemon.clock.Every(300*time.Millisecond, func(time.Time) { m.announce(vm) })
+	stop := vm.run.daemon.clock.Every(300*time.Millisecond, func(time.Time) {
+		if !vm.silent.Load() {
+			m.announce(vm)
+		}
+	})
 	m.t.Cleanup(stop)
 }
 
--- a/io/daemon/upstreams.go
+++ b/io/daemon/upstreams.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"maps"
 	"sync"
 	"time"
 
@@ -9,6 +8,7 @@
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
 	"chicorymast/core/notice"
+	"chicorymast/core/tenure"
 	"chicorymast/io/event"
 	"chicorymast/io/proxy"
 	"chicorymast/io/timer"
@@ -20,52 +20,102 @@
 // platform sets the interval of announcements.
 const defaultUpstreamLease = 3 * time.Second
 
+// departureTimeout bounds the wait until a relay has a departure. An upstream waits for
+// its acknowledgement for a second only.
+const departureTimeout = 300 * time.Millisecond
+
 // upstreamRegistry records the announcement of the upstream on this VM in the board's
-// section Upstream, of which it is the only writer.
+// sections Upstream and Departures, of which it is the only writer.
 type upstreamRegistry struct {
 	vm    ident.VM
 	clock timer.Clock
 	board *board.Board
 	log   *event.Log
-	lease time.Duration
-
-	mu        sync.Mutex
-	renewedAt time.Time
-	// latest is the newest announcement; it stays after the deregistration of its
-	// upstream.
-	latest proxy.Announcement
-	// deregistered is set when that upstream has deregistered.
-	deregistered bool
-	// leaving is the process that has said in a response that it leaves.
-	leaving notice.Process
-	// strangers holds when upstreams deregistered that had not announced themselves
-	// here, such as to a daemon that has restarted.
-	strangers map[ident.Upstream]time.Time
-}
-
-// strangerMemory is how long a deregistration is remembered; announcements may be
-// delayed by some seconds.
-const strangerMemory = 10 * time.Second
+
+	mu     sync.Mutex
+	lease  time.Duration
+	tenure *tenure.Tenure
+	// recalling is set from the start until a relay has said what it knows of the VM from
+	// before; held is the newest announcement that waits for that.
+	recalling bool
+	held      *proxy.Announcement
+}
+
+func newUpstreamRegistry(vm ident.VM, c timer.Clock, b *board.Board, log *event.Log, lease time.Duration) *upstreamRegistry {
+	return &upstreamRegistry{vm: vm, clock: c, board: b, log: log, lease: lease, tenure: tenure.New(c.Now(), lease)}
+}
 
 // Announce records or renews the announcement of the upstream and returns how long
-// it is valid. An announcement is ignored if a later one of the same process of the
-// upstream, or one of a later process, has been recorded already.
+// it is valid. An outdated announcement is ignored. One that says that the upstream
+// drains is acknowledged once a relay knows, if one can be reached in time.
 func (r *upstreamRegistry) Announce(a proxy.Announcement) (lease time.Duration, err error) {
+	if r.recordOrHold(a) {
+		r.awaitRelay()
+	}
+	return r.lease, nil
+}
+
+// recordOrHold records an announcement, or keeps the newest until a relay was reached.
+func (r *upstreamRegistry) recordOrHold(a proxy.Announcement) (departed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.recalling {
+		if r.held == nil || r.held.Upstream != a.Upstream || a.Sequence >= r.held.Sequence {
+			r.held = &a
+		}
+		return false
+	}
+	return r.record(a)
+}
+
+// Recall adds what a relay knows of upstreams that have left this VM. The first call, with
+// or without any, ends the wait for that.
+func (r *upstreamRegistry) Recall(departures []tenure.Departure) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.isOutdated(a) {
+	if r.tenure.Recall(r.clock.Now(), departures) {
+		r.publishDepartures()
+		r.log.Emit(event.DeparturesRecalled, zap.Any("departures", departures))
+		r.applyDepartures(departures)
+	}
+	held := r.held
+	r.recalling, r.held = false, nil
+	if held != nil {
+		r.record(*held)
+	}
+}
+
+// applyDepartures changes the phase of the registered upstream if it is among departures
+// that have become known; the mutex is held.
+func (r *upstreamRegistry) applyDepartures(departures []tenure.Departure) {
+	current := r.board.Upstream.Read()
+	for _, d := range departures {
+		if d.Process != current.Process() || current.StartedMs == 0 {
+			continue
+		}
+		if d.Stage == tenure.Gone {
+			r.setPhase(d.Upstream, member.PhaseGone, event.UpstreamDeregistered)
+			continue
+		}
+		r.setPhase(d.Upstream, member.PhaseDraining, event.UpstreamDraining)
+	}
+}
+
+// record records an announcement; the mutex is held. It reports whether a departure has
+// become known by it.
+func (r *upstreamRegistry) record(a proxy.Announcement) (departed bool) {
+	now := r.clock.Now()
+	p := notice.Process{Upstream: a.Upstream, StartedMs: a.StartedMs}
+	before, newest := r.tenure.Latest()
+	verdict := r.tenure.Announce(now, p, a.Sequence)
+	if verdict == tenure.Outdated {
 		r.log.Emit(event.AnnouncementOutdated, zap.String("upstream", string(a.Upstream)),
 			zap.Int64("started_ms", a.StartedMs), zap.Uint64("sequence", a.Sequence),
-			zap.String("newest", string(r.latest.Upstream)), zap.Uint64("newest_sequence", r.latest.Sequence))
-		return r.lease, nil
+			zap.String("newest", string(before.Upstream)), zap.Uint64("newest_sequence", newest))
+		return false
 	}
-	sameProcess := r.isSameProcess(a)
-	r.latest, r.renewedAt = a, r.clock.Now()
-	if sameProcess && r.deregistered && a.StartedMs > 0 {
-		return r.lease, nil // sent before its deregistration
-	}
-	r.deregistered = false
 	current := r.board.Upstream.Read()
+	sameProcess := p == before
 	next := board.Upstream{
 		Upstream: member.Upstream{
 			Service: a.Service, ID: a.Upstream, StartedMs: a.StartedMs, Slots: a.Slots, Phase: member.PhaseUp,
@@ -83,11 +133,12 @@
 		}
 	}
 	// A renewal does not end a drain; only a new process of the upstream does.
-	if a.Draining || (sameProcess && current.Phase == member.PhaseDraining) || r.leaving == next.Process() {
+	if a.Draining || (sameProcess && current.Phase == member.PhaseDraining) || verdict == tenure.Leaving {
 		next.Phase = member.PhaseDraining
+		departed = r.depart(p, tenure.Draining)
 	}
 	if *current == next {
-		return r.lease, nil
+		return departed
 	}
 	r.board.Upstream.Write(&next)
 	id := event.UpstreamAnnounced
@@ -96,72 +147,89 @@
 	}
 	r.log.Emit(id, zap.String("service", string(a.Service)), zap.String("upstream", string(a.Upstream)),
 		zap.String("address", a.Address), zap.Int("slots", a.Slots))
-	return r.lease, nil
+	return departed
 }
 
-// isOutdated reports whether a later announcement, or a deregistration, has been
-// recorded already; the mutex is held.
-func (r *upstreamRegistry) isOutdated(a proxy.Announcement) bool {
-	if at, left := r.strangers[a.Upstream]; left && a.StartedMs > 0 && a.StartedMs <= at.UnixMilli() {
-		return true
+// depart notes that a process leaves; the mutex is held. The departure is published before
+// the phase changes, so that no relay knows of the phase alone.
+func (r *upstreamRegistry) depart(p notice.Process, stage tenure.Stage) (changed bool) {
+	if changed = r.tenure.Depart(r.clock.Now(), p, stage); changed {
+		r.publishDepartures()
 	}
-	if a.StartedMs != r.latest.StartedMs {
-		return a.StartedMs < r.latest.StartedMs
-	}
-	return a.Upstream == r.latest.Upstream && a.Sequence > 0 && a.Sequence <= r.latest.Sequence
+	return changed
 }
 
-// isSameProcess reports whether an announcement is of the upstream announced last and
-// of the same process; the mutex is held.
-func (r *upstreamRegistry) isSameProcess(a proxy.Announcement) bool {
-	return a.Upstream == r.latest.Upstream && a.StartedMs == r.latest.StartedMs
+func (r *upstreamRegistry) publishDepartures() {
+	departures := r.tenure.Departures()
+	r.board.Departures.Write(&departures)
+}
+
+// awaitRelay waits until a relay has accepted an announcement that was sent from now on,
+// so that what is acknowledged next outlives this daemon. It gives up after a time: an
+// upstream that gets no acknowledgement exits all the same.
+func (r *upstreamRegistry) awaitRelay() {
+	since := r.clock.Now()
+	timeout := time.NewTimer(departureTimeout)
+	defer timeout.Stop()
+	for {
+		contact := r.board.RelayContact.Changed()
+		if !r.board.RelayContact.Read().At.Before(since) {
+			return
+		}
+		select {
+		case <-contact:
+		case <-timeout.C:
+			r.log.Emit(event.DepartureNotCopied)
+			return
+		}
+	}
 }
 
 // Drain marks the upstream as draining, so that it gets no new calls.
 func (r *upstreamRegistry) Drain() {
+	r.mu.Lock()
+	current := r.board.Upstream.Read()
+	departed := current.Present() && r.depart(current.Process(), tenure.Draining)
 	r.setPhase("", member.PhaseDraining, event.UpstreamDraining)
+	r.mu.Unlock()
+	if departed {
+		r.awaitRelay()
+	}
 }
 
 // Leave marks a process of the upstream as draining that has said in a response that it
 // leaves. Its announcements may not say so yet.
 func (r *upstreamRegistry) Leave(p notice.Process) {
 	r.mu.Lock()
-	r.leaving = p
-	announced := r.board.Upstream.Read().Process() == p
-	r.mu.Unlock()
-	if announced {
+	defer r.mu.Unlock()
+	r.depart(p, tenure.Draining)
+	if r.board.Upstream.Read().Process() == p {
 		r.setPhase(p.Upstream, member.PhaseDraining, event.UpstreamDraining)
 	}
 }
 
-// Deregister marks the upstream as gone; an empty id stands for the current one.
-// The upstream still runs for a moment, so delayed announcements of the same process
-// must not register it again.
+// Deregister marks the upstream as gone; an empty id stands for the current one. The
+// upstream still runs for a moment, so delayed announcements of the same process must not
+// register it again, nor after a restart of this daemon: a relay keeps the departure.
 func (r *upstreamRegistry) Deregister(u ident.Upstream) {
 	r.mu.Lock()
-	if u == "" || u == r.latest.Upstream {
-		r.deregistered = true
-	} else {
-		r.rememberStranger(u)
+	departed := r.tenure.Deregister(r.clock.Now(), u)
+	if departed {
+		r.publishDepartures()
+	}
+	if r.held != nil && (u == "" || r.held.Upstream == u) {
+		r.held = nil
 	}
-	r.mu.Unlock()
 	r.setPhase(u, member.PhaseGone, event.UpstreamDeregistered)
-}
-
-// rememberStranger remembers the deregistration of an upstream that is not the one
-// announced last; the mutex is held.
-func (r *upstreamRegistry) rememberStranger(u ident.Upstream) {
-	now := r.clock.Now()
-	if r.strangers == nil {
-		r.strangers = map[ident.Upstream]time.Time{}
+	r.mu.Unlock()
+	if departed {
+		r.awaitRelay()
 	}
-	maps.DeleteFunc(r.strangers, func(_ ident.Upstream, at time.Time) bool { return now.Sub(at) > strangerMemory })
-	r.strangers[u] = now
 }
 
+// setPhase changes the phase of the registered upstream, if it is the given one; an empty
+// id stands for any. The mutex is held.
 func (r *upstreamRegistry) setPhase(u ident.Upstream, p member.Phase, id event.ID) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	next := *r.board.Upstream.Read()
 	if !next.Present() || next.Phase == p || (u != "" && u != next.ID) {
 		return
@@ -175,17 +243,15 @@
 // whether operators drain this VM.
 func (r *upstreamRegistry) tick(now time.Time) {
 	r.mu.Lock()
-	expired := now.Sub(r.renewedAt) > r.lease
-	r.mu.Unlock()
-	if expired {
+	defer r.mu.Unlock()
+	if r.tenure.Expired(now) {
 		r.setPhase("", member.PhaseGone, event.UpstreamLeaseExpired)
 	}
 	r.updateDrained()
 }
 
+// updateDrained updates whether operators drain this VM; the mutex is held.
 func (r *upstreamRegistry) updateDrained() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	next := *r.board.Upstream.Read()
 	if next.Drained == r.isDrained() {
 		return
--- a/io/daemon/upstreams_test.go
+++ b/io/daemon/upstreams_test.go
@@ -15,9 +15,11 @@
 	"gotest.tools/v3/assert"
 )
 
-func newUpstreamRegistry() (*upstreamRegistry, *timer.Manual) {
+func newTestRegistry() (*upstreamRegistry, *timer.Manual) {
 	clock := timer.NewManual(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
-	return &upstreamRegistry{vm: "vm", clock: clock, board: board.New(), log: event.Discard(), lease: defaultUpstreamLease}, clock
+	r := newUpstreamRegistry("vm", clock, board.New(), event.Discard(), defaultUpstreamLease)
+	r.board.RelayContact.Write(&board.RelayContact{At: clock.Now().Add(time.Hour)}) // no departure waits for a relay
+	return r, clock
 }
 
 func announcement(u ident.Upstream, startedMs int64, sequence uint64) proxy.Announcement {
@@ -52,7 +54,7 @@
 		"without sequence numbers the last wins": {[]proxy.Announcement{announcement("a", 0, 0), announcement("b", 0, 0), announcement("a", 0, 0)}, "a", member.PhaseUp},
 	} {
 		t.Run(name, func(t *testing.T) {
-			r, _ := newUpstreamRegistry()
+			r, _ := newTestRegistry()
 			for _, a := range c.steps {
 				_, err := r.Announce(a)
 				assert.NilError(t, err)
@@ -63,7 +65,7 @@
 }
 
 func TestDeregister(t *testing.T) {
-	r, _ := newUpstreamRegistry()
+	r, _ := newTestRegistry()
 	_, err := r.Announce(announcement("b", 2, 1))
 	assert.NilError(t, err)
 	r.Deregister("a")
@@ -83,7 +85,7 @@
 // An upstream may deregister at a daemon that has restarted and not heard of it yet. An
 // announcement that was delayed must not register it then.
 func TestLateAnnouncementAfterADeregistrationByAnUnknownUpstream(t *testing.T) {
-	r, clock := newUpstreamRegistry()
+	r, clock := newTestRegistry()
 	started := clock.Now().Add(-time.Minute).UnixMilli()
 	r.Deregister("a")
 	for sequence := range uint64(3) {
@@ -105,7 +107,7 @@
 }
 
 func TestAnnouncementExpires(t *testing.T) {
-	r, clock := newUpstreamRegistry()
+	r, clock := newTestRegistry()
 	_, err := r.Announce(announcement("a", 1, 1))
 	assert.NilError(t, err)
 	clock.Advance(defaultUpstreamLease)
@@ -124,7 +126,7 @@
 func TestLeavingUpstreamIsNotAnnouncedAgain(t *testing.T) {
 	leaving := func(t *testing.T) (*upstreamRegistry, *timer.Manual) {
 		t.Helper()
-		r, clock := newUpstreamRegistry()
+		r, clock := newTestRegistry()
 		_, err := r.Announce(announcement("a", 1, 1))
 		assert.NilError(t, err)
 		r.Leave(notice.Process{Upstream: "a", StartedMs: 1})
@@ -153,7 +155,7 @@
 		announce(t, r, announcement("a", 2, 1), member.PhaseUp)
 	})
 	t.Run("a process that was replaced does not drain its successor", func(t *testing.T) {
-		r, _ := newUpstreamRegistry()
+		r, _ := newTestRegistry()
 		announce(t, r, announcement("b", 2, 1), member.PhaseUp)
 		r.Leave(notice.Process{Upstream: "a", StartedMs: 1})
 		r.mustBeInPhase(t, "b", member.PhaseUp)
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -27,6 +27,8 @@
 	AnnouncementOutdated ID = 1107
 	AnnouncementInvalid  ID = 1108
 	UpstreamLeaving      ID = 1109
+	DeparturesRecalled   ID = 1110
+	DepartureNotCopied   ID = 1111
 	DocumentRefused      ID = 1303
 	DocumentAccepted     ID = 1304
 	ConfigApplied        ID = 1201
@@ -84,6 +86,8 @@
 	{CrashSuspectBlocked, zapcore.WarnLevel, "A request was running during two upstream crashes and is refused temporarily."},
 	{AnnouncementOutdated, zapcore.InfoLevel, "An outdated announcement was ignored; a newer one had already arrived."},
 	{AnnouncementInvalid, zapcore.WarnLevel, "An announcement was invalid; the previous one stays in force."},
+	{DeparturesRecalled, zapcore.InfoLevel, "A relay knew of upstreams that had left this VM before the daemon started."},
+	{DepartureNotCopied, zapcore.WarnLevel, "No relay has noted in time that the upstream on this VM leaves; a restart of the daemon may forget it."},
 	{ConfigApplied, zapcore.InfoLevel, "A configuration revision is in force on this VM."},
 	{ConfigStale, zapcore.WarnLevel, "The configuration has not been confirmed as current for too long."},
 	{ConfigFresh, zapcore.InfoLevel, "The configuration is confirmed as current again."},
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -23,6 +23,7 @@
 	"chicorymast/core/board"
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
+	"chicorymast/core/tenure"
 	"chicorymast/io/timer"
 	"chicorymast/io/wire"
 )
@@ -107,13 +108,28 @@
 }
 
 func (r *Relay) sync(ctx context.Context, q wire.SyncRequest) (wire.SyncReply, error) {
+	departures := r.departures(q)
 	if q.Probe {
-		return wire.SyncReply{Relay: r.opt.VM, AgeMs: r.age(r.opt.Clock.Now())}, nil
+		return wire.SyncReply{Relay: r.opt.VM, AgeMs: r.age(r.opt.Clock.Now()), Departures: departures}, nil
 	}
 	r.announce(q.Entry)
 	wait := min(time.Duration(q.WaitMs)*time.Millisecond, maxWait)
 	r.await(ctx, q, wait)
-	return r.reply(q), nil
+	reply := r.reply(q)
+	reply.Departures = departures
+	return reply, nil
+}
+
+// departures returns what is known of upstreams that have left the VM of a daemon that
+// does not use this relay yet. The daemon may have restarted and know nothing of them.
+func (r *Relay) departures(q wire.SyncRequest) []tenure.Departure {
+	if !q.Probe && q.Directory.Epoch == r.epoch {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, _ := r.directory.Get(q.Entry.VM)
+	return e.Departures
 }
 
 func (r *Relay) announce(e member.Entry) {
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -9,6 +9,7 @@
 	"chicorymast/core/quota"
 	"chicorymast/core/raft"
 	"chicorymast/core/state"
+	"chicorymast/core/tenure"
 )
 
 // The methods of relays, and MethodPropose of control daemons.
@@ -30,7 +31,7 @@
 	Directory    Cursor         `json:"directory"`
 	// WaitMs is how long the relay may hold the request until something changes.
 	WaitMs int64 `json:"wait_ms"`
-	// Probe asks only for the age of the relay's configuration.
+	// Probe asks only for the age of the relay's configuration and the departures.
 	Probe bool `json:"probe,omitempty"`
 }
 
@@ -50,6 +51,9 @@
 	// Full is set when Members is the complete list and replaces the earlier one.
 	Full    bool           `json:"whole,omitempty"`
 	Members []member.Entry `json:"members,omitempty"`
+	// Departures are those of the daemon's own VM that the relay knew before the request.
+	// They are returned to probes and to the first sync with a relay.
+	Departures []tenure.Departure `json:"departures,omitempty"`
 }
 
 // ConfigDelta leads to Revision from the revision of the request: by commands,
