--- a/core/board/board_test.go
+++ b/core/board/board_test.go
@@ -137,3 +137,16 @@
 	assert.Equal(t, c.WorkspaceTier(""), 0, "a call without a workspace")
 	assert.Equal(t, c.Next(c.State.Clone(), nil).WorkspaceTier("c"), 2)
 }
+
+// An entry that a faulty writer has left must not draw all calls of its service.
+func TestMembersLeaveUnusableUpstreamsOut(t *testing.T) {
+	entry := func(vm ident.VM, slots int) member.Entry {
+		return member.Entry{VM: vm, Phase: member.PhaseUp, Upstream: &member.Upstream{Service: "s", Slots: slots, Phase: member.PhaseUp}}
+	}
+	m := NewMembers([]member.Entry{entry("a", 8), entry("b", 1<<62), entry("c", -1), entry("d", member.MaxSlots)})
+	var vms []ident.VM
+	for _, e := range m.ByService["s"] {
+		vms = append(vms, e.VM)
+	}
+	assert.DeepEqual(t, vms, []ident.VM{"a", "d"})
+}
--- a/core/board/daemon.go
+++ b/core/board/daemon.go
@@ -249,7 +249,7 @@
 }
 
 func (m *Members) addUpstream(e member.Entry) {
-	if e.Upstream == nil || e.Upstream.Phase != member.PhaseUp {
+	if e.Upstream == nil || e.Upstream.Phase != member.PhaseUp || !e.Upstream.Usable() {
 		return
 	}
 	service := e.Upstream.Service
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -57,6 +57,16 @@
 	Phase    Phase `json:"phase"`
 }
 
+// MaxSlots is the largest number of slots of an upstream. It is far above the concurrency
+// of any process; a larger number would outweigh all other upstreams of the service.
+const MaxSlots = 1 << 20
+
+// Usable reports whether the upstream can be weighed against others, whatever daemon has
+// accepted its announcement.
+func (u Upstream) Usable() bool {
+	return u.Slots >= 0 && u.Slots <= MaxSlots
+}
+
 // Process returns which process the upstream is.
 func (u Upstream) Process() notice.Process {
 	return notice.Process{Upstream: u.ID, StartedMs: u.StartedMs}
--- a/io/daemon/upstreams.go
+++ b/io/daemon/upstreams.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chicorymast/core/board"
+	"chicorymast/core/fault"
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
 	"chicorymast/core/notice"
@@ -24,6 +25,9 @@
 // its acknowledgement for a second only.
 const departureTimeout = 300 * time.Millisecond
 
+// maxClockLead is how far the start of a process may lie ahead of this VM's clock.
+const maxClockLead = time.Minute
+
 // upstreamRegistry records the announcement of the upstream on this VM in the board's
 // sections Upstream and Departures, of which it is the only writer.
 type upstreamRegistry struct {
@@ -48,7 +52,12 @@
 // Announce records or renews the announcement of the upstream and returns how long
 // it is valid. An outdated announcement is ignored. One that says that the upstream
 // drains is acknowledged once a relay knows, if one can be reached in time.
+// Errors: a refusal if the process claims to start in the future, which would make all
+// other processes outdated.
 func (r *upstreamRegistry) Announce(a proxy.Announcement) (lease time.Duration, err error) {
+	if ahead := time.UnixMilli(a.StartedMs).Sub(r.clock.Now()); ahead > maxClockLead {
+		return 0, fault.Refuse(fault.ReasonBadRequest, "announcement: the upstream starts %s from now", ahead)
+	}
 	if r.recordOrHold(a) {
 		r.awaitRelay()
 	}
--- a/io/daemon/upstreams_test.go
+++ b/io/daemon/upstreams_test.go
@@ -161,3 +161,23 @@
 		r.mustBeInPhase(t, "b", member.PhaseUp)
 	})
 }
+
+// A start far in the future would make every sound announcement outdated.
+func TestAnnouncementFromTheFutureIsRefused(t *testing.T) {
+	r, clock := newTestRegistry()
+	_, err := r.Announce(announcement("a", clock.Now().UnixMilli(), 1))
+	assert.NilError(t, err)
+	for _, startedMs := range []int64{9e18, 1 << 53, clock.Now().Add(time.Hour).UnixMilli()} {
+		_, err = r.Announce(announcement("a", startedMs, 1))
+		assert.ErrorContains(t, err, "from now")
+	}
+	clock.Advance(time.Second)
+	_, err = r.Announce(announcement("a", clock.Now().Add(-time.Second).UnixMilli(), 2))
+	assert.NilError(t, err)
+	r.mustBeInPhase(t, "a", member.PhaseUp)
+	t.Run("a clock that was stepped by seconds is not", func(t *testing.T) {
+		_, err := r.Announce(announcement("b", clock.Now().Add(5*time.Second).UnixMilli(), 1))
+		assert.NilError(t, err)
+		r.mustBeInPhase(t, "b", member.PhaseUp)
+	})
+}
--- a/io/proxy/local.go
+++ b/io/proxy/local.go
@@ -9,6 +9,7 @@
 
 	"chicorymast/core/fault"
 	"chicorymast/core/ident"
+	"chicorymast/core/member"
 	"chicorymast/io/header"
 	"chicorymast/io/trace"
 
@@ -91,16 +92,43 @@
 	_ = json.NewEncoder(w).Encode(Lease{LeaseMs: lease.Milliseconds()})
 }
 
+// Bounds of announcements. What is above them comes from a faulty writer.
+const (
+	// maxExactInteger is the largest integer that all JSON implementations keep exactly.
+	maxExactInteger = 1 << 53
+	// maxWarmup is the longest warm-up time of an upstream.
+	maxWarmup = time.Hour
+	// maxNameLength is the longest name of an upstream, in bytes.
+	maxNameLength = 256
+)
+
 // ValidateAnnouncement returns a refusal if an announcement is invalid.
 func ValidateAnnouncement(a Announcement) *fault.Refusal {
-	ap, err := netip.ParseAddrPort(a.Address)
 	switch {
 	case a.Service == "" || a.Upstream == "":
 		return fault.Refuse(fault.ReasonBadRequest, "announcement: service and upstream are needed")
+	case len(a.Upstream) > maxNameLength:
+		return fault.Refuse(fault.ReasonBadRequest, "announcement: the name of the upstream is longer than %d bytes", maxNameLength)
+	case a.Slots < 1 || a.Slots > member.MaxSlots:
+		return fault.Refuse(fault.ReasonBadRequest, "announcement: slots must be from 1 to %d", member.MaxSlots)
+	case a.WarmupMs < 0 || a.WarmupMs > maxWarmup.Milliseconds():
+		return fault.Refuse(fault.ReasonBadRequest, "announcement: the warm-up time must be from 0 to %s", maxWarmup)
+	case a.Sequence > maxExactInteger:
+		return fault.Refuse(fault.ReasonBadRequest, "announcement: sequence is above %d", uint64(maxExactInteger))
+	case a.StartedMs < 0:
+		return fault.Refuse(fault.ReasonBadRequest, "announcement: the start time is negative")
+	}
+	return validateAddress(a.Address)
+}
+
+func validateAddress(address string) *fault.Refusal {
+	ap, err := netip.ParseAddrPort(address)
+	addr := ap.Addr()
+	switch {
 	case err != nil || ap.Port() == 0:
-		return fault.Refuse(fault.ReasonBadRequest, "announcement: address %q is not IP:port", a.Address)
-	case a.Slots < 1:
-		return fault.Refuse(fault.ReasonBadRequest, "announcement: slots must be at least 1")
+		return fault.Refuse(fault.ReasonBadRequest, "announcement: address %q is not IP:port", address)
+	case addr.IsUnspecified() || addr.IsMulticast() || addr.Zone() != "":
+		return fault.Refuse(fault.ReasonBadRequest, "announcement: address %q is not that of one upstream", address)
 	}
 	return nil
 }
