proxy: an earlier answer once more is not taken for that to a request sent again

Report of other operators: a faulty server wrote an earlier refusal once more on a kept connection; clients were told "not run, try again" for requests that ran (REFUSED), or such a request ran at a second server (TWICE).

Can it happen here? Yes, in two ways, both on the hop to the server. Answers are compared by the echoed id, so

- a request that is sent again under its id (a repeated parent repeats its calls), or one without an id, takes a refusal that is left over on the connection for its own;
- an answer to another request was refused as answer_incomplete, as it should be, but its connection was used again: setting Close on a response that net/http has returned does nothing, and if that answer had no body the connection stays in the pool, out of step, so the next request fails, too.

Such an answer teaches nothing (limits, leaving): that is read after the check. The hop between daemons is not affected, both ends being ours.

Fix: an id that was sent in the last 30 s to this upstream, or none, goes out on a connection of its own; a connection on which an answer belonged to another request is closed.

--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -111,7 +112,7 @@
 		leave(p.measureRun(sc, start, sample))
 	}()
 	req, exchange := p.upstreamRequest(ctx, r, call, upstream, token)
-	resp, err := p.upstreamTransport.RoundTrip(req)
+	resp, err := p.transportFor(req).RoundTrip(req)
 	interim.stop()
 	unspentRetries, _, nestedFailure := sc.summary(p.opt.Clock.Now())
 	if err != nil {
@@ -120,6 +121,9 @@
 	}
 	defer resp.Body.Close()
 	if refusal := p.checkResponse(req, resp); refusal != nil {
+		if resp.Close {
+			exchange.closeConnection()
+		}
 		return p.refusePeer(w, r.RemoteAddr, call, retryOutcome{unspentRetries, nestedFailure}, refusal)
 	}
 	p.recordStatement(upstream, exchange.receivedAt(p.opt.Clock.Now()), resp)
@@ -173,16 +177,36 @@
 	return req.WithContext(ctx), exchange
 }
 
+// transportFor returns the transport for a request to the upstream. A connection that is
+// kept may still bring an earlier answer once more, which only the id tells from that to
+// the request.
+func (p *Proxy) transportFor(req *http.Request) *http.Transport {
+	if d := p.opt.Dialect; d.ActionEchoed && p.sentIDs.add(p.opt.Clock.Now(), req.Header.Get(d.Action)) {
+		return p.freshTransport
+	}
+	return p.upstreamTransport
+}
+
 // exchange records the progress of a request to the upstream.
 type exchange struct {
 	wroteHeaders atomic.Bool
 	received     atomic.Pointer[time.Time]
+	conn         atomic.Pointer[net.Conn]
+}
+
+// closeConnection closes the connection of the request, on which the answers may be out of
+// step with the requests. The transport would keep it if the last answer had no body.
+func (e *exchange) closeConnection() {
+	if conn := e.conn.Load(); conn != nil {
+		_ = (*conn).Close() // the connection is given up
+	}
 }
 
 // traceExchange returns a context whose request is recorded.
 func traceExchange(ctx context.Context, clock timer.Clock) (context.Context, *exchange) {
 	e := &exchange{}
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:      func(info httptrace.GotConnInfo) { e.conn.Store(&info.Conn) },
 		WroteHeaders: func() { e.wroteHeaders.Store(true) },
 		GotFirstResponseByte: func() {
 			now := clock.Now()
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -88,6 +88,9 @@
 	opt Options
 	// upstreamTransport connects to the upstream on this VM.
 	upstreamTransport *http.Transport
+	// freshTransport does the same, with a new connection for each request.
+	freshTransport *http.Transport
+	sentIDs        *sentIDs
 	// peerTransport connects to other daemons.
 	peerTransport  *http.Transport
 	router         *router
@@ -107,10 +110,13 @@
 	p := &Proxy{
 		opt:               opt,
 		upstreamTransport: newTransport(opt.Config().Calls),
+		freshTransport:    newTransport(opt.Config().Calls),
+		sentIDs:           newSentIDs(),
 		peerTransport:     newTransport(opt.Config().Calls),
 		rng:               rng,
 		calls:             newCallTable(),
 	}
+	p.freshTransport.DisableKeepAlives = true
 	p.peerTransport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
 		return opt.Dial(ctx, address)
 	}
