proxy: a refusal of an upstream without a proof is a failure to callers

Callers of routes that may run once at most take 408, 429 and 503 for a promise that nothing has run (REFUSED). An upstream's own such status went through to them also where it did not say so (X-Not-Executed), while PROTOCOL says that no other answer states it.

Fix: the daemon beside the upstream answers 502 in its place, unless the route is idempotent: there the status is the server's, and repeating does no harm.

TestUnprovedRefusalIsAFailure failed before (503, not 502) and passes.

--- a/io/proxy/mismatch_test.go
+++ b/io/proxy/mismatch_test.go
@@ -26,6 +26,8 @@
 type scriptedServer struct {
 	ln     net.Listener
 	answer func(conn, n int, id string) string
+	// closing ends each connection after its first answer.
+	closing bool
 
 	mu   sync.Mutex
 	runs []string
@@ -66,7 +68,7 @@
 		if text == "" {
 			return
 		}
-		if _, err := io.WriteString(c, text); err != nil {
+		if _, err := io.WriteString(c, text); err != nil || s.closing {
 			return
 		}
 	}
@@ -102,13 +104,19 @@
 // call returns the status, the body and whether the daemon says that the request has not
 // run.
 func (p *echoingPeer) call(method, id string) (status int, body string, notRun bool) {
+	p.t.Helper()
+	return p.send(method, id, header.Call{Idempotent: method != http.MethodPost})
+}
+
+func (p *echoingPeer) send(method, id string, call header.Call) (status int, body string, notRun bool) {
 	p.t.Helper()
 	req, err := http.NewRequest(method, p.url+"/", nil)
 	assert.NilError(p.t, err)
 	if id != "" {
 		req.Header.Set(testActionHeader, id)
 	}
-	header.SetCall(req.Header, header.Call{Service: "shop", Route: "shop", AdmittedShare: 1, TimeoutMs: 5000})
+	call.Service, call.Route, call.AdmittedShare, call.TimeoutMs = "shop", "shop", 1, 5000
+	header.SetCall(req.Header, call)
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	assert.NilError(p.t, err)
 	defer resp.Body.Close()
@@ -202,3 +210,27 @@
 	assert.Equal(t, status, http.StatusOK)
 	assert.DeepEqual(t, s.runs, []string{"a on connection 1", "b on connection 2"})
 }
+
+// A status that promises callers that nothing has run must not reach them from an upstream
+// that does not say so, for a request that may run once at most.
+func TestUnprovedRefusalIsAFailure(t *testing.T) {
+	for _, code := range []int{408, 429, 503} {
+		t.Run(fmt.Sprint(code), func(t *testing.T) {
+			s := newScriptedServer(t, func(_, _ int, id string) string {
+				return fmt.Sprintf("HTTP/1.1 %d X\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", code, testActionHeader, id)
+			})
+			p := newEchoingPeer(t, s)
+			status, _, notRun := p.send("POST", "a", header.Call{})
+			assert.Equal(t, status, http.StatusBadGateway)
+			assert.Assert(t, !notRun)
+			status, _, _ = p.send("POST", "b", header.Call{Idempotent: true})
+			assert.Equal(t, status, code, "a request that may be repeated gets the upstream's own status")
+		})
+	}
+	t.Run("proved", func(t *testing.T) {
+		p := newEchoingPeer(t, newScriptedServer(t, func(_, _ int, id string) string { return refusal(id) }))
+		status, _, notRun := p.send("POST", "a", header.Call{})
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+		assert.Assert(t, notRun)
+	})
+}
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -131,6 +131,10 @@
 		p.noteNestedFailure(call, resp.StatusCode, p.opt.Clock.Now().Sub(start))
 	}
 	sample.Shed = resp.StatusCode == http.StatusServiceUnavailable && !nestedFailure
+	if !call.Idempotent && promisesNotRun(resp.StatusCode) && !p.opt.Dialect.ProvesNotRun(resp) {
+		refusal := fault.Failed(fault.ReasonUpstreamFailed, "the upstream answered %d, but not that the call has not run", resp.StatusCode)
+		return p.refusePeer(w, r.RemoteAddr, call, retryOutcome{unspentRetries, nestedFailure}, refusal)
+	}
 	p.passResponse(w, resp, header.Result{
 		Load: p.admission.load(), UnspentRetries: unspentRetries, NestedFailure: nestedFailure, NotRun: p.opt.Dialect.ProvesNotRun(resp),
 		ServiceCosts: p.entryAdmission.serviceCosts(call.Route, p.admission.refuseShare()), Notice: p.ownNotice(upstream),
@@ -138,6 +142,16 @@
 	return resp.StatusCode
 }
 
+// promisesNotRun reports whether callers take a status for a promise that the request has
+// not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // measureRun records a finished run in the profile of its route, unless the
 // upstream shed the call, and returns the sample with its durations.
 func (p *Proxy) measureRun(sc *servedCall, start time.Time, sample admit.Sample) admit.Sample {
