admit, proxy: calls that wait when their upstream leaves are not sent to it late

Cause: the phase of the upstream was checked before a call waits for its slot, not after, and the queue of an upstream that leaves went on for as long as the calls' deadlines.

Fix: the queue closes a second after the upstream has begun to leave; until then calls that have waited still get their slot. The others are refused as draining, not run, and their daemons send them to another upstream without a retry of the budget. A call that has waited is sent to the process that is there by then, or refused if that one serves something else.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -123,6 +123,8 @@
 	waiting int
 	// queuedSince is the time from which at least one call has been waiting.
 	queuedSince time.Time
+	// closesAt is the time from which no waiting call starts; zero for never.
+	closesAt time.Time
 	// meanHold is the mean time for which a call holds its slot, and
 	// meanHoldByRoute the same for each route.
 	meanHold        time.Duration
@@ -277,6 +279,16 @@
 	return false
 }
 
+// CloseAt sets the time from which no waiting call starts any more, for an upstream that
+// leaves; those that still wait are then refused. The zero time lets all start.
+func (c *Controller) CloseAt(t time.Time) {
+	c.closesAt = t
+}
+
+func (c *Controller) closed(now time.Time) bool {
+	return !c.closesAt.IsZero() && !now.Before(c.closesAt)
+}
+
 // Finish releases the slot of a call that ran.
 func (c *Controller) Finish(now time.Time, t Ticket, s Sample) []Effect {
 	route, ran := c.running[t]
@@ -313,14 +325,14 @@
 	}
 }
 
-// Tick refuses waiting calls that can no longer meet their deadline and starts
+// Tick refuses waiting calls that can no longer meet their deadline or be started, and starts
 // as many others as there are free slots.
 func (c *Controller) Tick(now time.Time) []Effect {
 	var effects []Effect
 	for i := range c.queues {
-		for _, r := range c.queues[i].removeLate(func(r Request) bool { return c.tooLate(now, r) }) {
+		for _, r := range c.queues[i].removeLate(func(r Request) bool { return c.closed(now) || c.tooLate(now, r) }) {
 			c.waiting--
-			effects = append(effects, Refuse{Ticket: r.Ticket, Reason: fault.ReasonDeadline})
+			effects = append(effects, Refuse{Ticket: r.Ticket, Reason: c.lateReason(now)})
 		}
 	}
 	effects = append(effects, c.startWaiting(now)...)
@@ -371,8 +383,8 @@
 	var effects []Effect
 	for c.waiting > 0 && c.mayStart(now) {
 		r := c.pop()
-		if c.tooLate(now, r) {
-			effects = append(effects, Refuse{Ticket: r.Ticket, Reason: fault.ReasonDeadline})
+		if c.closed(now) || c.tooLate(now, r) {
+			effects = append(effects, Refuse{Ticket: r.Ticket, Reason: c.lateReason(now)})
 			continue
 		}
 		effects = append(effects, c.start(now, r))
@@ -380,6 +392,14 @@
 	return effects
 }
 
+// lateReason returns why a call that has waited can't start any more.
+func (c *Controller) lateReason(now time.Time) fault.Reason {
+	if c.closed(now) {
+		return fault.ReasonDraining
+	}
+	return fault.ReasonDeadline
+}
+
 func (c *Controller) pop() Request {
 	c.waiting--
 	for i := range c.queues {
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -254,3 +254,41 @@
 		})
 	}
 }
+
+// Calls that wait when their upstream leaves must not reach it for as long as they may
+// wait, but only until the queue closes.
+func TestQueueOfALeavingUpstreamCloses(t *testing.T) {
+	closesAt := epoch.Add(time.Second)
+	waiting := func(t *testing.T) *Controller {
+		t.Helper()
+		c := fullController(t)
+		for n := range 2 {
+			assert.Equal(t, len(enqueue(t, c, request(n+1, ident.ClassNormal))), 0)
+		}
+		c.CloseAt(closesAt)
+		return c
+	}
+	t.Run("calls start before", func(t *testing.T) {
+		c := waiting(t)
+		mustRefuse(t, c.Tick(closesAt.Add(-time.Millisecond)))
+		mustStart(t, c.Finish(closesAt.Add(-time.Millisecond), 0, Sample{}), 1)
+	})
+	t.Run("the others are refused then", func(t *testing.T) {
+		c := waiting(t)
+		effects := c.Tick(closesAt)
+		mustRefuse(t, effects, 2, 1)
+		assert.Equal(t, effects[0].(Refuse).Reason, fault.ReasonDraining)
+		assert.Equal(t, c.Load(closesAt).Waiting, 0)
+	})
+	t.Run("or when a slot is free", func(t *testing.T) {
+		c := waiting(t)
+		effects := c.Finish(closesAt, 0, Sample{})
+		mustStart(t, effects)
+		mustRefuse(t, effects, 1, 2)
+	})
+	t.Run("unless another process has taken its place", func(t *testing.T) {
+		c := waiting(t)
+		c.CloseAt(time.Time{})
+		mustStart(t, c.Finish(closesAt, 0, Sample{}), 1)
+	})
+}
--- a/io/proxy/admission.go
+++ b/io/proxy/admission.go
@@ -19,6 +19,8 @@
 	cfg        admit.Config
 	lastTicket admit.Ticket
 	waiters    map[admit.Ticket]chan admit.Effect
+	// closesAt is when the queue of an upstream that leaves closes; zero if it doesn't leave.
+	closesAt time.Time
 }
 
 func newAdmission(opt Options) *admission {
@@ -50,6 +52,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.resize(capacity.slots)
+	a.closesAt = time.Time{} // the upstream takes calls; tick notices if it has just begun to leave
+	a.controller.CloseAt(a.closesAt)
 	a.apply(a.controller.SetRate(now, capacity.rate))
 	a.lastTicket++
 	decision := make(chan admit.Effect, 1)
@@ -124,9 +128,21 @@
 	a.apply(a.controller.Finish(now, t, s))
 }
 
-func (a *admission) tick(now time.Time) {
+// leavingQueueTime is how long calls that wait when their upstream begins to leave may
+// still start. It serves on for longer; the rest of the time is left to the runs.
+const leavingQueueTime = time.Second
+
+// tick advances the controller; leaving says that the upstream takes no new calls.
+func (a *admission) tick(now time.Time, leaving bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	switch {
+	case !leaving:
+		a.closesAt = time.Time{}
+	case a.closesAt.IsZero():
+		a.closesAt = now.Add(leavingQueueTime)
+	}
+	a.controller.CloseAt(a.closesAt)
 	a.apply(a.controller.Tick(now))
 }
 
--- a/io/proxy/mismatch_test.go
+++ b/io/proxy/mismatch_test.go
@@ -146,7 +146,7 @@
 		assert.Equal(t, body, "ok")
 	})
 	t.Run("to requests without an id", func(t *testing.T) {
-		s := newScriptedServer(t, func(conn, n int, id string) string {
+		s := newScriptedServer(t, func(conn, n int, _ string) string {
 			if n == 1 && conn == 1 {
 				return "HTTP/1.1 400 Bad Request\r\n" + testNotRunHeader + ": 1\r\nContent-Length: 0\r\n\r\n"
 			}
@@ -197,7 +197,7 @@
 
 // A connection on which an answer belonged to another request is out of step for good.
 func TestAnswerToAnotherRequestEndsItsConnection(t *testing.T) {
-	s := newScriptedServer(t, func(conn, n int, id string) string {
+	s := newScriptedServer(t, func(conn, _ int, id string) string {
 		if conn == 1 {
 			return success("other")
 		}
--- a/io/proxy/notices_test.go
+++ b/io/proxy/notices_test.go
@@ -71,17 +71,22 @@
 // send sends calls and returns when each of them waits for admission or has ended.
 func (c *peerCalls) send(n int) {
 	for range n {
-		req := httptest.NewRequest(http.MethodGet, "/", nil)
-		header.SetCall(req.Header, c.call)
-		c.sent++
-		go func() {
-			c.p.PeerHandler().ServeHTTP(httptest.NewRecorder(), req)
-			c.done.Add(1)
-		}()
+		c.start()
 	}
 	c.settle()
 }
 
+// start sends a call.
+func (c *peerCalls) start() {
+	req := httptest.NewRequest(http.MethodGet, "/", nil)
+	header.SetCall(req.Header, c.call)
+	c.sent++
+	go func() {
+		c.p.PeerHandler().ServeHTTP(httptest.NewRecorder(), req)
+		c.done.Add(1)
+	}()
+}
+
 func (c *peerCalls) settle() {
 	for int(c.done.Load())+c.p.admission.load().Waiting < c.sent {
 		runtime.Gosched()
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -67,6 +67,13 @@
 		interim.stop()
 		return p.refusePeer(w, r.RemoteAddr, call, retryOutcome{unspentRetries: call.Retries}, refusal)
 	}
+	// The upstream may have been replaced while the call waited.
+	if upstream = p.opt.Board.Upstream.Read(); upstream.Service != call.Service {
+		p.admission.leave(ticket, admit.Sample{})
+		interim.stop()
+		return p.refusePeer(w, r.RemoteAddr, call, retryOutcome{unspentRetries: call.Retries},
+			fault.Refuse(fault.ReasonDraining, "service %s has left this VM", call.Service))
+	}
 	return p.forward(ctx, w, r, call, upstream, interim, func(s admit.Sample) { p.admission.leave(ticket, s) })
 }
 
@@ -77,12 +84,17 @@
 	// A stopping daemon still accepts calls while its listener is open. They
 	// come from daemons that do not know yet that it is stopping, or that have
 	// no other upstream for the service.
-	if upstream.Phase != member.PhaseUp || upstream.Drained {
+	if !takesCalls(upstream) {
 		return fault.Refuse(fault.ReasonDraining, "the upstream on this VM takes no new work")
 	}
 	return nil
 }
 
+// takesCalls reports whether the upstream on this VM takes new calls.
+func takesCalls(upstream *board.Upstream) bool {
+	return upstream.Phase == member.PhaseUp && !upstream.Drained
+}
+
 // refusePeer responds to another daemon in place of the upstream.
 func (p *Proxy) refusePeer(w http.ResponseWriter, from string, call header.Call, retries retryOutcome, r *fault.Refusal) (status int) {
 	p.noteCallRefused(from, call, r)
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -148,7 +148,9 @@
 // Start starts the proxy's periodic tasks.
 func (p *Proxy) Start() (stop func()) {
 	const admissionInterval = 10 * time.Millisecond
-	stopAdmission := p.opt.Clock.Every(admissionInterval, p.admission.tick)
+	stopAdmission := p.opt.Clock.Every(admissionInterval, func(now time.Time) {
+		p.admission.tick(now, !takesCalls(p.opt.Board.Upstream.Read()))
+	})
 	stopSuspects := p.opt.Clock.Every(time.Second, p.suspects.expire)
 	reporter := &overloadReporter{p: p}
 	stopReports := p.opt.Clock.Every(overloadReportInterval, reporter.report)
