header: net/http knows neither of the headers for which it repeats a request

Cause: net/http sends a request without a body again by itself if it has Idempotency-Key or X-Idempotency-Key. Only the first was sent under its lower-case name, which net/http does not look for. Both hops were affected.

Ruled out: a body that net/http can't repeat for every method; it would send POST, PUT and PATCH requests without a body in chunks.

--- a/io/header/header.go
+++ b/io/header/header.go
@@ -41,10 +41,9 @@
 	UpstreamLimit   = "Chicorymast-Limit"
 	UpstreamLeaving = "Chicorymast-Leaving"
 	// IdempotencyKey carries the caller's action id. Requests are sent with the
-	// lower-case name: net/http retries a request on its own if it has the
-	// canonical name, and would run an action twice.
-	IdempotencyKey      = "Idempotency-Key"
-	lowerIdempotencyKey = "idempotency-key"
+	// lower-case name (LowerRetryHeaders): net/http retries a request on its own if it has
+	// the canonical name, and would run an action twice.
+	IdempotencyKey = "Idempotency-Key"
 	// RequestTimeout carries the remaining time, in seconds.
 	RequestTimeout = "Request-Timeout"
 	// IdempotencyReplayed marks a response that was stored for an action.
@@ -198,12 +197,18 @@
 	h.Del("Expect")
 }
 
-// LowerIdempotencyKey moves the action id to the lower-case header name, for
-// which net/http does not retry a request on its own.
-func LowerIdempotencyKey(h http.Header) {
-	values := h.Values(IdempotencyKey)
-	h.Del(IdempotencyKey)
-	if len(values) > 0 {
-		h[lowerIdempotencyKey] = values
+// retryHeaders are the headers for which net/http retries a request without a body on its
+// own, whatever its method.
+var retryHeaders = []string{IdempotencyKey, "X-Idempotency-Key"}
+
+// LowerRetryHeaders moves these headers to their lower-case names, under which net/http
+// does not know them.
+func LowerRetryHeaders(h http.Header) {
+	for _, name := range retryHeaders {
+		values := h.Values(name)
+		h.Del(name)
+		if len(values) > 0 {
+			h[strings.ToLower(name)] = values
+		}
 	}
 }
--- a/io/proxy/mismatch_test.go
+++ b/io/proxy/mismatch_test.go
@@ -131,7 +131,7 @@
 // next request. The caller must not be told that this one has not run.
 func TestRepeatedRefusalIsNotTakenForAnAnswer(t *testing.T) {
 	t.Run("to the same request, sent again", func(t *testing.T) {
-		s := newScriptedServer(t, func(conn, n int, id string) string {
+		s := newScriptedServer(t, func(conn, _ int, id string) string {
 			if conn == 1 {
 				return refusal(id) // the second one while the request runs
 			}
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -188,7 +188,7 @@
 	header.StripHopByHop(req.Header)
 	header.StripInternal(req.Header)
 	header.StripCredentials(req.Header)
-	header.LowerIdempotencyKey(req.Header)
+	header.LowerRetryHeaders(req.Header)
 	p.opt.Dialect.SetUpstream(req.Header, header.UpstreamHeaders{
 		TimeLeft: left, Workspace: call.Workspace, Caller: call.Caller, Target: upstream.ID,
 	})
--- a/io/proxy/retry_test.go
+++ b/io/proxy/retry_test.go
@@ -73,20 +73,22 @@
 	}
 	for name, attach := range bodies {
 		for _, method := range []string{"GET", "HEAD", "OPTIONS", "TRACE", "POST", "PUT", "PATCH", "DELETE"} {
-			t.Run(name+" "+method, func(t *testing.T) { testNoRetry(t, method, attach) })
+			for _, key := range []string{header.IdempotencyKey, "X-Idempotency-Key", "x-idempotency-key"} {
+				t.Run(name+" "+method+" "+key, func(t *testing.T) { testNoRetry(t, method, key, attach) })
+			}
 		}
 	}
 }
 
-func testNoRetry(t *testing.T, method string, attach func(*http.Request)) {
+func testNoRetry(t *testing.T, method, key string, attach func(*http.Request)) {
 	s := newClosingServer(t)
 	transport := newTransport(config.Default().Calls)
 	defer transport.CloseIdleConnections()
 	send := func() error {
 		r, err := http.NewRequest(method, "http://"+s.ln.Addr().String()+"/", nil)
 		assert.NilError(t, err)
-		r.Header.Set(header.IdempotencyKey, "order-1")
-		header.LowerIdempotencyKey(r.Header)
+		r.Header.Set(key, "order-1")
+		header.LowerRetryHeaders(r.Header)
 		attach(r)
 		resp, err := transport.RoundTrip(r)
 		if err != nil {
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -83,7 +83,7 @@
 	call.TimeoutMs = remaining(ctx, p.opt.Clock.Now()).Milliseconds()
 	call.RoomElsewhere = p.router.roomElsewhere(call.Service, admissionLevel(call), vm.VM)
 	call.UpstreamNotice = p.notices.limitOf(p.opt.Clock.Now(), vm.Process)
-	header.LowerIdempotencyKey(req.Header)
+	header.LowerRetryHeaders(req.Header)
 	header.SetCall(req.Header, call)
 	if p.opt.Dialect.PropagateTrace {
 		trace.Inject(ctx, req.Header, "")
