proxy: a crash of an upstream counts also after one of its own calls has failed

Cause: a crash was not counted where a nested call had failed. But the crash ends the nested calls itself: the upstream's connections close, so its calls end as cancelled.

Fix: the daemon beside the upstream has seen that it refuses connections; that counts whatever happened to nested calls. A request that was only near is cleared by its next answer, as before.

TestCrashDuringANestedCallCounts failed before ("the request goes on crashing upstreams") and passes.

--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -44,7 +44,8 @@
 	if result.Reason != "" {
 		defer stop()
 		discardBody(resp)
-		if result.Reason == fault.ReasonUpstreamCrashed && !result.NestedFailure {
+		if result.Reason == fault.ReasonUpstreamCrashed {
+			// A nested call may have failed by the crash itself, so it excuses nothing.
 			p.suspects.recordCrash(p.opt.Clock.Now(), o.fingerprint)
 		}
 		r := &fault.Refusal{Reason: result.Reason, Detail: result.Detail, NotRun: result.NotRun}
--- a/io/proxy/truncate_test.go
+++ b/io/proxy/truncate_test.go
@@ -12,8 +12,11 @@
 	"testing"
 
 	"chicorymast/core/board"
+	"chicorymast/core/fault"
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
+	"chicorymast/core/poison"
+	"chicorymast/core/route"
 	"chicorymast/core/state"
 	"chicorymast/io/header"
 
@@ -91,7 +94,6 @@
 
 // The same on the hop between daemons: the daemon beside the upstream may end there.
 func TestPeerAnswerCutShortIsNeverWhole(t *testing.T) {
-	const service = ident.Service("deep")
 	result := http.Header{}
 	header.SetResult(result, header.Result{})
 	head := "HTTP/1.1 200 OK\r\n"
@@ -108,28 +110,62 @@
 			var keep atomic.Int64
 			s := newScriptedServer(t, func(int, int, string) string { return answer[:keep.Load()] })
 			s.closing = true
-			p := newUpstreamProxy(t, "127.0.0.1:1")
-			p.peerTransport.DialContext = (&net.Dialer{}).DialContext
-			p.opt.Board.Config.Write(board.NewConfig(state.New(), nil))
-			p.opt.Board.Members.Write(board.NewMembers([]member.Entry{{
-				VM: "a", Addresses: member.Addresses{Peer: s.ln.Addr().String()}, Phase: member.PhaseUp,
-				Upstream: &member.Upstream{Service: service, Slots: 4, Phase: member.PhaseUp},
-			}}))
-			vm, _, ok := p.pick(header.Call{Service: service}, nil)
-			assert.Assert(t, ok)
+			c := newPeerCaller(t, s)
 			for n := range len(answer) + 1 {
 				keep.Store(int64(n))
-				o := &outboundCall{
-					call: header.Call{Service: service, Route: "r", TimeoutMs: 1000}, method: http.MethodGet,
-					url: &url.URL{Path: "/"}, header: http.Header{}, body: &payload{complete: true},
-				}
-				body, whole := wholeBody(p.sendOnce(context.Background(), o, vm, 0))
+				body, whole := wholeBody(c.send())
 				assert.Equal(t, whole, n == len(answer), "%d of %d bytes: body %q", n, len(answer), body)
 			}
 		})
 	}
 }
 
+// peerCaller is a daemon that calls the daemon on one other VM.
+type peerCaller struct {
+	p  *Proxy
+	vm route.Candidate
+}
+
+func newPeerCaller(t *testing.T, peer *scriptedServer) *peerCaller {
+	t.Helper()
+	const service = ident.Service("deep")
+	p := newUpstreamProxy(t, "127.0.0.1:1")
+	p.peerTransport.DialContext = (&net.Dialer{}).DialContext
+	p.opt.Board.Config.Write(board.NewConfig(state.New(), nil))
+	p.opt.Board.Members.Write(board.NewMembers([]member.Entry{{
+		VM: "a", Addresses: member.Addresses{Peer: peer.ln.Addr().String()}, Phase: member.PhaseUp,
+		Upstream: &member.Upstream{Service: service, Slots: 4, Phase: member.PhaseUp},
+	}}))
+	vm, _, ok := p.pick(header.Call{Service: service}, nil)
+	assert.Assert(t, ok)
+	return &peerCaller{p: p, vm: vm}
+}
+
+// send sends a call once; all calls have the same content.
+func (c *peerCaller) send() attempt {
+	return c.p.sendOnce(context.Background(), &outboundCall{
+		call: header.Call{Service: "deep", Route: "r", TimeoutMs: 1000}, method: http.MethodGet, fingerprint: "content",
+		url: &url.URL{Path: "/"}, header: http.Header{}, body: &payload{complete: true},
+	}, c.vm, 0)
+}
+
+// A request whose own calls are under way crashes its upstream: these calls fail by that,
+// and the crash must count all the same.
+func TestCrashDuringANestedCallCounts(t *testing.T) {
+	result := http.Header{}
+	header.SetResult(result, header.Result{Reason: fault.ReasonUpstreamCrashed, NestedFailure: true})
+	answer := "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n"
+	for name := range result {
+		answer += name + ": " + result.Get(name) + "\r\n"
+	}
+	c := newPeerCaller(t, newScriptedServer(t, func(int, int, string) string { return answer + "\r\n" }))
+	for range poison.CrashesToSuspect {
+		assert.Assert(t, c.p.suspects.refuse(c.p.opt.Clock.Now(), "content") == nil)
+		assert.Assert(t, c.send().refusal != nil)
+	}
+	assert.Assert(t, c.p.suspects.refuse(c.p.opt.Clock.Now(), "content") != nil, "the request goes on crashing upstreams")
+}
+
 // wholeBody returns the body of the response to an attempt, if it is complete.
 func wholeBody(a attempt) (body string, whole bool) {
 	if a.response == nil {
