daemon: what is announced before a relay was reached counts in order

A daemon that has just started holds announcements until a relay has said what it knows of the VM. It held the newest only, so that after some seconds without a relay a running upstream waited for one more announcement; and `draining` was acknowledged meanwhile without being noted for the relays, so that a second restart forgot it.

Now all of them (16 at most) are recorded in order, and a departure is noted at once.

--- a/io/daemon/upstreams.go
+++ b/io/daemon/upstreams.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -40,9 +41,9 @@
 	lease  time.Duration
 	tenure *tenure.Tenure
 	// recalling is set from the start until a relay has said what it knows of the VM from
-	// before; held is the newest announcement that waits for that.
+	// before; held are the announcements that wait for that, maxHeld at most.
 	recalling bool
-	held      *proxy.Announcement
+	held      []proxy.Announcement
 }
 
 func newUpstreamRegistry(vm ident.VM, c timer.Clock, b *board.Board, log *event.Log, lease time.Duration) *upstreamRegistry {
@@ -64,17 +65,24 @@
 	return r.lease, nil
 }
 
-// recordOrHold records an announcement, or keeps the newest until a relay was reached.
+// maxHeld bounds the announcements that are held: more than come before a relay is reached.
+const maxHeld = 16
+
+// recordOrHold records an announcement, or holds it until a relay was reached.
 func (r *upstreamRegistry) recordOrHold(a proxy.Announcement) (departed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.recalling {
-		if r.held == nil || r.held.Upstream != a.Upstream || a.Sequence >= r.held.Sequence {
-			r.held = &a
-		}
-		return false
+	if !r.recalling {
+		return r.record(a)
+	}
+	if r.held = append(r.held, a); len(r.held) > maxHeld {
+		r.held = r.held[1:]
 	}
-	return r.record(a)
+	return a.Draining && r.depart(processOf(a), tenure.Draining)
+}
+
+func processOf(a proxy.Announcement) notice.Process {
+	return notice.Process{Upstream: a.Upstream, StartedMs: a.StartedMs}
 }
 
 // Recall adds what a relay knows of upstreams that have left this VM. The first call, with
@@ -89,8 +97,8 @@
 	}
 	held := r.held
 	r.recalling, r.held = false, nil
-	if held != nil {
-		r.record(*held)
+	for _, a := range held {
+		r.record(a)
 	}
 }
 
@@ -114,7 +122,7 @@
 // become known by it.
 func (r *upstreamRegistry) record(a proxy.Announcement) (departed bool) {
 	now := r.clock.Now()
-	p := notice.Process{Upstream: a.Upstream, StartedMs: a.StartedMs}
+	p := processOf(a)
 	before, newest := r.tenure.Latest()
 	verdict := r.tenure.Announce(now, p, a.Sequence)
 	if verdict == tenure.Outdated {
@@ -223,12 +231,16 @@
 func (r *upstreamRegistry) Deregister(u ident.Upstream) {
 	r.mu.Lock()
 	departed := r.tenure.Deregister(r.clock.Now(), u)
+	r.held = slices.DeleteFunc(r.held, func(a proxy.Announcement) bool {
+		leaves := u == "" || a.Upstream == u
+		if leaves {
+			departed = r.tenure.Depart(r.clock.Now(), processOf(a), tenure.Gone) || departed
+		}
+		return leaves
+	})
 	if departed {
 		r.publishDepartures()
 	}
-	if r.held != nil && (u == "" || r.held.Upstream == u) {
-		r.held = nil
-	}
 	r.setPhase(u, member.PhaseGone, event.UpstreamDeregistered)
 	r.mu.Unlock()
 	if departed {
--- a/io/daemon/upstreams_test.go
+++ b/io/daemon/upstreams_test.go
@@ -8,6 +8,7 @@
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
 	"chicorymast/core/notice"
+	"chicorymast/core/tenure"
 	"chicorymast/io/event"
 	"chicorymast/io/proxy"
 	"chicorymast/io/timer"
@@ -181,3 +182,59 @@
 		r.mustBeInPhase(t, "b", member.PhaseUp)
 	})
 }
+
+// A daemon that reaches no relay for some seconds after its start must not keep a running
+// upstream out: its announcements are in order when they count at last.
+func TestHeldAnnouncementsCountInOrder(t *testing.T) {
+	recalling := func() (*upstreamRegistry, *timer.Manual, int64) {
+		r, clock := newTestRegistry()
+		r.recalling = true
+		return r, clock, clock.Now().Add(-time.Hour).UnixMilli()
+	}
+	announce := func(t *testing.T, r *upstreamRegistry, a proxy.Announcement) {
+		t.Helper()
+		_, err := r.Announce(a)
+		assert.NilError(t, err)
+		assert.Assert(t, !r.board.Upstream.Read().Present(), "registered before a relay was reached")
+	}
+	t.Run("a running upstream", func(t *testing.T) {
+		r, clock, started := recalling()
+		for sequence := range uint64(3) {
+			clock.Advance(1500 * time.Millisecond)
+			announce(t, r, announcement("a", started, 40+sequence))
+		}
+		r.Recall(nil)
+		r.mustBeInPhase(t, "a", member.PhaseUp)
+	})
+	t.Run("one that a relay knows as gone", func(t *testing.T) {
+		r, clock, started := recalling()
+		announce(t, r, announcement("a", started, 40))
+		r.Recall([]tenure.Departure{{Process: notice.Process{Upstream: "a", StartedMs: started}, Stage: tenure.Gone, AtMs: clock.Now().UnixMilli()}})
+		assert.Assert(t, !r.board.Upstream.Read().Present())
+	})
+	t.Run("one that deregisters meanwhile", func(t *testing.T) {
+		r, _, started := recalling()
+		announce(t, r, announcement("a", started, 40))
+		r.Deregister("a")
+		r.Recall(nil)
+		assert.Assert(t, !r.board.Upstream.Read().Present())
+	})
+	t.Run("one that drains meanwhile, then a late announcement", func(t *testing.T) {
+		r, _, started := recalling()
+		draining := announcement("a", started, 41)
+		draining.Draining = true
+		announce(t, r, draining)
+		assert.Equal(t, len(*r.board.Departures.Read()), 1, "acknowledged, but no relay is told")
+		announce(t, r, announcement("a", started, 40))
+		r.Recall(nil)
+		r.mustBeInPhase(t, "a", member.PhaseDraining)
+	})
+	t.Run("a departure that becomes known late", func(t *testing.T) {
+		r, clock, started := recalling()
+		announce(t, r, announcement("a", started, 40))
+		r.Recall(nil)
+		r.mustBeInPhase(t, "a", member.PhaseUp)
+		r.Recall([]tenure.Departure{{Process: notice.Process{Upstream: "a", StartedMs: started}, Stage: tenure.Draining, AtMs: clock.Now().UnixMilli()}})
+		r.mustBeInPhase(t, "a", member.PhaseDraining)
+	})
+}
