tenure: a deregistration that arrives late does not keep a later process out for good

A DELETE names no process. One that arrives late, when the server has started again under its id, was taken for that of the new process, whose announcements were ignored until the daemon restarted; since departures outlive the daemon, longer than that. The same where the start was unknown: a process that had proved to be alive was outdated again with its next announcement.

Now a process that goes on announcing itself with rising numbers for longer than messages are late (10 s) counts again, and the deregistration is forgotten. One that has left sends nothing after its deregistration, so a late announcement still changes nothing.

--- a/core/tenure/tenure.go
+++ b/core/tenure/tenure.go
@@ -48,7 +48,7 @@
 	Gone     Stage = "gone"
 )
 
-// Departure says that a process of an upstream leaves or has left. It can't be taken back.
+// Departure says that a process of an upstream leaves or has left.
 type Departure struct {
 	notice.Process
 	Stage Stage `json:"stage"`
@@ -125,32 +125,32 @@
 // Sequence numbers order the announcements of one process, start times the processes; a
 // zero is unknown.
 func (t *Tenure) Announce(now time.Time, p notice.Process, sequence uint64) Verdict {
-	stage, certain := t.stageOf(p)
-	if stage == Gone && certain {
+	gone, draining := t.departed(p, Gone), t.departed(p, Draining)
+	if (gone || t.precedesLatest(p, sequence)) && !t.provesAlive(now, p, sequence) {
 		return Outdated
 	}
-	if (stage == Gone || t.precedesLatest(p, sequence)) && !t.provesAlive(now, p, sequence) {
-		return Outdated
+	if gone {
+		t.forget(p)
 	}
 	if t.mayHaveLeft(now, p, sequence) {
 		return Outdated
 	}
 	t.latest, t.sequence, t.renewedAt, t.ignored = p, sequence, now, outdatedRun{}
-	if stage == Draining {
+	if draining {
 		return Leaving
 	}
 	return Current
 }
 
-// stageOf returns how far a process has departed. It is certain unless the departure names
-// no start time.
-func (t *Tenure) stageOf(p notice.Process) (stage Stage, certain bool) {
-	for _, d := range t.departures {
-		if d.covers(p) && stage != Gone {
-			stage, certain = d.Stage, d.StartedMs != 0
-		}
-	}
-	return stage, certain
+// departed reports whether a process is known to be at a stage of its departure.
+func (t *Tenure) departed(p notice.Process, stage Stage) bool {
+	return slices.ContainsFunc(t.departures, func(d Departure) bool { return d.Stage == stage && d.covers(p) })
+}
+
+// forget removes the deregistration of a process that is alive all the same: it was that
+// of an earlier process with the same id, and late.
+func (t *Tenure) forget(p notice.Process) {
+	t.departures = slices.DeleteFunc(slices.Clone(t.departures), func(d Departure) bool { return d.Stage == Gone && d.covers(p) })
 }
 
 // precedesLatest reports whether an announcement was sent before the newest one.
@@ -177,9 +177,9 @@
 	return true
 }
 
-// provesAlive reports whether a process that seems outdated has gone on announcing itself
-// for longer than messages are late, while nothing else has announced itself: a clock was
-// stepped, or an announcement before bore a wrong start time or number.
+// provesAlive reports whether a process that seems outdated or gone has gone on announcing
+// itself for longer than messages are late, while nothing else has: a clock was stepped, an
+// announcement before bore a wrong start time or number, or a deregistration was late.
 func (t *Tenure) provesAlive(now time.Time, p notice.Process, sequence uint64) bool {
 	if t.ignored.process != p || sequence <= t.ignored.sequence {
 		if t.ignored.process != p {
--- a/io/ctrl/voters.go
+++ b/io/ctrl/voters.go
@@ -84,7 +84,7 @@
 }
 
 // startVoterChange reports whether the change was started or another one is pending, so
-// that no other one should be tried now.
+// that no other should be started now.
 func (c *Control) startVoterChange(change raft.VoterChange) bool {
 	var effects []raft.Effect
 	var err error
--- a/io/daemon/upstreams.go
+++ b/io/daemon/upstreams.go
@@ -125,6 +125,9 @@
 	p := processOf(a)
 	before, newest := r.tenure.Latest()
 	verdict := r.tenure.Announce(now, p, a.Sequence)
+	if len(r.tenure.Departures()) != len(*r.board.Departures.Read()) {
+		r.publishDepartures() // a late deregistration was outlived
+	}
 	if verdict == tenure.Outdated {
 		r.log.Emit(event.AnnouncementOutdated, zap.String("upstream", string(a.Upstream)),
 			zap.Int64("started_ms", a.StartedMs), zap.Uint64("sequence", a.Sequence),
