--- a/core/admit/feedback.go
+++ b/core/admit/feedback.go
@@ -21,8 +21,7 @@
 // was admitted: the parent of a nested call may be guessed, and another service may
 // refuse calls of the same trees. The upstream would then stay idle or flooded. So a slow
 // feedback corrects the estimate by the work that arrives. It does so only while the
-// share is steady and the arriving work was admitted by it, since after a change that work
-// lags behind by as long as a call tree takes.
+// share is steady, since after a change the arriving work lags behind.
 //
 // Entries refuse by the mean of the shares of a service's upstreams. Each therefore
 // also follows that mean, which calls bring along; otherwise two could drift apart, one
@@ -35,46 +34,33 @@
 	admit float64
 	// steadyAdmit follows admit slowly; the two are equal while the share is steady.
 	steadyAdmit float64
-	// steadyLag follows slowly how far the share at which the arriving work was admitted
-	// lies from admit, as ln of their ratio. The two are equal unless that work was admitted
-	// by a former share, as in the first seconds of an overload.
-	steadyLag float64
 	// correction is the factor by which demandedWork overestimates the demand.
 	correction float64
 	// serviceRefuseShare is the moving average of the mean share to refuse of the
 	// service.
 	serviceRefuseShare float64
-	// waited is the part of the recent time in which calls waited, from 0 to 1.
-	waited  float64
-	updated time.Time
+	updated            time.Time
 }
 
 const (
 	// workWindow is the averaging time of the work.
 	workWindow = 500 * time.Millisecond
-	// minTarget and maxTarget bound the share of the slots to keep busy; the rest absorbs
-	// bursts. The more often calls wait, the burstier the load is, and the lower the share.
-	minTarget, maxTarget = 0.95, 0.99
-	// waitedTime is the time constant with which the part of the time in which calls wait
-	// is averaged.
-	waitedTime = 500 * time.Millisecond
-	// burstyWait is the part of the time with waiting calls from which minTarget holds.
-	burstyWait = 0.1
-	// emptyTime is the time constant with which a standing queue empties. It is longer than
-	// call trees take, so that the share does not swing.
-	emptyTime = 2500 * time.Millisecond
+	// targetUtilisation is the share of the slots to keep busy; the rest absorbs
+	// bursts.
+	targetUtilisation = 0.95
+	// slotsPerWaiting is the part of a slot that each waiting call is given, so that a
+	// standing queue empties.
+	slotsPerWaiting = 0.1
 	// feedbackInterval is the time between two updates.
 	feedbackInterval = 50 * time.Millisecond
 	// followTime is the time constant with which the share follows the demand.
-	followTime = 150 * time.Millisecond
+	followTime = 500 * time.Millisecond
 	// steadyTime is the time constant of steadyAdmit: a share counts as steady when it
 	// has lasted for as long as a call tree takes.
 	steadyTime = time.Second
-	// steadyRange is the distance from a steady value, as ln of the ratio, from which the
-	// estimate is not corrected.
+	// steadyRange is the largest |ln(admit/steadyAdmit)| at which the estimate is still
+	// corrected.
 	steadyRange = 0.2
-	// lagTime is the time constant of steadyLag, as long as slow call trees take.
-	lagTime = 2 * time.Second
 	// correctionTime is the time constant of the correction. It is longer than the
 	// responses take to carry a share to the entries and the calls to arrive.
 	correctionTime = 4 * time.Second
@@ -117,10 +103,9 @@
 	}
 }
 
-// update computes the share to admit and returns it. Waiting says whether calls wait.
-// Capacity is the work in slots that should arrive while none does; spare is less than that
-// by what empties the queue.
-func (f *admitFeedback) update(now time.Time, waiting bool, capacity, spare float64) float64 {
+// update computes the share to admit and returns it. Capacity is the work in slots that
+// should arrive while no call waits; spare is less than that by what empties the queue.
+func (f *admitFeedback) update(now time.Time, capacity, spare float64) float64 {
 	if f.admit == 0 {
 		return 1
 	}
@@ -129,7 +114,6 @@
 		return f.admit
 	}
 	f.updated = now
-	f.observeQueue(elapsed, waiting)
 	f.correct(now, elapsed, max(capacity, 1))
 	target := 1.0
 	if demand := f.demandedWork.Rate(now) / max(spare, 1); demand > f.correction {
@@ -141,36 +125,10 @@
 	return f.admit
 }
 
-func (f *admitFeedback) observeQueue(elapsed time.Duration, waiting bool) {
-	now := 0.0
-	if waiting {
-		now = 1
-	}
-	f.waited += (now - f.waited) * passed(elapsed, waitedTime)
-}
-
-// target returns the share of the slots to keep busy.
-func (f *admitFeedback) target() float64 {
-	return maxTarget - (maxTarget-minTarget)*min(1, f.waited/burstyWait)
-}
-
-// steadiness returns how far the arriving work shows the effect of the present share, from
-// 0 to 1: neither the share nor that at which the work was admitted must have changed.
-func (f *admitFeedback) steadiness(elapsed time.Duration, arrived, demanded float64) float64 {
-	f.steadyAdmit = approach(f.steadyAdmit, f.admit, elapsed, steadyTime)
-	lag := f.steadyLag
-	if arrived > 0 && demanded > 0 {
-		lag = math.Log(arrived / demanded / f.admit)
-	}
-	f.steadyLag += (lag - f.steadyLag) * passed(elapsed, lagTime)
-	inRange := func(distance float64) float64 { return max(0, 1-math.Abs(distance)/steadyRange) }
-	return inRange(math.Log(f.admit/f.steadyAdmit)) * inRange(lag-f.steadyLag)
-}
-
 // correct adapts the correction to the work that arrives.
 func (f *admitFeedback) correct(now time.Time, elapsed time.Duration, capacity float64) {
+	f.steadyAdmit = approach(f.steadyAdmit, f.admit, elapsed, steadyTime)
 	arrived, demanded := f.arrivedWork.Rate(now), f.demandedWork.Rate(now)
-	steady := f.steadiness(elapsed, arrived, demanded)
 	utilisation := min(max(arrived/capacity, minUtilisation), 1/minUtilisation)
 	switch {
 	case f.admit == 1 && utilisation <= 1:
@@ -178,6 +136,7 @@
 	case utilisation < 1 && arrived < elsewhereRatio*f.admit*demanded:
 		// Another service refuses more than this one asks for.
 	default:
+		steady := max(0, 1-math.Abs(math.Log(f.admit/f.steadyAdmit))/steadyRange)
 		f.correction = approach(f.correction, f.correction/utilisation, time.Duration(steady*float64(elapsed)), correctionTime)
 		f.correction = min(max(f.correction, 1/maxCorrection), maxCorrection)
 	}
@@ -186,13 +145,7 @@
 // approach returns the value moved toward the target along an exponential with a time
 // constant, on a logarithmic scale: a doubling takes as long as a halving.
 func approach(value, target float64, elapsed, timeConstant time.Duration) float64 {
-	return value * math.Pow(target/value, passed(elapsed, timeConstant))
-}
-
-// passed returns the part of the way to its target that an exponential has gone after a
-// time.
-func passed(elapsed, timeConstant time.Duration) float64 {
-	return 1 - math.Exp(-elapsed.Seconds()/timeConstant.Seconds())
+	return value * math.Pow(target/value, 1-math.Exp(-elapsed.Seconds()/timeConstant.Seconds()))
 }
 
 // RefuseShare returns the share of the demand for this upstream that should be
@@ -203,15 +156,14 @@
 
 // updateAdmitShare updates the share to admit and returns it.
 func (c *Controller) updateAdmitShare(now time.Time) float64 {
-	return c.feedback.update(now, c.waiting > 0, c.feedback.target()*float64(c.limit.current()), c.spareCapacity())
+	return c.feedback.update(now, targetUtilisation*float64(c.limit.current()), c.spareCapacity())
 }
 
 // spareCapacity returns the slots that arriving calls may take, besides those that
 // empty the queue.
 func (c *Controller) spareCapacity() float64 {
 	limit := float64(c.limit.current())
-	queued := float64(c.waiting) * c.meanHold.Seconds() / emptyTime.Seconds()
-	return max(minUtilisation*limit, c.feedback.target()*limit-queued)
+	return max(minUtilisation*limit, targetUtilisation*limit-slotsPerWaiting*float64(c.waiting))
 }
 
 // Status is the state of a controller that explains its refusals.
