agent: announcements do not extend the wait for a silent relay

Cause: a sync that is interrupted by a change of the VM's own announcement was sent again with the whole time-out of 1.4 s. One change just before the time-out makes 2.8 s of it; changes more often than each 1.4 s keep the daemon on a relay that answers nothing, for good. Ruled out: announcements that change nothing, which write nothing.

Now a sync that follows an interrupted one is not held, so that nothing interrupts it, and gets no time beyond that of the former (fresh.Silence).

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"chicorymast/core/board"
+	"chicorymast/core/fresh"
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
 	"chicorymast/core/poison"
@@ -31,19 +32,15 @@
 )
 
 const (
-	// syncWait is how long a relay may hold a sync that returns nothing new.
-	syncWait = time.Second
-	// syncTimeout is the time for a whole sync: the wait and a slow round trip.
-	syncTimeout = syncWait + 400*time.Millisecond
-	// shortSyncWait replaces syncWait while the relay's configuration is aging, so
+	// firstSyncTimeout is that of the first sync with a relay, which returns all members,
+	// some MB at most.
+	firstSyncTimeout = fresh.SyncHold + fresh.SyncSlack
+	// shortSyncWait replaces fresh.SyncHold while the relay's configuration is aging, so
 	// that the agent leaves a relay that is cut off from the leader before it could
 	// miss a change.
 	shortSyncWait = 200 * time.Millisecond
 	// agingAfter is above any age that a relay with a connection to a leader reports.
 	agingAfter = 500 * time.Millisecond
-	// staleAfter is the age at which a relay's configuration is stale. It leaves
-	// time for the search, so that a change is in force within the guaranteed 2 s.
-	staleAfter = 800 * time.Millisecond
 	// retryPause is the time between two failed attempts.
 	retryPause = 200 * time.Millisecond
 	// preferredPause is the time between two attempts to return to a relay that is
@@ -87,6 +84,10 @@
 	relay   string
 	// failed is set when the current relay did not answer.
 	failed bool
+	// silence is the time for which the current relay has owed a reply.
+	silence fresh.Silence
+	// announcing is set when the last sync was interrupted by a change to announce.
+	announcing bool
 	// age is the age of the relay's configuration in its last reply.
 	age time.Duration
 	// searchedAt is the time of the last search for another relay, nextCandidate
@@ -148,18 +149,22 @@
 		a.pause(ctx)
 	}
 	wait := a.waitFor()
-	callCtx, cancel := context.WithTimeout(ctx, a.timeoutFor(wait))
-	defer cancel()
-	stopInterrupt := a.interruptOnChange(callCtx, cancel)
 	sent := a.opt.Clock.Now()
+	callCtx, cancel := context.WithTimeout(ctx, a.timeoutFor(sent, wait))
+	defer cancel()
+	stopInterrupt := func() bool { return false }
+	if wait > 0 {
+		stopInterrupt = a.interruptOnChange(callCtx, cancel)
+	}
 	reply, err := wire.Call[wire.SyncReply](callCtx, a.opt.Pool, a.relay, wire.MethodSync, a.request(wait))
-	interrupted := stopInterrupt()
-	if ctx.Err() != nil || (err != nil && interrupted) {
+	a.announcing = stopInterrupt() && err != nil
+	if ctx.Err() != nil || a.announcing {
 		return
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		a.opt.Log.Emit(event.ConnectionReplaced, zap.String("relay", a.relay))
 	}
+	a.silence.End()
 	a.failed = err != nil
 	if err != nil {
 		return
@@ -169,25 +174,26 @@
 	a.applyReply(reply)
 }
 
-// waitFor returns how long the relay may hold the next sync.
+// waitFor returns how long the relay may hold the next sync. One that announces a change
+// is not held, so that nothing interrupts it and a silent relay is noticed.
 func (a *Agent) waitFor() time.Duration {
 	switch {
-	case a.cursor.Epoch == "":
+	case a.cursor.Epoch == "" || a.announcing:
 		return 0
 	case a.age > agingAfter:
 		return shortSyncWait
 	default:
-		return syncWait
+		return fresh.SyncHold
 	}
 }
 
-// timeoutFor returns the timeout of a sync that the relay may hold for the given
-// time. The first sync with a relay returns all members, some MB at most.
-func (a *Agent) timeoutFor(wait time.Duration) time.Duration {
+// timeoutFor returns the timeout of a sync that starts now and that the relay may hold
+// for the given time.
+func (a *Agent) timeoutFor(now time.Time, wait time.Duration) time.Duration {
 	if a.cursor.Epoch == "" {
-		return syncTimeout
+		return firstSyncTimeout
 	}
-	return wait + syncTimeout - syncWait
+	return a.silence.Begin(now, wait)
 }
 
 // interruptOnChange cancels a waiting sync when this VM has a change to announce,
--- a/io/agent/reply.go
+++ b/io/agent/reply.go
@@ -5,6 +5,7 @@
 
 	"chicorymast/core/board"
 	"chicorymast/core/fault"
+	"chicorymast/core/fresh"
 	"chicorymast/core/member"
 	"chicorymast/core/state"
 	"chicorymast/io/event"
@@ -98,7 +99,7 @@
 		a.opt.Board.Freshness.Write(&board.Freshness{AsOf: asOf, Source: reply.Relay})
 	}
 	a.age = time.Duration(reply.AgeMs) * time.Millisecond
-	a.setStale(a.opt.Board.Freshness.Read().Age(now) > syncWait+staleAfter)
+	a.setStale(a.opt.Board.Freshness.Read().Age(now) > fresh.SyncHold+fresh.StaleAfter)
 }
 
 func (a *Agent) setStale(stale bool) {
--- a/io/agent/search.go
+++ b/io/agent/search.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"chicorymast/core/fresh"
 	"chicorymast/core/tenure"
 	"chicorymast/io/event"
 	"chicorymast/io/wire"
@@ -17,8 +18,6 @@
 	// searchWidth is the number of relays that are probed at once: enough to include
 	// control daemons of several data centres.
 	searchWidth = 6
-	// searchTimeout leaves a relay on another continent time to answer.
-	searchTimeout = 500 * time.Millisecond
 	// searchSettle is how long a search waits for a preferred relay after the first
 	// fresh one has answered.
 	searchSettle = 50 * time.Millisecond
@@ -73,12 +72,12 @@
 // preferredPause some of the earlier ones when it is fresh.
 func (a *Agent) candidates(n, current int) (ranks []int) {
 	responsive := current >= 0 && !a.failed
-	fresh := responsive && a.age <= staleAfter
+	upToDate := responsive && a.age <= fresh.StaleAfter
 	since := a.opt.Clock.Now().Sub(a.searchedAt)
-	if (fresh && since < preferredPause) || (responsive && since < searchPause) {
+	if (upToDate && since < preferredPause) || (responsive && since < searchPause) {
 		return nil
 	}
-	if fresh {
+	if upToDate {
 		n = min(n, current)
 	}
 	for i := range min(n, searchWidth) {
@@ -93,7 +92,7 @@
 
 // probe asks several relays at once for the age of their configuration.
 func (a *Agent) probe(ctx context.Context, relays []string, ranks []int) (replies []probeResult) {
-	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, fresh.SearchTimeout)
 	defer cancel()
 	q := a.request(0)
 	q.Probe = true
@@ -108,9 +107,9 @@
 			results <- &probeResult{rank: rank, age: time.Duration(reply.AgeMs) * time.Millisecond, departures: reply.Departures}
 		}()
 	}
-	settle := time.NewTimer(searchTimeout)
+	settle := time.NewTimer(fresh.SearchTimeout)
 	defer settle.Stop()
-	fresh := false
+	settling := false
 	for range ranks {
 		select {
 		case result := <-results:
@@ -121,8 +120,8 @@
 			if a.opt.Recall != nil && len(result.departures) > 0 {
 				a.opt.Recall(result.departures)
 			}
-			if result.age <= staleAfter && !fresh {
-				fresh = true
+			if result.age <= fresh.StaleAfter && !settling {
+				settling = true
 				settle.Reset(searchSettle)
 			}
 		case <-settle.C:
@@ -140,14 +139,15 @@
 		return 0, false
 	}
 	best := slices.MinFunc(replies, func(x, y probeResult) int {
-		return cmp.Or(cmp.Compare(max(x.age, staleAfter), max(y.age, staleAfter)), cmp.Compare(x.rank, y.rank))
+		return cmp.Or(cmp.Compare(max(x.age, fresh.StaleAfter), max(y.age, fresh.StaleAfter)), cmp.Compare(x.rank, y.rank))
 	})
-	ok = best.age <= staleAfter || !responsive || age-best.age > minAgeGain
+	ok = best.age <= fresh.StaleAfter || !responsive || age-best.age > minAgeGain
 	return best.rank, ok
 }
 
 func (a *Agent) switchTo(next string) {
 	a.failed = false
+	a.silence.End()
 	if next == a.relay {
 		return
 	}
--- a/io/agent/search_test.go
+++ b/io/agent/search_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chicorymast/core/board"
+	"chicorymast/core/fresh"
 	"chicorymast/io/event"
 	"chicorymast/io/timer"
 	"chicorymast/io/wire"
@@ -15,7 +16,7 @@
 )
 
 func TestPickRelay(t *testing.T) {
-	const fresh, old, ancient = 100 * time.Millisecond, 5 * time.Second, time.Hour
+	const young, old, ancient = 100 * time.Millisecond, 5 * time.Second, time.Hour
 	for _, tc := range []struct {
 		name       string
 		replies    []probeResult
@@ -27,9 +28,9 @@
 		{name: "no relay answers", responsive: false, age: old},
 		{
 			name:    "first fresh relay in the list",
-			replies: []probeResult{{rank: 3, age: fresh}, {rank: 1, age: 2 * fresh}, {rank: 0, age: old}}, responsive: true, age: old, want: 1, ok: true,
+			replies: []probeResult{{rank: 3, age: young}, {rank: 1, age: 2 * young}, {rank: 0, age: old}}, responsive: true, age: old, want: 1, ok: true,
 		},
-		{name: "relay before the current one", replies: []probeResult{{rank: 0, age: fresh}}, responsive: true, age: fresh, want: 0, ok: true},
+		{name: "relay before the current one", replies: []probeResult{{rank: 0, age: young}}, responsive: true, age: young, want: 0, ok: true},
 		{name: "all relays are stale", replies: []probeResult{{rank: 0, age: old}, {rank: 1, age: old}}, responsive: true, age: old},
 		{name: "current relay is older by far", replies: []probeResult{{rank: 0, age: ancient}, {rank: 1, age: old}}, responsive: true, age: ancient, want: 1, ok: true},
 		{name: "stale relay replaces an unresponsive one", replies: []probeResult{{rank: 0, age: ancient}, {rank: 1, age: old}}, responsive: false, want: 1, ok: true},
@@ -151,7 +152,7 @@
 	a.searchedAt = clock.Now()
 	clock.Advance(preferredPause - time.Millisecond)
 	assert.Equal(t, len(a.candidates(9, 2)), 0)
-	a.age = 2 * staleAfter
+	a.age = 2 * fresh.StaleAfter
 	for _, rank := range a.candidates(9, 2) {
 		assert.Assert(t, rank != 2, "the current relay is synced with anyway")
 	}
