agent, relay: a reply confirms no more than it can

A daemon whose configuration passes for confirmed neither looks for another relay nor says that it lags; relays pass the age on.

Cause: the age in a reply counted from the time at which the reply was handled, so what it had spent on its way or in a buffer was lost; it was taken over also when the configuration that came with it could not be applied; and a relay read the age after the configuration. Evidence: TestReplyThatWaitedConfirmsThePast and TestUnreadableConfigurationConfirmsNothing fail with the former formula and without the check.

Now a reply confirms the time at which the request was sent, plus the time for which the relay held it, less the relay's age. All of these are differences on one clock, so a slow way can only make a configuration look older. Not covered: a VM that is suspended, whose clock stands still.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -156,7 +156,8 @@
 	if wait > 0 {
 		stopInterrupt = a.interruptOnChange(callCtx, cancel)
 	}
-	reply, err := wire.Call[wire.SyncReply](callCtx, a.opt.Pool, a.relay, wire.MethodSync, a.request(wait))
+	q := a.request(wait)
+	reply, err := wire.Call[wire.SyncReply](callCtx, a.opt.Pool, a.relay, wire.MethodSync, q)
 	a.announcing = stopInterrupt() && err != nil
 	if ctx.Err() != nil || a.announcing {
 		return
@@ -166,12 +167,13 @@
 	}
 	a.silence.End()
 	a.failed = err != nil
+	defer a.checkStale()
 	if err != nil {
 		return
 	}
 	a.opt.Board.RelayContact.Write(&board.RelayContact{At: sent})
 	a.recall(reply)
-	a.applyReply(reply)
+	a.applyReply(q, sent, reply)
 }
 
 // waitFor returns how long the relay may hold the next sync. One that announces a change
--- /dev/null
+++ b/io/agent/confirm_test.go
@@ -0,0 +1,69 @@
+package agent
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"chicorymast/core/board"
+	"chicorymast/core/fresh"
+	"chicorymast/core/ident"
+	"chicorymast/core/state"
+	"chicorymast/io/wire"
+
+	"gotest.tools/v3/assert"
+)
+
+// drains returns a configuration after n accepted commands; equal numbers give equal ones.
+func drains(t *testing.T, n int) *board.Config {
+	t.Helper()
+	st := state.New()
+	var recent []board.AcceptedCommand
+	for i := range n {
+		cmd := state.SetDrain{Metadata: state.Metadata{ChangeID: ident.ChangeID(fmt.Sprint(i))}, VM: ident.VM(fmt.Sprint("vm-", i)), Draining: true}
+		st.ApplyAccepted(cmd)
+		data, err := state.Encode(cmd)
+		assert.NilError(t, err)
+		recent = append(recent, board.AcceptedCommand{Revision: st.Revision, Command: data})
+	}
+	return board.NewConfig(st, recent)
+}
+
+func mustHaveRevision(t *testing.T, a *Agent, want ident.Revision) {
+	t.Helper()
+	assert.Equal(t, a.opt.Board.Config.Read().State.Revision, want)
+}
+
+// Guards against an old configuration that passes for confirmed since a reply to it came.
+func TestUnreadableConfigurationConfirmsNothing(t *testing.T) {
+	for name, d := range map[string]wire.ConfigDelta{
+		"command that can't be read": {Revision: 2, Commands: []json.RawMessage{json.RawMessage("{}")}, Digest: "other"},
+		"another digest":             {Revision: 2, Snapshot: drains(t, 2).State, Digest: "other"},
+		"delta of another revision":  {Revision: 9, Digest: drains(t, 9).Digest()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, clock, _ := newSearcher(t, 0, fakeRelay{})
+			a.opt.Board.Config.Write(drains(t, 1))
+			a.confirm(a.request(0), clock.Now(), wire.SyncReply{Revision: d.Revision, Config: &d, AgeMs: 10})
+			mustHaveRevision(t, a, 1)
+			assert.Assert(t, a.opt.Board.Freshness.Read().AsOf.IsZero())
+		})
+	}
+}
+
+// Guards against a reply that was long on its way and makes an old configuration look fresh.
+func TestReplyThatWaitedConfirmsThePast(t *testing.T) {
+	a, clock, _ := newSearcher(t, 0, fakeRelay{})
+	sent := clock.Now()
+	clock.Advance(5 * time.Second)
+	a.confirm(a.request(0), sent, wire.SyncReply{AgeMs: 100, HeldMs: fresh.SyncHold.Milliseconds()})
+	assert.Equal(t, a.opt.Board.Freshness.Read().Age(clock.Now()), 4100*time.Millisecond)
+}
+
+func TestDaemonThatIsAheadIsConfirmed(t *testing.T) {
+	a, clock, _ := newSearcher(t, 0, fakeRelay{})
+	a.opt.Board.Config.Write(drains(t, 3))
+	a.confirm(a.request(0), clock.Now(), wire.SyncReply{Revision: 2, AgeMs: 100})
+	assert.Equal(t, a.opt.Board.Freshness.Read().Age(clock.Now()), 100*time.Millisecond)
+}
--- a/io/agent/reply.go
+++ b/io/agent/reply.go
@@ -14,15 +14,30 @@
 	"go.uber.org/zap"
 )
 
-func (a *Agent) applyReply(reply wire.SyncReply) {
+func (a *Agent) applyReply(q wire.SyncRequest, sent time.Time, reply wire.SyncReply) {
 	a.applyMembers(reply)
+	a.age = time.Duration(reply.AgeMs) * time.Millisecond
+	a.confirm(q, sent, reply)
+}
+
+// confirm brings the configuration to that of a relay, and notes as of when it is known
+// to be the newest. A reply whose configuration can't be applied confirms nothing.
+func (a *Agent) confirm(q wire.SyncRequest, sent time.Time, reply wire.SyncReply) {
 	if !a.opt.FollowConfig {
 		return
 	}
-	if reply.Config != nil {
-		a.applyConfig(*reply.Config)
+	have := a.opt.Board.Config.Read().State.Revision
+	if reply.Config != nil && (reply.Config.Revision > have || q.HaveRevision == have) {
+		// A delta starts from the revision of the request; another relay may have led
+		// beyond it since.
+		if q.HaveRevision != have || !a.applyConfig(*reply.Config) {
+			return
+		}
+		have = reply.Config.Revision
+	}
+	if reply.Revision <= have {
+		a.updateFreshness(sent, reply)
 	}
-	a.updateFreshness(reply)
 }
 
 // recall passes on what a relay knows of upstreams that have left this VM.
@@ -55,18 +70,19 @@
 	}
 }
 
-func (a *Agent) applyConfig(d wire.ConfigDelta) {
+func (a *Agent) applyConfig(d wire.ConfigDelta) (applied bool) {
 	next, err := applyDelta(a.opt.Board.Config.Read(), d)
 	if err == nil && next.Digest() == d.Digest {
 		a.opt.Board.Config.Write(next)
 		a.opt.Log.Emit(event.ConfigApplied, zap.Uint64("revision", uint64(next.State.Revision)))
-		return
+		return true
 	}
 	a.opt.Log.Emit(event.DigestMismatch, zap.Uint64("revision", uint64(d.Revision)), zap.Error(err))
 	if have := a.opt.Board.Config.Read(); d.Snapshot == nil {
 		// The invalid digest matches no state, so the next sync returns a snapshot.
 		a.opt.Board.Config.Write(have.WithInvalidDigest())
 	}
+	return false
 }
 
 func applyDelta(have *board.Config, d wire.ConfigDelta) (next *board.Config, err error) {
@@ -90,20 +106,19 @@
 	return have.Next(st, recent), nil
 }
 
-func (a *Agent) updateFreshness(reply wire.SyncReply) {
-	now := a.opt.Clock.Now()
-	have := a.opt.Board.Freshness.Read()
-	asOf := now.Add(-time.Duration(reply.AgeMs) * time.Millisecond)
+func (a *Agent) updateFreshness(sent time.Time, reply wire.SyncReply) {
+	age := time.Duration(reply.AgeMs) * time.Millisecond
+	asOf := fresh.AsOf(sent, time.Duration(reply.HeldMs)*time.Millisecond, age)
 	known := reply.AgeMs < board.NeverConfirmed.Milliseconds()
-	if known && asOf.After(have.AsOf) {
+	if known && asOf.After(a.opt.Board.Freshness.Read().AsOf) {
 		a.opt.Board.Freshness.Write(&board.Freshness{AsOf: asOf, Source: reply.Relay})
 	}
-	a.age = time.Duration(reply.AgeMs) * time.Millisecond
-	a.setStale(a.opt.Board.Freshness.Read().Age(now) > fresh.SyncHold+fresh.StaleAfter)
 }
 
-func (a *Agent) setStale(stale bool) {
-	if stale == a.stale {
+// checkStale logs when the configuration becomes stale and when it is confirmed again.
+func (a *Agent) checkStale() {
+	stale := a.opt.Board.Freshness.Read().Age(a.opt.Clock.Now()) > fresh.SyncHold+fresh.StaleAfter
+	if stale == a.stale || !a.opt.FollowConfig {
 		return
 	}
 	a.stale = stale
--- a/io/agent/search.go
+++ b/io/agent/search.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"chicorymast/core/fresh"
-	"chicorymast/core/tenure"
 	"chicorymast/io/event"
 	"chicorymast/io/wire"
 
@@ -32,10 +31,9 @@
 // probeResult is the reply of a relay to a probe.
 type probeResult struct {
 	// rank is the relay's place in the list of relays.
-	rank int
-	age  time.Duration
-	// departures are those of this VM that the relay knows.
-	departures []tenure.Departure
+	rank  int
+	age   time.Duration
+	reply wire.SyncReply
 }
 
 // selectRelay sets a relay, a fresh one if possible. It reports whether the
@@ -90,7 +88,8 @@
 	return ranks
 }
 
-// probe asks several relays at once for the age of their configuration.
+// probe asks several relays at once for their configuration and its age. What they reply
+// is applied at once, so that a change does not wait for the first sync with another relay.
 func (a *Agent) probe(ctx context.Context, relays []string, ranks []int) (replies []probeResult) {
 	ctx, cancel := context.WithTimeout(ctx, fresh.SearchTimeout)
 	defer cancel()
@@ -104,7 +103,7 @@
 				results <- nil // the loop below waits for one result of each relay
 				return
 			}
-			results <- &probeResult{rank: rank, age: time.Duration(reply.AgeMs) * time.Millisecond, departures: reply.Departures}
+			results <- &probeResult{rank: rank, age: time.Duration(reply.AgeMs) * time.Millisecond, reply: reply}
 		}()
 	}
 	settle := time.NewTimer(fresh.SearchTimeout)
@@ -117,8 +116,8 @@
 				continue
 			}
 			replies = append(replies, *result)
-			if a.opt.Recall != nil && len(result.departures) > 0 {
-				a.opt.Recall(result.departures)
+			if a.opt.Recall != nil && len(result.reply.Departures) > 0 {
+				a.opt.Recall(result.reply.Departures)
 			}
 			if result.age <= fresh.StaleAfter && !settling {
 				settling = true
--- a/io/agent/search_test.go
+++ b/io/agent/search_test.go
@@ -163,8 +163,8 @@
 func TestNoFreshnessFromRelayWithoutConfig(t *testing.T) {
 	a, clock, _ := newSearcher(t, 0, fakeRelay{})
 	never := a.opt.Board.Freshness.Read().Age(clock.Now())
-	a.applyReply(wire.SyncReply{AgeMs: never.Milliseconds()})
+	a.applyReply(a.request(0), clock.Now(), wire.SyncReply{AgeMs: never.Milliseconds()})
 	assert.Assert(t, a.opt.Board.Freshness.Read().AsOf.IsZero())
-	a.applyReply(wire.SyncReply{AgeMs: time.Hour.Milliseconds()})
+	a.applyReply(a.request(0), clock.Now(), wire.SyncReply{AgeMs: time.Hour.Milliseconds()})
 	assert.Equal(t, a.opt.Board.Freshness.Read().AsOf, clock.Now().Add(-time.Hour))
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -108,15 +108,18 @@
 }
 
 func (r *Relay) sync(ctx context.Context, q wire.SyncRequest) (wire.SyncReply, error) {
+	received := r.opt.Clock.Now()
 	departures := r.departures(q)
 	if q.Probe {
-		return wire.SyncReply{Relay: r.opt.VM, AgeMs: r.age(r.opt.Clock.Now()), Departures: departures}, nil
+		reply := r.confirmation(q)
+		reply.Departures = departures
+		return reply, nil
 	}
 	r.announce(q.Entry)
-	wait := min(time.Duration(q.WaitMs)*time.Millisecond, maxWait)
-	r.await(ctx, q, wait)
+	r.await(ctx, q, min(time.Duration(q.WaitMs)*time.Millisecond, maxWait))
 	reply := r.reply(q)
 	reply.Departures = departures
+	reply.HeldMs = r.opt.Clock.Now().Sub(received).Milliseconds()
 	return reply, nil
 }
 
@@ -183,12 +186,11 @@
 }
 
 func (r *Relay) reply(q wire.SyncRequest) wire.SyncReply {
-	now := r.opt.Clock.Now()
-	reply := wire.SyncReply{
-		Relay:  r.opt.VM,
-		Config: configDelta(r.opt.Board.Config.Read(), q.HaveRevision, q.HaveDigest),
-		AgeMs:  r.age(now),
+	reply := r.confirmation(q)
+	if c := r.opt.Board.Config.Read(); reply.Config == nil {
+		reply.Revision, reply.Config = c.State.Revision, configDelta(c, q.HaveRevision, q.HaveDigest)
 	}
+	now := r.opt.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	reply.Directory = wire.Cursor{Epoch: r.epoch, Change: r.directory.LastChange()}
@@ -196,9 +198,15 @@
 	return reply
 }
 
-// age returns the age of the configuration here, in milliseconds.
-func (r *Relay) age(now time.Time) int64 {
-	return r.opt.Board.Freshness.Read().Age(now).Milliseconds()
+// confirmation returns the part of a reply that says which configuration is confirmed as
+// of when, with the commands that lead to it if they are kept. The age is read first:
+// a configuration that is written meanwhile is newer than its age says, not older.
+func (r *Relay) confirmation(q wire.SyncRequest) wire.SyncReply {
+	age := r.opt.Board.Freshness.Read().Age(r.opt.Clock.Now())
+	c := r.opt.Board.Config.Read()
+	return wire.SyncReply{
+		Relay: r.opt.VM, AgeMs: age.Milliseconds(), Revision: c.State.Revision, Config: commandDelta(c, q.HaveRevision),
+	}
 }
 
 func entriesSince(now time.Time, d *member.Directory, epoch string, cursor wire.Cursor) (entries []member.Entry, full bool) {
@@ -216,12 +224,23 @@
 	if have > st.Revision || (have == st.Revision && (digest == "" || digest == c.Digest())) {
 		return nil
 	}
-	d := &wire.ConfigDelta{Revision: st.Revision, Digest: c.Digest()}
-	commands, kept := c.Since(have)
-	if !kept || have == st.Revision {
-		d.Snapshot = st.WithoutHistory()
+	if d := commandDelta(c, have); d != nil {
 		return d
 	}
+	return &wire.ConfigDelta{Revision: st.Revision, Digest: c.Digest(), Snapshot: st.WithoutHistory()}
+}
+
+// commandDelta returns the commands that lead from an older revision to the current one,
+// or nil if they are not kept or there are none.
+func commandDelta(c *board.Config, have ident.Revision) *wire.ConfigDelta {
+	if have >= c.State.Revision {
+		return nil
+	}
+	commands, kept := c.Since(have)
+	if !kept {
+		return nil
+	}
+	d := &wire.ConfigDelta{Revision: c.State.Revision, Digest: c.Digest()}
 	for _, command := range commands {
 		d.Commands = append(d.Commands, json.RawMessage(command.Command))
 	}
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -31,7 +31,7 @@
 	Directory    Cursor         `json:"directory"`
 	// WaitMs is how long the relay may hold the request until something changes.
 	WaitMs int64 `json:"wait_ms"`
-	// Probe asks only for the age of the relay's configuration and the departures.
+	// Probe asks only for the relay's configuration, its age and the departures.
 	Probe bool `json:"probe,omitempty"`
 }
 
@@ -44,10 +44,16 @@
 
 // SyncReply is the reply to a SyncRequest.
 type SyncReply struct {
-	Relay     ident.VM     `json:"relay"`
-	Config    *ConfigDelta `json:"config,omitempty"`
-	AgeMs     int64        `json:"age_ms"`
-	Directory Cursor       `json:"directory"`
+	Relay ident.VM `json:"relay"`
+	// Revision is that of the relay. Config leads to it if the daemon's is older; a probe
+	// returns no snapshot.
+	Revision ident.Revision `json:"revision"`
+	Config   *ConfigDelta   `json:"config,omitempty"`
+	// AgeMs is the time since the relay's configuration was confirmed, HeldMs that for
+	// which the relay held the request.
+	AgeMs     int64  `json:"age_ms"`
+	HeldMs    int64  `json:"held_ms,omitempty"`
+	Directory Cursor `json:"directory"`
 	// Full is set when Members is the complete list and replaces the earlier one.
 	Full    bool           `json:"whole,omitempty"`
 	Members []member.Entry `json:"members,omitempty"`
