--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -39,6 +39,9 @@
 	// that the agent leaves a relay that is cut off from the leader before it could
 	// miss a change.
 	shortSyncWait = 200 * time.Millisecond
+	// relaySyncWait is that of a daemon which others use as their relay, so that the age
+	// that it reports stays below agingAfter.
+	relaySyncWait = 300 * time.Millisecond
 	// agingAfter is above any age that a relay with a connection to a leader reports.
 	agingAfter = 500 * time.Millisecond
 	// retryPause is the time between two failed attempts.
@@ -184,6 +187,8 @@
 		return 0
 	case a.age > agingAfter:
 		return shortSyncWait
+	case a.opt.FollowConfig && a.opt.RelayActive():
+		return relaySyncWait
 	default:
 		return fresh.SyncHold
 	}
--- a/io/agent/confirm_test.go
+++ b/io/agent/confirm_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"chicorymast/core/fresh"
 	"chicorymast/core/ident"
 	"chicorymast/core/state"
+	"chicorymast/io/relay"
 	"chicorymast/io/wire"
 
 	"gotest.tools/v3/assert"
@@ -30,11 +32,55 @@
 	return board.NewConfig(st, recent)
 }
 
+// serveRelay serves a relay with the given configuration, confirmed at the given time.
+func serveRelay(t *testing.T, a *Agent, c *board.Config, asOf time.Time) (address string) {
+	t.Helper()
+	b := board.New()
+	b.Config.Write(c)
+	b.Freshness.Write(&board.Freshness{AsOf: asOf, Source: "control"})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	srv := wire.NewServer()
+	relay.New(relay.Options{
+		VM: "relay", Clock: a.opt.Clock, Board: b, Pool: a.opt.Pool, Source: func() string { return "" },
+		OtherRelays: func() []string { return nil }, Root: func() bool { return true },
+	}).Register(srv)
+	go func() { _ = srv.Serve(ln) }() // returns when the listener is closed
+	t.Cleanup(func() {
+		_ = ln.Close()
+		srv.Close()
+	})
+	return ln.Addr().String()
+}
+
 func mustHaveRevision(t *testing.T, a *Agent, want ident.Revision) {
 	t.Helper()
 	assert.Equal(t, a.opt.Board.Config.Read().State.Revision, want)
 }
 
+// Guards against a change that is in force only after the first sync with another relay.
+func TestSearchReturnsTheConfiguration(t *testing.T) {
+	a, clock, _ := newSearcher(t, 0, fakeRelay{unresponsive: true})
+	a.opt.Board.Config.Write(drains(t, 1))
+	a.opt.RelayAddresses = func() []string { return []string{serveRelay(t, a, drains(t, 3), clock.Now()), "self"} }
+	a.failed = true
+	a.selectRelay(t.Context())
+	mustHaveRevision(t, a, 3)
+	assert.Equal(t, a.opt.Board.Freshness.Read().AsOf, clock.Now())
+	assert.Equal(t, a.opt.Board.Config.Read().Digest(), drains(t, 3).Digest())
+}
+
+// A snapshot of a large configuration must not be returned by each relay that is probed.
+func TestProbeReturnsNoSnapshot(t *testing.T) {
+	a, clock, _ := newSearcher(t, 0, fakeRelay{unresponsive: true})
+	forgotten := board.NewConfig(drains(t, 3).State, nil)
+	a.opt.RelayAddresses = func() []string { return []string{serveRelay(t, a, forgotten, clock.Now()), "self"} }
+	a.failed = true
+	a.selectRelay(t.Context())
+	mustHaveRevision(t, a, 0)
+	assert.Assert(t, a.opt.Board.Freshness.Read().AsOf.IsZero(), "an older configuration is not confirmed")
+}
+
 // Guards against an old configuration that passes for confirmed since a reply to it came.
 func TestUnreadableConfigurationConfirmsNothing(t *testing.T) {
 	for name, d := range map[string]wire.ConfigDelta{
--- a/io/agent/search.go
+++ b/io/agent/search.go
@@ -95,6 +95,7 @@
 	defer cancel()
 	q := a.request(0)
 	q.Probe = true
+	sent := a.opt.Clock.Now()
 	results := make(chan *probeResult, len(ranks))
 	for _, rank := range ranks {
 		go func() {
@@ -116,6 +117,7 @@
 				continue
 			}
 			replies = append(replies, *result)
+			a.confirm(q, sent, result.reply)
 			if a.opt.Recall != nil && len(result.reply.Departures) > 0 {
 				a.opt.Recall(result.reply.Departures)
 			}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"chicorymast/core/board"
+	"chicorymast/core/fresh"
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
 	"chicorymast/core/tenure"
@@ -116,13 +117,23 @@
 		return reply, nil
 	}
 	r.announce(q.Entry)
-	r.await(ctx, q, min(time.Duration(q.WaitMs)*time.Millisecond, maxWait))
+	r.await(ctx, q, r.holdFor(received, q))
 	reply := r.reply(q)
 	reply.Departures = departures
 	reply.HeldMs = r.opt.Clock.Now().Sub(received).Milliseconds()
 	return reply, nil
 }
 
+// holdFor returns how long to hold a sync. One that finds the configuration fresh is
+// answered as soon as it is stale, so that the daemon looks for another relay in time.
+func (r *Relay) holdFor(now time.Time, q wire.SyncRequest) time.Duration {
+	hold := min(time.Duration(q.WaitMs)*time.Millisecond, maxWait)
+	if left := fresh.StaleAfter - r.opt.Board.Freshness.Read().Age(now); left > 0 {
+		hold = min(hold, left)
+	}
+	return hold
+}
+
 // departures returns what is known of upstreams that have left the VM of a daemon that
 // does not use this relay yet. The daemon may have restarted and know nothing of them.
 func (r *Relay) departures(q wire.SyncRequest) []tenure.Departure {
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chicorymast/core/board"
+	"chicorymast/core/fresh"
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
 	"chicorymast/io/timer"
@@ -82,3 +83,19 @@
 	learn(r, clock, up("far"))
 	mustHavePhase(t, r, "far", member.PhaseUp)
 }
+
+// Guards against a relay that has lost the leader and holds daemons beyond the time within
+// which a change is in force.
+func TestHeldSyncEndsWhenTheConfigurationIsStale(t *testing.T) {
+	r, clock := newRelay(t, "relay", never)
+	held := wire.SyncRequest{WaitMs: fresh.SyncHold.Milliseconds()}
+	for _, tc := range []struct{ age, want time.Duration }{
+		{0, fresh.StaleAfter},
+		{fresh.StaleAfter - 10*time.Millisecond, 10 * time.Millisecond},
+		{fresh.StaleAfter, fresh.SyncHold},
+		{time.Minute, fresh.SyncHold},
+	} {
+		r.opt.Board.Freshness.Write(&board.Freshness{AsOf: clock.Now().Add(-tc.age)})
+		assert.Equal(t, r.holdFor(clock.Now(), held), tc.want, "%s", tc.age)
+	}
+}
