proxy: a daemon that lags does not refuse for certain

Such an answer ends a caller's retries for good.

Cause: the route, the key and the grant are looked up before the age of the configuration is looked at, and a daemon may go on with an old one for an hour. That serves what it knows; but what is absent from a configuration that may be old is not known to be absent. Class: a statement of certainty without a check that the state behind it is current.

It serves the routes and keys that it knows as before. Limits of bodies (413) are treated alike, as are nested calls.

Only daemons that have just lost their relay wait, and only for requests that they would refuse.

--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -47,18 +47,31 @@
 	ReasonOverload              Reason = "overload"
 	ReasonNoUpstream            Reason = "no_upstream"
 	ReasonConfigurationStale    Reason = "configuration_stale"
-	ReasonDeadline              Reason = "deadline"
-	ReasonDraining              Reason = "draining"
-	ReasonUpstreamFailed        Reason = "upstream_failed"
-	ReasonUpstreamCrashed       Reason = "upstream_crashed"
-	ReasonAnswerIncomplete      Reason = "answer_incomplete"
-	ReasonCrashSuspect          Reason = "crash_suspect"
-	ReasonQuotaUnreachable      Reason = "quota_unreachable"
-	ReasonRecordUnreachable     Reason = "record_unreachable"
-	ReasonNotMember             Reason = "not_a_member"
-	ReasonCancelled             Reason = "cancelled"
+	// ReasonConfigurationUnconfirmed replaces a refusal that rests on the absence of
+	// something from a configuration that may be out of date.
+	ReasonConfigurationUnconfirmed Reason = "configuration_unconfirmed"
+	ReasonDeadline                 Reason = "deadline"
+	ReasonDraining                 Reason = "draining"
+	ReasonUpstreamFailed           Reason = "upstream_failed"
+	ReasonUpstreamCrashed          Reason = "upstream_crashed"
+	ReasonAnswerIncomplete         Reason = "answer_incomplete"
+	ReasonCrashSuspect             Reason = "crash_suspect"
+	ReasonQuotaUnreachable         Reason = "quota_unreachable"
+	ReasonRecordUnreachable        Reason = "record_unreachable"
+	ReasonNotMember                Reason = "not_a_member"
+	ReasonCancelled                Reason = "cancelled"
 )
 
+// RestsOnAbsence reports whether a refusal says that something is not in the
+// configuration, so that a newer one may allow the request.
+func (r Reason) RestsOnAbsence() bool {
+	switch r {
+	case ReasonNoRoute, ReasonKeyMissing, ReasonKeyUnknown, ReasonNoGrant, ReasonBodyTooLarge:
+		return true
+	}
+	return false
+}
+
 // Refusal is a response that a daemon gives in place of an upstream.
 type Refusal struct {
 	Reason Reason
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -70,24 +70,21 @@
 	if in.config.State.ConfirmedAt == 0 {
 		return in, fault.Refuse(fault.ReasonConfigurationStale, "no configuration has been confirmed yet")
 	}
-	name, ok := findRoute(in.config, r)
-	in.route, in.spec = name, in.config.State.Intent.Routes[name]
-	if !ok || in.spec.Internal {
-		return in, fault.Refuse(fault.ReasonNoRoute, "no route for %s %s", r.Method, r.URL.Path)
-	}
-	if refusal := p.authorise(r, in); refusal != nil {
+	arrived := p.opt.Clock.Now()
+	if refusal := p.refuseIfCertain(r, func() *fault.Refusal { return p.lookUp(r, in) }); refusal != nil {
 		return in, refusal
 	}
+	in.waited = p.opt.Clock.Now().Sub(arrived)
 	if refusal := p.checkFreshness(in.spec); refusal != nil {
 		return in, refusal
 	}
 	if in.recorded() && in.action == "" {
-		return in, fault.Refuse(fault.ReasonIdempotencyKeyMissing, "route %s runs at most once and needs an %s", name, p.opt.Dialect.Action)
+		return in, fault.Refuse(fault.ReasonIdempotencyKeyMissing, "route %s runs at most once and needs an %s", in.route, p.opt.Dialect.Action)
 	}
 	p.limitReadPauses(w, r)
 	body, err := readPayload(r, p.opt.Config().Calls.ReplayLimit, in.config.State.Intent.RouteBodyLimit(in.spec))
 	if err != nil {
-		return in, asRefusal(err)
+		return in, p.unlessUnconfirmed(asRefusal(err))
 	}
 	in.body = body
 	in.service = p.router.chooseService(in.route, in.spec.Services())
@@ -95,6 +92,18 @@
 	return in, nil
 }
 
+// lookUp determines the route and the workspace of a request by the configuration in
+// force. It returns a refusal if there is no route or the workspace may not call it.
+func (p *Proxy) lookUp(r *http.Request, in *incomingCall) *fault.Refusal {
+	in.config = p.opt.Board.Config.Read()
+	name, ok := findRoute(in.config, r)
+	in.route, in.spec = name, in.config.State.Intent.Routes[name]
+	if !ok || in.spec.Internal {
+		return fault.Refuse(fault.ReasonNoRoute, "no route for %s %s", r.Method, r.URL.Path)
+	}
+	return p.authorise(r, in)
+}
+
 // limitReadPauses limits how long each read of the request body waits for data.
 func (p *Proxy) limitReadPauses(w http.ResponseWriter, r *http.Request) {
 	if r.Body == nil || r.Body == http.NoBody {
@@ -147,11 +156,10 @@
 // timeout returns the timeout of the route, or the caller's if it is shorter.
 func (p *Proxy) timeout(r *http.Request, in *incomingCall) time.Duration {
 	limit := in.config.State.Intent.RouteTimeout(in.spec)
-	left, ok := p.opt.Dialect.TimeLeft(r.Header)
-	if !ok || left > limit {
-		return limit
+	if left, ok := p.opt.Dialect.TimeLeft(r.Header); ok {
+		limit = min(limit, left)
 	}
-	return left
+	return limit - in.waited
 }
 
 // chargeOrRefuse charges the call to its grant. If that fails it responds with
--- a/io/proxy/incoming.go
+++ b/io/proxy/incoming.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"chicorymast/core/admit"
 	"chicorymast/core/board"
@@ -19,6 +20,8 @@
 	config    *board.Config
 	action    ident.ActionID
 	body      *payload
+	// waited is how long the request waited for the configuration to be confirmed.
+	waited time.Duration
 	// parent is the call for which the upstream on this VM made this one, if
 	// known.
 	parent *servedCall
--- a/io/proxy/local.go
+++ b/io/proxy/local.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"chicorymast/core/board"
 	"chicorymast/core/fault"
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
@@ -180,16 +181,24 @@
 // newNestedCall returns a nested call. It has the workspace, the rank and the
 // deadline of its parent, and the higher of the classes of both.
 func (p *Proxy) newNestedCall(w http.ResponseWriter, r *http.Request, parent *servedCall) (*outboundCall, *fault.Refusal) {
-	config := p.opt.Board.Config.Read()
-	name, ok := findRoute(config, r)
-	if !ok {
-		return nil, fault.Refuse(fault.ReasonNoRoute, "no route for %s %s", r.Method, r.URL.Path)
+	var config *board.Config
+	var name ident.Route
+	refusal := p.refuseIfCertain(r, func() *fault.Refusal {
+		config = p.opt.Board.Config.Read()
+		var ok bool
+		if name, ok = findRoute(config, r); !ok {
+			return fault.Refuse(fault.ReasonNoRoute, "no route for %s %s", r.Method, r.URL.Path)
+		}
+		return nil
+	})
+	if refusal != nil {
+		return nil, refusal
 	}
 	spec := config.State.Intent.Routes[name]
 	p.limitReadPauses(w, r)
 	body, err := readPayload(r, p.opt.Config().Calls.ReplayLimit, config.State.Intent.RouteBodyLimit(spec))
 	if err != nil {
-		return nil, asRefusal(err)
+		return nil, p.unlessUnconfirmed(asRefusal(err))
 	}
 	call := parent.call
 	call.Retries = config.State.Intent.Limits.Retries
