raft: followers hear of a commit before it is acknowledged

Relays publish a change when they hear that it is committed.

Now the leader sends the new commit index before it applies the commit. Evidence: TestFollowersHearOfACommitBeforeItIsAcknowledged failed before (no follower told).

--- a/core/raft/raft_test.go
+++ b/core/raft/raft_test.go
@@ -376,3 +376,29 @@
 	}
 	mustHoldInvariants(t, c)
 }
+
+// Guards against a change that is acknowledged and reaches the relays only with the next
+// heartbeat, or only after an election if the leader stops before that.
+func TestFollowersHearOfACommitBeforeItIsAcknowledged(t *testing.T) {
+	c := newCluster(3, 0, 1)
+	c.run(4 * testElection)
+	leader := mustLead(t, c)
+	n := c.hosts[leader].node
+	assert.Assert(t, c.propose(leader))
+	at := n.log.last()
+	follower := c.ids[0]
+	if follower == leader {
+		follower = c.ids[1]
+	}
+	notified := map[ident.Node]bool{}
+	for _, e := range n.Step(Message{Kind: KindAppendReply, From: follower, To: leader, Term: n.hard.Term, Index: at, Granted: true, Round: n.round}) {
+		switch e := e.(type) {
+		case Send:
+			notified[e.Message.To] = notified[e.Message.To] || e.Message.Commit >= at
+		case Commit:
+			assert.Equal(t, len(notified), 2, "the commit takes effect here before the others are told")
+			return
+		}
+	}
+	t.Fatal("nothing was committed")
+}
--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -186,7 +186,7 @@
 	slices.Sort(matches)
 	majorityMatch := matches[len(matches)-n.majority()]
 	if t, ok := n.log.term(majorityMatch); ok && t == n.hard.Term {
-		n.commitTo(majorityMatch)
+		n.commitAndNotify(majorityMatch)
 	}
 	if n.membersIndex <= n.log.commit && !n.isVoter(n.cfg.ID) {
 		// The committed membership does not include this node as a voter.
@@ -194,6 +194,17 @@
 	}
 }
 
+// commitAndNotify commits at the leader. The others hear of it before the commit is
+// acknowledged, also if the leader stops right after that.
+func (n *Node) commitAndNotify(i Index) {
+	committed := n.log.commitUpTo(i)
+	if len(committed) == 0 {
+		return
+	}
+	n.replicateAll()
+	n.emit(Commit{Entries: committed})
+}
+
 // confirmRounds updates the newest heartbeat round that a majority acknowledged.
 func (n *Node) confirmRounds() {
 	rounds := make([]uint64, 0, len(n.members.Voters))
