wire: a slow call does not close the connection under others, and no write waits for good

A daemon keeps one connection to each other one.

Cause: a call that timed out (a pull after 1 s, a probe after 0.5 s) closed the connection under all other calls on it, also when data kept arriving. And writes hold a lock that no context ends, so a peer that reads nothing held the caller, and all that write to it, until the system gave up.

Now the connection is closed only if nothing arrived on it during the call, and a write ends, with the connection, when none of 64 KB is accepted for 1 s. Evidence: TestSlowCallDoesNotDisturbOthers failed before; TestPeerThatReadsNothingEndsTheCall did not end before (8 s). Cost: a deadline set per write; no message.

--- a/io/wire/blackhole_test.go
+++ b/io/wire/blackhole_test.go
@@ -1,10 +1,13 @@
 package wire
 
 import (
+	"context"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -74,3 +77,43 @@
 	}
 	p.open = nil
 }
+
+// Guards against a slow call that closes the connection under all other calls.
+func TestSlowCallDoesNotDisturbOthers(t *testing.T) {
+	started, finish := make(chan struct{}), make(chan struct{})
+	address := serve(t, func(s *Server) {
+		echo(s)
+		Handle(s, "slow", func(context.Context, ping) (ping, error) {
+			close(started)
+			<-finish
+			return ping{}, nil
+		})
+	})
+	defer close(finish)
+	p := newPool(t)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	result := make(chan error, 1)
+	go func() {
+		_, err := Call[ping](ctx, p, address, "slow", ping{})
+		result <- err
+	}()
+	<-started
+	mustEcho(t, p, address, 1)
+	conn := p.open(address)
+	assert.ErrorIs(t, <-result, context.DeadlineExceeded)
+	assert.Equal(t, p.open(address), conn)
+	assert.Equal(t, p.Replaced.Load(), int64(0))
+}
+
+// Guards against a call that no deadline ends since the peer reads nothing.
+func TestPeerThatReadsNothingEndsTheCall(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	p := newPool(t)
+	const payloadBytes = 16 << 20 // above the buffers of both sockets
+	_, err = Call[ping](t.Context(), p, ln.Addr().String(), "echo", strings.Repeat("x", payloadBytes))
+	assert.Assert(t, err != nil)
+	assert.Assert(t, p.open(ln.Addr().String()) == nil)
+}
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -10,9 +10,10 @@
 //	pool := wire.NewPool(wire.PlainDialer(time.Second))
 //	reply, err := wire.Call[wire.SyncReply](ctx, pool, address, wire.MethodSync, req)
 //
-// A pool keeps one connection to each address. A call that gets no reply before
-// its deadline closes the connection, so that the next call replaces a
-// connection that has stopped delivering data. A message above MaxMessageBytes
+// A pool keeps one connection to each address. If nothing at all arrives on it while a
+// call waits until its deadline, the connection is closed, so that the next call replaces
+// one that has stopped delivering data; a call that is merely slow does not disturb the
+// others. A connection that accepts no data for writeTimeout is closed, too. A message above MaxMessageBytes
 // ends the connection.
 package wire
 
@@ -138,21 +139,43 @@
 	}
 }
 
+const (
+	// writeTimeout is how long a connection may accept no bytes. Writers of a connection
+	// wait for each other, and the context of a call does not end a write.
+	writeTimeout = time.Second
+	// writeChunk is the number of bytes that have to be accepted within writeTimeout.
+	writeChunk = 64 << 10
+)
+
+// countingConn counts bytes, and closes the connection if the other side accepts none.
 type countingConn struct {
 	net.Conn
 	in, out *atomic.Int64
+	// received counts the bytes of this connection only.
+	received atomic.Int64
 }
 
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.in.Add(int64(n))
+	c.received.Add(int64(n))
 	return n, err
 }
 
-func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.out.Add(int64(n))
-	return n, err
+func (c *countingConn) Write(p []byte) (written int, err error) {
+	for err == nil && written < len(p) {
+		chunk := p[written:min(len(p), written+writeChunk)]
+		var n int
+		if err = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err == nil {
+			n, err = c.Conn.Write(chunk)
+		}
+		written += n
+	}
+	c.out.Add(int64(written))
+	if err != nil {
+		_ = c.Conn.Close() // a part of a message may have been sent
+	}
+	return written, err
 }
 
 // DialFunc opens a connection to another daemon.
@@ -162,16 +185,22 @@
 type Pool struct {
 	dial  DialFunc
 	mu    sync.Mutex
-	conns map[string]*jsonrpc2.Conn
+	conns map[string]*poolConn
 	// Received and Sent count the bytes on all connections.
 	Received, Sent atomic.Int64
 	// Replaced counts connections that were closed because a call timed out.
 	Replaced atomic.Int64
 }
 
+// poolConn is a connection of a pool.
+type poolConn struct {
+	*jsonrpc2.Conn
+	bytes *countingConn
+}
+
 // NewPool returns a pool that connects with dial.
 func NewPool(dial DialFunc) *Pool {
-	return &Pool{dial: dial, conns: map[string]*jsonrpc2.Conn{}}
+	return &Pool{dial: dial, conns: map[string]*poolConn{}}
 }
 
 // PlainDialer returns a DialFunc without TLS and with the given connect timeout.
@@ -189,12 +218,15 @@
 	if err != nil {
 		return reply, err
 	}
+	before := conn.bytes.received.Load()
 	err = conn.Call(ctx, string(m), params, &reply)
-	if ctx.Err() == context.DeadlineExceeded {
-		p.Replaced.Add(1)
+	var refused *jsonrpc2.Error
+	switch {
+	case err == nil || errors.As(err, &refused) || ctx.Err() == context.Canceled:
+	case ctx.Err() == nil:
 		p.discard(address, conn)
-	}
-	if errors.Is(err, jsonrpc2.ErrClosed) {
+	case conn.bytes.received.Load() == before:
+		p.Replaced.Add(1)
 		p.discard(address, conn)
 	}
 	return reply, err
@@ -213,7 +245,7 @@
 	return err
 }
 
-func (p *Pool) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+func (p *Pool) conn(ctx context.Context, address string) (*poolConn, error) {
 	if c := p.open(address); c != nil {
 		return c, nil
 	}
@@ -222,7 +254,7 @@
 		return nil, err
 	}
 	counting := &countingConn{Conn: raw, in: &p.Received, out: &p.Sent}
-	c := jsonrpc2.NewConn(context.Background(), newStream(counting), clientOnly{})
+	c := &poolConn{Conn: jsonrpc2.NewConn(context.Background(), newStream(counting), clientOnly{}), bytes: counting}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if existing := p.conns[address]; existing != nil && !disconnected(existing) {
@@ -233,7 +265,7 @@
 	return c, nil
 }
 
-func (p *Pool) open(address string) *jsonrpc2.Conn {
+func (p *Pool) open(address string) *poolConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := p.conns[address]
@@ -243,7 +275,7 @@
 	return c
 }
 
-func disconnected(c *jsonrpc2.Conn) bool {
+func disconnected(c *poolConn) bool {
 	select {
 	case <-c.DisconnectNotify():
 		return true
@@ -259,7 +291,7 @@
 	}
 }
 
-func (p *Pool) discard(address string, c *jsonrpc2.Conn) {
+func (p *Pool) discard(address string, c *poolConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conns[address] == c {
