--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -127,7 +127,7 @@
 		rng:              rand.New(rand.NewPCG(opt.Seed, 3)),
 		queue:            make(chan func(), queueLength),
 		done:             make(chan struct{}),
-		outbox:           newOutbox(opt.Pool, opt.Address),
+		outbox:           newOutbox(opt.Pool, opt.Clock, opt.Address),
 		state:            state.New(),
 		proposals:        map[raft.Index]pendingProposal{},
 		groupMaintenance: newGroupMaintenance(),
