daemon, proxy: a planned stop answers what it has read, and takes nothing that could be cut

A request on a connection that was opened before the stop and arrives after the delay is read and dropped without an answer: net/http does that once Shutdown has begun. And the announcement that the VM is gone had the whole rest of the time-out; while a relay did not answer, the listeners stayed open until the end, and what they took was passed on and cut. Not found: a request that the listener takes after the delay while the relay answers.

Now the time at which a call arrives, its limit and what is left of the stop decide (core/halt). During the delay it is taken, and gets no more time than is left, so it is answered before the end. After it, or with less than a second left for a longer call, it is refused, not run, at the entry and beside the upstream; other daemons can still take it. Connections get such answers until the end, and close after them (drainingServer), also where limits change and a former server goes on. The announcement gets 0.5 s. Evidence: TestMesh/a_stopping_daemon_serves_calls_during_the_shutdown_delay with a connection that was opened before failed (unexpected EOF), now 503, not run, Connection: close; TestAccept. Left: a call that ran already when the stop began, and outlasts it, is still cut at the end.

--- a/core/board/daemon.go
+++ b/core/board/daemon.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"time"
 
+	"chicorymast/core/halt"
 	"chicorymast/core/ident"
 	"chicorymast/core/intent"
 	"chicorymast/core/match"
@@ -330,4 +331,8 @@
 )
 
 // Lifecycle is the current lifecycle phase of the daemon.
-type Lifecycle struct{ Phase LifecyclePhase }
+type Lifecycle struct {
+	Phase LifecyclePhase
+	// Stop is set in PhaseStopping.
+	Stop halt.Stop
+}
--- a/io/daemon/callers.go
+++ b/io/daemon/callers.go
@@ -39,13 +39,6 @@
 	return out
 }
 
-func newServer(h http.Handler, l connLimits) *http.Server {
-	return &http.Server{
-		Handler: h, MaxHeaderBytes: l.headerBytes, ReadHeaderTimeout: l.headerTimeout, IdleTimeout: l.idleTimeout,
-		ErrorLog: discardLogger(), ConnContext: connContext,
-	}
-}
-
 // callerServer serves one listener with limits that may change while it is open.
 // An http.Server can't change its limits, so each change starts a new one for
 // new connections, while the former one finishes its running requests.
@@ -64,7 +57,7 @@
 // generation is an http.Server for one set of limits, and the net.Listener that passes
 // it the connections accepted while these limits apply.
 type generation struct {
-	srv   *http.Server
+	srv   *drainingServer
 	addr  net.Addr
 	conns chan net.Conn
 	done  chan struct{}
@@ -148,7 +141,7 @@
 	old := s.current
 	s.limits, s.current = l, s.newGeneration(l)
 	s.draining.Go(func() {
-		_ = old.srv.Shutdown(context.Background()) // waits for running requests; callerServer.Shutdown limits the wait
+		_ = old.srv.drain(context.Background()) // waits for running requests; callerServer.Shutdown limits the wait
 	})
 }
 
@@ -166,7 +159,7 @@
 	s.closed = true
 	current := s.current
 	s.mu.Unlock()
-	err = errors.Join(s.ln.Close(), current.srv.Shutdown(ctx))
+	err = errors.Join(s.ln.Close(), current.srv.drain(ctx))
 	finished := make(chan struct{})
 	go func() {
 		s.draining.Wait()
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"chicorymast/config"
 	"chicorymast/core/board"
 	"chicorymast/core/fault"
+	"chicorymast/core/halt"
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
 	"chicorymast/io/admin"
@@ -81,7 +82,7 @@
 type listener struct {
 	name string
 	ln   net.Listener
-	srv  *http.Server
+	srv  *drainingServer
 }
 
 // New builds the components of a daemon and opens its listeners; Run serves on
@@ -353,11 +354,14 @@
 // more calls, lets running calls finish and closes all components.
 func (d *Daemon) shutdown() {
 	d.log.Emit(event.DaemonStopping)
-	d.board.Lifecycle.Write(&board.Lifecycle{Phase: board.PhaseStopping})
-	ctx, cancel := context.WithTimeout(context.Background(), d.Config().Daemon.ShutdownTimeout)
+	cfg := d.Config().Daemon
+	d.board.Lifecycle.Write(&board.Lifecycle{
+		Phase: board.PhaseStopping, Stop: halt.New(d.clock.Now(), cfg.ShutdownDelay, cfg.ShutdownTimeout),
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), cfg.ShutdownTimeout)
 	defer cancel()
 	d.delayShutdown(ctx)
-	d.agent.Stop(ctx)
+	d.leave(ctx)
 	d.shutdownServers(ctx)
 	for _, stop := range d.stops {
 		stop()
@@ -376,6 +380,15 @@
 	d.log.Emit(event.DaemonStopped)
 }
 
+// leave announces that this VM is gone. A relay that does not answer must not keep the
+// listeners open.
+func (d *Daemon) leave(ctx context.Context) {
+	const timeout = 500 * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	d.agent.Stop(ctx)
+}
+
 // delayShutdown waits while callers and peers learn that this daemon is stopping;
 // calls are still served. Responses ask callers to close their connections.
 func (d *Daemon) delayShutdown(ctx context.Context) {
@@ -399,7 +412,8 @@
 	}
 	for _, l := range d.listeners {
 		if l.srv != nil {
-			wg.Go(func() { _ = l.srv.Shutdown(ctx) })
+			_ = l.ln.Close()
+			wg.Go(func() { _ = l.srv.drain(ctx) })
 		}
 	}
 	wg.Wait()
--- a/io/daemon/mesh_test.go
+++ b/io/daemon/mesh_test.go
@@ -384,7 +384,7 @@
 }
 
 // testStop stops a daemon: it must report that it is not ready, and go on serving
-// during the shutdown delay.
+// during the shutdown delay, but not on a connection that was opened before.
 func (m *mesh) testStop(t *testing.T) {
 	vm := m.daemons["shop-2"]
 	eventually(t, func() string {
@@ -394,6 +394,9 @@
 		}
 		return ""
 	})
+	opened, err := net.Dial("tcp", vm.addr(portOutbound))
+	assert.NilError(t, err)
+	defer opened.Close()
 	vm.run.stop()
 	eventually(t, func() string {
 		if m.isReady("shop-2") {
@@ -403,6 +406,7 @@
 	})
 	got := m.call("shop-2", "GET", "shop.example", "/shop/1", "key-mlyn", nil)
 	assert.Equal(t, got.status, http.StatusOK, "%s", got.body)
+	m.mustRefuseLate(t, vm, opened)
 	assert.NilError(t, <-vm.run.done)
 	vm.run = nil
 }
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -44,7 +44,12 @@
 		return
 	}
 	span.SetAttributes(attribute.String("chicorymast.route", string(in.route)))
-	ctx, cancel := context.WithTimeout(ctx, p.timeout(r, in))
+	within, refusal := p.acceptFor(p.timeout(r, in))
+	if refusal != nil {
+		p.refuseCaller(w, in.subject(), refusal, 0, start, noInputs)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	if p.passThrough() {
 		p.runUnrecorded(ctx, w, r, in, start)
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -15,6 +15,7 @@
 	"chicorymast/core/admit"
 	"chicorymast/core/board"
 	"chicorymast/core/fault"
+	"chicorymast/core/halt"
 	"chicorymast/core/member"
 	"chicorymast/core/retry"
 	"chicorymast/io/event"
@@ -44,7 +45,12 @@
 	ctx, span := p.opt.Tracer.Start(trace.Extract(r), "serve",
 		attribute.String("chicorymast.route", string(call.Route)), attribute.Int("chicorymast.depth", call.Depth))
 	defer span.End()
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(call.TimeoutMs)*time.Millisecond)
+	within, refusal := p.acceptFor(time.Duration(call.TimeoutMs) * time.Millisecond)
+	if refusal != nil {
+		p.refusePeer(w, r.RemoteAddr, call, retryOutcome{unspentRetries: call.Retries}, refusal)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	status := p.serve(ctx, w, r, call)
 	p.opt.Metrics.call("serve", call.Route, strconv.Itoa(status), p.opt.Clock.Now().Sub(start))
@@ -95,6 +101,15 @@
 	return upstream.Phase == member.PhaseUp && !upstream.Drained
 }
 
+// acceptFor returns how long a call with the given limit may run, or a refusal if this
+// daemon is stopping and takes no more calls.
+func (p *Proxy) acceptFor(limit time.Duration) (within time.Duration, refusal *fault.Refusal) {
+	if v, ok := p.opt.Board.Lifecycle.Read().Stop.Accept(p.opt.Clock.Now(), limit).(halt.Run); ok {
+		return v.Within, nil
+	}
+	return 0, fault.Refuse(fault.ReasonDraining, "this daemon is stopping")
+}
+
 // refusePeer responds to another daemon in place of the upstream.
 func (p *Proxy) refusePeer(w http.ResponseWriter, from string, call header.Call, retries retryOutcome, r *fault.Refusal) (status int) {
 	p.noteCallRefused(from, call, r)
