--- a/io/agent/reply.go
+++ b/io/agent/reply.go
@@ -74,7 +74,7 @@
 	next, err := applyDelta(a.opt.Board.Config.Read(), d)
 	if err == nil && next.Digest() == d.Digest {
 		a.opt.Board.Config.Write(next)
-		a.opt.Log.Emit(event.ConfigApplied, zap.Uint64("revision", uint64(next.State.Revision)))
+		a.opt.Log.Emit(event.ConfigApplied, zap.Uint64("revision", uint64(next.State.Revision)), a.unconfirmed())
 		return true
 	}
 	a.opt.Log.Emit(event.DigestMismatch, zap.Uint64("revision", uint64(d.Revision)), zap.Error(err))
@@ -115,6 +115,16 @@
 	}
 }
 
+// unconfirmed is the time since the configuration was last confirmed, an upper bound of
+// how long ago a change that arrives now was committed; negative if it never was.
+func (a *Agent) unconfirmed() zap.Field {
+	f := a.opt.Board.Freshness.Read()
+	if f.AsOf.IsZero() {
+		return zap.Int64("unconfirmed_ms", -1)
+	}
+	return zap.Int64("unconfirmed_ms", f.Age(a.opt.Clock.Now()).Milliseconds())
+}
+
 // checkStale logs when the configuration becomes stale and when it is confirmed again.
 func (a *Agent) checkStale() {
 	stale := a.opt.Board.Freshness.Read().Age(a.opt.Clock.Now()) > fresh.SyncHold+fresh.StaleAfter
--- a/io/agent/search.go
+++ b/io/agent/search.go
@@ -48,7 +48,7 @@
 	current := slices.Index(relays, a.relay)
 	responsive := current >= 0 && !a.failed
 	if len(others) == 0 {
-		a.switchTo(self)
+		a.switchTo(self, reasonNoOther)
 		return responsive
 	}
 	candidates := a.candidates(len(others), current)
@@ -56,11 +56,12 @@
 		return true
 	}
 	a.searchedAt = a.opt.Clock.Now()
+	reason := a.searchReason(responsive)
 	best, ok := pickRelay(a.probe(ctx, others, candidates), responsive, a.age)
 	if ok {
-		a.switchTo(others[best])
+		a.switchTo(others[best], reason)
 	} else if !responsive {
-		a.switchTo(self)
+		a.switchTo(self, reasonNoOther)
 	}
 	return ok || responsive
 }
@@ -146,7 +147,30 @@
 	return best.rank, ok
 }
 
-func (a *Agent) switchTo(next string) {
+// changeReason is why the relay changes, for the log.
+type changeReason string
+
+const (
+	reasonFirst     changeReason = "first"
+	reasonSilent    changeReason = "silent"
+	reasonStale     changeReason = "stale"
+	reasonPreferred changeReason = "preferred"
+	reasonNoOther   changeReason = "no_other_answers"
+)
+
+func (a *Agent) searchReason(responsive bool) changeReason {
+	switch {
+	case a.relay == "":
+		return reasonFirst
+	case !responsive:
+		return reasonSilent
+	case a.age > fresh.StaleAfter:
+		return reasonStale
+	}
+	return reasonPreferred
+}
+
+func (a *Agent) switchTo(next string, reason changeReason) {
 	a.failed = false
 	a.silence.End()
 	if next == a.relay {
@@ -157,5 +181,5 @@
 	a.mu.Unlock()
 	a.age = 0
 	a.cursor = wire.Cursor{}
-	a.opt.Log.Emit(event.RelayChanged, zap.String("relay", next))
+	a.opt.Log.Emit(event.RelayChanged, zap.String("relay", next), zap.String("reason", string(reason)), a.unconfirmed())
 }
--- a/io/agent/search_test.go
+++ b/io/agent/search_test.go
@@ -84,7 +84,7 @@
 		VM: "vm", Clock: clock, Board: board.New(), Pool: pool, Log: event.Discard(),
 		RelayAddresses: func() []string { return addresses }, RelayActive: func() bool { return false }, FollowConfig: true,
 	})
-	a.switchTo(addresses[current])
+	a.switchTo(addresses[current], reasonFirst)
 	a.age = relays[current].age
 	return a, clock, addresses
 }
