agent: a search probes relays that fail apart

A daemon that lost its relay probed six others in the order of its list: the control daemons of its data centre, then fallback relays there.

Now searches proceed from both ends of the list, so the first ones include control daemons of other data centres. Up to six relays, as in small fleets, all are probed as before. Evidence: TestSearchProbesRelaysThatFailApart; TestSearchProbesEveryRelay still holds. Same number of probes.

Also TestNoCertainRefusalBehindACut: real daemons, a key granted behind a cut.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -93,10 +93,9 @@
 	announcing bool
 	// age is the age of the relay's configuration in its last reply.
 	age time.Duration
-	// searchedAt is the time of the last search for another relay, nextCandidate
-	// the place in the list where the next search begins.
-	searchedAt    time.Time
-	nextCandidate int
+	// searchedAt is the time of the last search for another relay, searches their number.
+	searchedAt time.Time
+	searches   int
 
 	mu      sync.Mutex
 	version uint64
--- a/io/agent/search.go
+++ b/io/agent/search.go
@@ -79,13 +79,37 @@
 	if upToDate {
 		n = min(n, current)
 	}
-	for i := range min(n, searchWidth) {
-		rank := (a.nextCandidate + i) % n
+	for _, rank := range searchRanks(n, a.searches) {
 		if rank != current || !responsive {
 			ranks = append(ranks, rank)
 		}
 	}
-	a.nextCandidate += searchWidth
+	a.searches++
+	return ranks
+}
+
+// searchRanks returns which of n relays a search probes. Searches proceed from both ends of
+// the list, which ends with control daemons of other data centres: one fault does not
+// silence all relays of the first searches.
+func searchRanks(n, search int) (ranks []int) {
+	if n <= searchWidth {
+		for rank := range n {
+			ranks = append(ranks, rank)
+		}
+		return ranks
+	}
+	const fromEnd = searchWidth / 3
+	rounds := (n + searchWidth - 1) / searchWidth
+	round := search % rounds
+	first, last := round*(searchWidth-fromEnd), n-1-round*fromEnd
+	for i := range searchWidth - fromEnd {
+		ranks = append(ranks, (first+i)%n)
+	}
+	for i := range fromEnd {
+		if !slices.Contains(ranks, last-i) {
+			ranks = append(ranks, last-i)
+		}
+	}
 	return ranks
 }
 
--- a/io/agent/search_test.go
+++ b/io/agent/search_test.go
@@ -144,6 +144,23 @@
 	}
 }
 
+// Guards against a search in which all relays that are probed fail by one fault.
+func TestSearchProbesRelaysThatFailApart(t *testing.T) {
+	const relays, remote = 40, 4 // the last ones are in other data centres
+	for search := range 2 {
+		far, seen := 0, map[int]bool{}
+		for _, rank := range searchRanks(relays, search) {
+			assert.Assert(t, rank >= 0 && rank < relays && !seen[rank])
+			seen[rank] = true
+			if rank >= relays-remote {
+				far++
+			}
+		}
+		assert.Assert(t, far > 0)
+		assert.Equal(t, len(seen), searchWidth)
+	}
+}
+
 func TestSearchIntervalWithFreshRelay(t *testing.T) {
 	a, clock, _ := newSearcher(t, 0, fakeRelay{})
 	clock.Advance(time.Hour)
--- a/io/daemon/cutoff_test.go
+++ b/io/daemon/cutoff_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"chicorymast/core/fault"
 	"chicorymast/core/ident"
 	"chicorymast/core/state"
 	"chicorymast/io/admin"
@@ -192,3 +193,42 @@
 		})
 	}
 }
+
+// Guards against 401 for a key that was granted while the daemon was cut off: it can't know
+// whether the key exists, during the cut and after it.
+func TestNoCertainRefusalBehindACut(t *testing.T) {
+	f := newFleet(t, trial.Small())
+	f.setUp()
+	cutOff, rest := f.splitVMs(func(d *trial.Daemon) bool { return d.DataCentre == "kosice-2" })
+	f.partition.set(cutOff, rest, true)
+	const key = "granted-behind-the-cut"
+	grant := admin.KeyGrant{ChangeID: f.changeID(), Digest: ident.DigestKey(key), Workspace: "skauti"}
+	eventually(t, func() string {
+		if _, p, err := callAdmin[state.Result](f, anyControl, "POST", "/v1/keys", grant); err != nil || p.Detail != "" {
+			return fmt.Sprintf("%+v %v", p, err)
+		}
+		return ""
+	})
+	f.keys["skauti"] = key
+	ask := func() response { return f.call(request{entry: "katalog-2", path: "/katalog/1", workspace: "skauti"}) }
+	eventually(t, func() string {
+		if got := ask(); got.problem.Reason != fault.ReasonConfigurationUnconfirmed {
+			return fmt.Sprintf("%d %s", got.status, got.body)
+		}
+		return ""
+	})
+	for range 20 {
+		got := ask()
+		assert.Equal(t, got.problem.Reason, fault.ReasonConfigurationUnconfirmed, "%s", got.body)
+		assert.Assert(t, got.problem.NotRun)
+	}
+	f.partition.set(cutOff, rest, false)
+	eventually(t, func() string {
+		got := ask()
+		assert.Assert(t, got.status != http.StatusUnauthorized, "%s", got.body)
+		if got.status != http.StatusOK {
+			return fmt.Sprintf("%d %s", got.status, got.body)
+		}
+		return ""
+	})
+}
