--- a/io/wire/blackhole_test.go
+++ b/io/wire/blackhole_test.go
@@ -110,7 +110,7 @@
 func TestPeerThatReadsNothingEndsTheCall(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	defer ln.Close()
+	t.Cleanup(func() { _ = ln.Close() })
 	p := newPool(t)
 	const payloadBytes = 16 << 20 // above the buffers of both sockets
 	_, err = Call[ping](t.Context(), p, ln.Addr().String(), "echo", strings.Repeat("x", payloadBytes))
