--- a/io/agent/confirm_test.go
+++ b/io/agent/confirm_test.go
@@ -113,3 +113,16 @@
 	a.confirm(a.request(0), clock.Now(), wire.SyncReply{Revision: 2, AgeMs: 100})
 	assert.Equal(t, a.opt.Board.Freshness.Read().Age(clock.Now()), 100*time.Millisecond)
 }
+
+// Guards against a daemon that goes back to an older configuration with an older relay.
+func TestOlderRelayTakesNothingBack(t *testing.T) {
+	a, clock, _ := newSearcher(t, 0, fakeRelay{})
+	a.opt.Board.Config.Write(drains(t, 3))
+	older := serveRelay(t, a, drains(t, 1), clock.Now())
+	a.opt.RelayAddresses = func() []string { return nil }
+	a.switchTo(older, reasonFirst)
+	a.syncOnce(t.Context())
+	assert.Assert(t, !a.failed)
+	mustHaveRevision(t, a, 3)
+	assert.Equal(t, a.opt.Board.Config.Read().Digest(), drains(t, 3).Digest())
+}
