relay: a held sync ends when the configuration is stale, not when it would have been

On a control daemon that is confirmed every 0.1 s it never became stale, so daemons synced after 0.65 to 0.75 s instead of 1 s, a third more messages than meant.

Now the relay looks again at that time and holds the sync on if the configuration was confirmed meanwhile (fresh.Hold). The time for which a sync was held is taken before the age is read, so that neither can be too young. Evidence: TestHold, TestHeldSyncEndsWhenTheConfigurationIsStale.

--- a/core/fresh/fresh.go
+++ b/core/fresh/fresh.go
@@ -46,6 +46,16 @@
 	return sent.Add(held - age)
 }
 
+// Hold returns when a relay that holds a sync looks again whether to hold it on, and reports
+// false if it should reply now: when no time is left, or when a configuration that was fresh
+// at the start of the sync has become stale, so that the daemon looks for another relay.
+func Hold(left, age time.Duration, wasFresh bool) (check time.Duration, ok bool) {
+	if wasFresh {
+		left = min(left, StaleAfter-age)
+	}
+	return left, left > 0
+}
+
 // Silence measures for how long a relay has not replied. The zero value is ready for use.
 type Silence struct {
 	// due is when the relay counts as silent, zero if it owes no reply.
--- a/core/fresh/fresh_test.go
+++ b/core/fresh/fresh_test.go
@@ -39,6 +39,29 @@
 	}
 }
 
+// Guards against a relay that ends held syncs though its configuration is confirmed meanwhile.
+func TestHold(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		left, age time.Duration
+		wasFresh  bool
+		check     time.Duration
+		ok        bool
+	}{
+		{"looks again when the configuration would be stale", SyncHold, 100 * time.Millisecond, true, StaleAfter - 100*time.Millisecond, true},
+		{"goes on if it was confirmed meanwhile", 300 * time.Millisecond, 100 * time.Millisecond, true, 300 * time.Millisecond, true},
+		{"ends when it is stale", 300 * time.Millisecond, StaleAfter, true, 0, false},
+		{"goes on if it was stale from the start", 200 * time.Millisecond, time.Minute, false, 200 * time.Millisecond, true},
+		{"ends when no time is left", 0, 0, true, 0, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			check, ok := Hold(tc.left, tc.age, tc.wasFresh)
+			assert.Equal(t, ok, tc.ok)
+			assert.Assert(t, !ok || check == tc.check, "%s", check)
+		})
+	}
+}
+
 func TestReplyEndsTheSilence(t *testing.T) {
 	var s Silence
 	s.Begin(start, SyncHold)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -117,23 +117,13 @@
 		return reply, nil
 	}
 	r.announce(q.Entry)
-	r.await(ctx, q, r.holdFor(received, q))
+	r.await(ctx, q, min(time.Duration(q.WaitMs)*time.Millisecond, maxWait))
+	held := r.opt.Clock.Now().Sub(received) // before the age is read, which goes on
 	reply := r.reply(q)
-	reply.Departures = departures
-	reply.HeldMs = r.opt.Clock.Now().Sub(received).Milliseconds()
+	reply.Departures, reply.HeldMs = departures, held.Milliseconds()
 	return reply, nil
 }
 
-// holdFor returns how long to hold a sync. One that finds the configuration fresh is
-// answered as soon as it is stale, so that the daemon looks for another relay in time.
-func (r *Relay) holdFor(now time.Time, q wire.SyncRequest) time.Duration {
-	hold := min(time.Duration(q.WaitMs)*time.Millisecond, maxWait)
-	if left := fresh.StaleAfter - r.opt.Board.Freshness.Read().Age(now); left > 0 {
-		hold = min(hold, left)
-	}
-	return hold
-}
-
 // departures returns what is known of upstreams that have left the VM of a daemon that
 // does not use this relay yet. The daemon may have restarted and know nothing of them.
 func (r *Relay) departures(q wire.SyncRequest) []tenure.Departure {
@@ -173,14 +163,7 @@
 	if pending {
 		return
 	}
-	timeout := time.NewTimer(wait)
-	defer timeout.Stop()
-	select {
-	case <-config:
-	case <-members:
-	case <-timeout.C:
-		return
-	case <-ctx.Done():
+	if !r.awaitChange(ctx, config, members, wait) {
 		return
 	}
 	batch := time.NewTimer(batchDelay)
@@ -188,6 +171,36 @@
 	<-batch.C
 }
 
+// awaitChange reports whether the configuration or the members change before the wait is
+// over, ctx ends or the configuration here becomes stale.
+func (r *Relay) awaitChange(ctx context.Context, config, members <-chan struct{}, wait time.Duration) bool {
+	end := r.opt.Clock.Now().Add(wait)
+	wasFresh := r.age() < fresh.StaleAfter
+	for {
+		check, ok := fresh.Hold(end.Sub(r.opt.Clock.Now()), r.age(), wasFresh)
+		if !ok {
+			return false
+		}
+		timer := time.NewTimer(check)
+		select {
+		case <-config:
+		case <-members:
+		case <-timer.C:
+			continue
+		case <-ctx.Done():
+			timer.Stop()
+			return false
+		}
+		timer.Stop()
+		return true
+	}
+}
+
+// age returns the time since the configuration here was confirmed.
+func (r *Relay) age() time.Duration {
+	return r.opt.Board.Freshness.Read().Age(r.opt.Clock.Now())
+}
+
 func (r *Relay) pending(q wire.SyncRequest) (changed <-chan struct{}, pending bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -213,7 +226,7 @@
 // of when, with the commands that lead to it if they are kept. The age is read first:
 // a configuration that is written meanwhile is newer than its age says, not older.
 func (r *Relay) confirmation(q wire.SyncRequest) wire.SyncReply {
-	age := r.opt.Board.Freshness.Read().Age(r.opt.Clock.Now())
+	age := r.age()
 	c := r.opt.Board.Config.Read()
 	return wire.SyncReply{
 		Relay: r.opt.VM, AgeMs: age.Milliseconds(), Revision: c.State.Revision, Config: commandDelta(c, q.HaveRevision),
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -84,18 +84,24 @@
 	mustHavePhase(t, r, "far", member.PhaseUp)
 }
 
+// steppingClock advances by step each time it is read.
+type steppingClock struct {
+	*timer.Manual
+	step time.Duration
+}
+
+func (c steppingClock) Now() time.Time {
+	c.Advance(c.step)
+	return c.Manual.Now()
+}
+
 // Guards against a relay that has lost the leader and holds daemons beyond the time within
 // which a change is in force.
 func TestHeldSyncEndsWhenTheConfigurationIsStale(t *testing.T) {
 	r, clock := newRelay(t, "relay", never)
-	held := wire.SyncRequest{WaitMs: fresh.SyncHold.Milliseconds()}
-	for _, tc := range []struct{ age, want time.Duration }{
-		{0, fresh.StaleAfter},
-		{fresh.StaleAfter - 10*time.Millisecond, 10 * time.Millisecond},
-		{fresh.StaleAfter, fresh.SyncHold},
-		{time.Minute, fresh.SyncHold},
-	} {
-		r.opt.Board.Freshness.Write(&board.Freshness{AsOf: clock.Now().Add(-tc.age)})
-		assert.Equal(t, r.holdFor(clock.Now(), held), tc.want, "%s", tc.age)
-	}
+	r.opt.Clock = steppingClock{clock, 10 * time.Millisecond}
+	r.opt.Board.Freshness.Write(&board.Freshness{AsOf: clock.Now().Add(100*time.Millisecond - fresh.StaleAfter)})
+	changed := r.awaitChange(t.Context(), nil, nil, time.Hour)
+	assert.Assert(t, !changed)
+	assert.Assert(t, r.age() >= fresh.StaleAfter)
 }
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -13,8 +13,8 @@
 // A pool keeps one connection to each address. If nothing at all arrives on it while a
 // call waits until its deadline, the connection is closed, so that the next call replaces
 // one that has stopped delivering data; a call that is merely slow does not disturb the
-// others. A connection that accepts no data for writeTimeout is closed, too. A message above MaxMessageBytes
-// ends the connection.
+// others. A connection that accepts no data for writeTimeout is closed, too. A message
+// above MaxMessageBytes ends the connection.
 package wire
 
 import (
