--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -93,7 +93,7 @@
 	announcing bool
 	// age is the age of the relay's configuration in its last reply.
 	age time.Duration
-	// searchedAt is the time of the last search for another relay, searches their number.
+	// searchedAt is the time of the last search for another relay; searches counts them.
 	searchedAt time.Time
 	searches   int
 
