--- a/core/raft/cluster_test.go
+++ b/core/raft/cluster_test.go
@@ -50,6 +50,8 @@
 	committed map[Index]Entry
 	violation string
 	proposals int
+	// electionTicks is the election timeout of the nodes.
+	electionTicks int
 }
 
 const (
@@ -60,7 +62,7 @@
 func newCluster(voters, learners int, seed uint64) *cluster {
 	c := &cluster{
 		hosts: map[ident.Node]*host{}, cut: map[[2]ident.Node]bool{}, seed: seed,
-		leaders: map[Term]ident.Node{}, committed: map[Index]Entry{},
+		leaders: map[Term]ident.Node{}, committed: map[Index]Entry{}, electionTicks: testElection,
 	}
 	var first []Peer
 	for i := range voters {
@@ -85,7 +87,7 @@
 	h := c.hosts[id]
 	c.seed++
 	h.node = New(Config{
-		ID: id, ElectionTicks: testElection, HeartbeatTicks: testHeartbeat, Rand: rand.New(rand.NewPCG(c.seed, 5)),
+		ID: id, ElectionTicks: c.electionTicks, HeartbeatTicks: testHeartbeat, Rand: rand.New(rand.NewPCG(c.seed, 5)),
 	}, Restored{HardState: h.disk.hard, Snapshot: h.disk.snapshot, Entries: slices.Clone(h.disk.entries)})
 	h.applied = nil
 	h.up = true
--- a/core/raft/voters_test.go
+++ b/core/raft/voters_test.go
@@ -35,7 +35,7 @@
 	m := &machines{
 		cluster: &cluster{
 			hosts: map[ident.Node]*host{}, cut: map[[2]ident.Node]bool{}, seed: seed,
-			leaders: map[Term]ident.Node{}, committed: map[Index]Entry{},
+			leaders: map[Term]ident.Node{}, committed: map[Index]Entry{}, electionTicks: testElection,
 		},
 		policy: policy, joining: map[ident.Node]string{}, next: map[ident.Node]int{}, current: map[string]ident.Node{},
 	}
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -1,6 +1,9 @@
 package relay
 
 import (
+	"encoding/json"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -8,6 +11,7 @@
 	"chicorymast/core/fresh"
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
+	"chicorymast/core/state"
 	"chicorymast/io/timer"
 	"chicorymast/io/wire"
 
@@ -105,3 +109,51 @@
 	assert.Assert(t, !changed)
 	assert.Assert(t, r.age() >= fresh.StaleAfter)
 }
+
+// withHistory gives a relay a small configuration with many changes behind it.
+func withHistory(t testing.TB, r *Relay, changes int) {
+	t.Helper()
+	st := state.New()
+	var recent []board.AcceptedCommand
+	for i := range changes {
+		cmd := state.SetDrain{Metadata: state.Metadata{ChangeID: ident.ChangeID(strconv.Itoa(i)), Actor: ident.Actor(strings.Repeat("a", 500))}, VM: "vm", Draining: i%2 == 0}
+		data, err := state.Encode(cmd)
+		assert.NilError(t, err)
+		assert.Equal(t, st.Apply(cmd).Outcome, state.OutcomeAccepted)
+		recent = append(recent, board.AcceptedCommand{Revision: st.Revision, Command: data})
+	}
+	r.opt.Board.Config.Write(board.NewConfig(st, recent))
+}
+
+func replyBytes(t testing.TB, r *Relay, q wire.SyncRequest) int {
+	t.Helper()
+	reply, err := r.sync(t.Context(), q)
+	assert.NilError(t, err)
+	data, err := json.Marshal(reply)
+	assert.NilError(t, err)
+	return len(data)
+}
+
+// Guards against searches of daemons that start, each of which gets the whole history of
+// changes from several relays.
+func TestProbeReplyIsSmallWhateverTheHistory(t *testing.T) {
+	r, _ := newRelay(t, "relay", never)
+	withHistory(t, r, 1000)
+	for _, have := range []ident.Revision{0, 1, 500, 900} {
+		size := replyBytes(t, r, wire.SyncRequest{Probe: true, HaveRevision: have})
+		assert.Assert(t, size <= 8<<10, "%d bytes from revision %d", size, have)
+	}
+	reply, err := r.sync(t.Context(), wire.SyncRequest{Probe: true, HaveRevision: 999})
+	assert.NilError(t, err)
+	assert.Assert(t, reply.Config != nil, "a daemon that lacks one change must not wait for its first sync")
+}
+
+// Guards against a list of changes that is longer than the configuration which it leads to.
+func TestSnapshotReplacesALongerHistory(t *testing.T) {
+	r, _ := newRelay(t, "relay", never)
+	withHistory(t, r, 1000)
+	size := replyBytes(t, r, wire.SyncRequest{Entry: up("starting")})
+	snapshot, err := json.Marshal(r.opt.Board.Config.Read().State.WithoutHistory())
+	assert.NilError(t, err)
+	assert.Assert(t, size <= len(snapshot)+8<<10, "%d bytes for a configuration of %d", size, len(snapshot))
+}
