raft: what a leader sends ahead is bounded in messages and bytes

Cause: a leader sent a member the next 256 entries with each heartbeat, proposal, commit and rejection, whatever their size and whether the former ones had arrived. A follower that came back rejected several messages for one reason, and each rejection sent the missing entries again; a follower that handled less than was sent never caught up.

Now a leader probes with one message until it knows what a member has, then streams up to 32 messages and 512 KB ahead of the acknowledgements; a message has at most 128 KB of entries. Rejections name the message that they reject, so that only the first one of a gap counts. Heartbeats to a member that has to acknowledge first carry no entries and are never rejected. What is not acknowledged within an election timeout is sent again.

--- a/core/raft/catchup_test.go
+++ b/core/raft/catchup_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 
@@ -183,7 +184,7 @@
 	state, err := json.Marshal(strings.Repeat("s", 5*largestMessage))
 	assert.NilError(t, err)
 	s.execute(leader, s.hosts[leader].node.Compact(s.hosts[leader].node.Status().Commit, state), -1)
-	s.hosts[leader].node.log.compact(s.hosts[leader].node.snapshot, 0)
+	s.hosts[leader].node.log.compact(s.hosts[leader].node.snapshot, 0, 0)
 	s.start(away)
 	s.bytesTo[away] = 0
 	s.steps(10*slowElection, 0)
@@ -226,3 +227,42 @@
 	n.heartbeat()
 	return n.takeEffects()
 }
+
+// Guards against a snapshot that starts with a piece of another one, or never ends, after
+// either side has restarted or lost a message.
+func TestSnapshotArrivesWholeDespiteLosses(t *testing.T) {
+	state, err := json.Marshal(strings.Repeat("0123456789", largestMessage/10))
+	assert.NilError(t, err)
+	for seed := range 20 {
+		s := newSlowNetwork(1, 100)
+		id, leader := s.follower(t)
+		s.hosts[id].up = false
+		s.steps(10, 1)
+		s.execute(leader, s.hosts[leader].node.Compact(s.hosts[leader].node.Status().Commit, state), -1)
+		s.hosts[leader].node.log.compact(s.hosts[leader].node.snapshot, 0, 0)
+		s.start(id)
+		rng := rand.New(rand.NewPCG(uint64(seed), 1))
+		for range 300 {
+			s.steps(1, 0)
+			if len(s.underway[id]) > 0 && rng.IntN(10) == 0 {
+				s.underway[id] = s.underway[id][1:]
+			}
+			if rng.IntN(60) == 0 {
+				s.start(id)
+			}
+		}
+		s.steps(10*slowElection, 0)
+		assert.Equal(t, s.hosts[id].node.Status().Commit, s.hosts[leader].node.Status().Commit)
+		assert.Equal(t, string(s.hosts[id].disk.snapshot.Data), string(state))
+	}
+}
+
+// Guards against a whole snapshot of an earlier release that is installed without its data.
+func TestWholeSnapshotOfAnEarlierRelease(t *testing.T) {
+	s := newSlowNetwork(1, 100)
+	id, leader := s.follower(t)
+	st := s.hosts[leader].node.Status()
+	snap := Snapshot{Index: st.Commit + 100, Term: st.Term, Members: st.Members, Data: json.RawMessage(`"state"`)}
+	s.execute(id, s.hosts[id].node.Step(Message{Kind: KindSnapshot, From: leader, To: id, Term: st.Term, Snapshot: &snap}), -1)
+	assert.Equal(t, string(s.hosts[id].disk.snapshot.Data), `"state"`)
+}
--- a/core/raft/elect.go
+++ b/core/raft/elect.go
@@ -112,7 +112,7 @@
 func (n *Node) trackPeers() {
 	for _, p := range n.others() {
 		if n.peers[p.ID] == nil {
-			n.peers[p.ID] = &progress{next: n.log.last() + 1, replied: true, lastReplyAt: n.tick, snapshotAt: -n.cfg.ElectionTicks}
+			n.peers[p.ID] = &progress{state: sendProbing, next: n.log.last() + 1, replied: true, lastReplyAt: n.tick}
 		}
 	}
 }
--- a/core/raft/log.go
+++ b/core/raft/log.go
@@ -33,13 +33,21 @@
 	return t
 }
 
-// slice returns at most the given number of entries, starting at an index.
-func (l *log) slice(i Index, limit int) []Entry {
+// slice returns entries from an index on, at most the given number. Together they have at
+// most the given size in bytes, unless the first one alone is larger.
+func (l *log) slice(i Index, limit, maxBytes int) []Entry {
 	if i > l.last() {
 		return nil
 	}
 	part := l.entries[i-l.first():]
-	return slices.Clone(part[:min(limit, len(part))])
+	part = part[:min(limit, len(part))]
+	for n := range part {
+		if maxBytes -= bytesOf(part[n : n+1]); maxBytes < 0 && n > 0 {
+			part = part[:n]
+			break
+		}
+	}
+	return slices.Clone(part)
 }
 
 func (l *log) append(entries ...Entry) {
@@ -76,19 +84,20 @@
 	return committed
 }
 
-// compact removes the entries that a snapshot covers. It keeps the given number of
-// the last ones, which followers slightly behind may need.
-func (l *log) compact(s Snapshot, keep int) {
+// compact removes the entries that a snapshot covers. It keeps at most the given number and
+// bytes of the last ones, which followers slightly behind may need.
+func (l *log) compact(s Snapshot, keep, keepBytes int) {
 	if s.Index <= l.snapshot.Index {
 		return
 	}
 	lastDropped := s.Index
-	if Index(keep) < lastDropped {
-		lastDropped -= Index(keep)
-	} else {
-		lastDropped = 0
+	for lastDropped > l.snapshot.Index && s.Index-lastDropped < Index(keep) {
+		at := lastDropped - l.first()
+		if keepBytes -= bytesOf(l.entries[at : at+1]); keepBytes < 0 {
+			break
+		}
+		lastDropped--
 	}
-	lastDropped = max(lastDropped, l.snapshot.Index)
 	t, ok := l.term(lastDropped)
 	if !ok {
 		return
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -22,9 +22,10 @@
 const (
 	// batchEntries is the maximum number of entries in one message.
 	batchEntries = 256
-	// CatchUpEntries is how many entries before a snapshot stay in the log, so that
-	// followers slightly behind need no snapshot.
+	// CatchUpEntries and CatchUpBytes are how much before a snapshot stays in the log at
+	// most, so that followers slightly behind need no snapshot.
 	CatchUpEntries = 256
+	CatchUpBytes   = 1 << 20
 )
 
 type role string
@@ -36,19 +37,6 @@
 	roleLeader       role = "leader"
 )
 
-// progress is a leader's replication state of one other member.
-type progress struct {
-	match, next Index
-	// replied is set if the member replied since the last quorum check.
-	replied bool
-	// lastReplyAt is the tick of its last reply.
-	lastReplyAt int
-	// round is the newest heartbeat round that the member acknowledged.
-	round uint64
-	// snapshotAt is the tick at which a snapshot was last sent.
-	snapshotAt int
-}
-
 // Node is one member of a Raft cluster.
 type Node struct {
 	cfg  Config
@@ -79,6 +67,8 @@
 	// had all committed entries. It was received at the tick leaderQuorumAgeAt.
 	leaderQuorumAge   int
 	leaderQuorumAgeAt int
+	// incoming is the part of a snapshot that has arrived.
+	incoming *incomingSnapshot
 	// forced is set during an election that a leadership transfer started.
 	forced bool
 	// leaderSeen is set once a leader has been known since the start.
@@ -116,6 +106,9 @@
 }
 
 func (n *Node) tickLeader() {
+	for _, p := range n.peers {
+		p.expire(n.tick, n.cfg.ElectionTicks)
+	}
 	if n.elapsed%n.cfg.HeartbeatTicks == 0 {
 		n.heartbeat()
 	}
@@ -154,7 +147,7 @@
 	}
 	if m.Term > n.hard.Term && m.Kind != KindPreVote && !(m.Kind == KindPreVoteReply && m.Granted) {
 		leader := ident.Node("")
-		if m.Kind == KindAppend || m.Kind == KindSnapshot {
+		if m.fromLeader() {
 			leader = m.From
 		}
 		n.becomeFollower(m.Term, leader)
@@ -177,10 +170,10 @@
 		n.handleAppend(m)
 	case KindAppendReply:
 		n.handleAppendReply(m)
-	case KindSnapshot:
+	case KindSnapshot, KindSnapshotPiece:
 		n.handleSnapshot(m)
 	case KindSnapshotReply:
-		n.handleAppendReply(m)
+		n.handleSnapshotReply(m)
 	case KindElectNow:
 		if n.mayCampaign() {
 			n.forced = true
@@ -204,13 +197,18 @@
 // so that a former leader that was isolated steps down.
 func (n *Node) replyToOldTerm(m Message) {
 	switch m.Kind {
-	case KindAppend, KindSnapshot:
+	case KindAppend, KindSnapshot, KindSnapshotPiece:
 		n.send(Message{Kind: KindAppendReply, To: m.From, Index: n.log.last()})
 	case KindPreVote:
 		n.send(Message{Kind: KindPreVoteReply, To: m.From})
 	}
 }
 
+// fromLeader reports whether only a leader sends such messages.
+func (m Message) fromLeader() bool {
+	return m.Kind == KindAppend || m.Kind == KindSnapshot || m.Kind == KindSnapshotPiece
+}
+
 func (n *Node) becomeFollower(t Term, leader ident.Node) {
 	formerRole, formerLeader := n.role, n.leader
 	if t > n.hard.Term {
--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"slices"
 
 	"chicorymast/core/ident"
@@ -33,7 +34,11 @@
 func (n *Node) heartbeat() {
 	n.round++
 	n.sentAt[n.round] = n.tick
-	n.replicateAll()
+	for _, p := range n.others() {
+		if !n.replicate(p.ID) {
+			n.sendHeartbeat(p.ID)
+		}
+	}
 	n.confirmRounds()
 }
 
@@ -63,32 +68,63 @@
 	}
 }
 
-func (n *Node) replicate(to ident.Node) {
+// replicate sends a member the next entries, or tells it of the commit index, unless it
+// has to acknowledge former messages first. It reports whether a message was sent.
+func (n *Node) replicate(to ident.Node) (sent bool) {
 	p := n.peers[to]
+	if p.state == sendSnapshot {
+		return n.sendPiece(to, p)
+	}
 	prev := p.next - 1
 	t, ok := n.log.term(prev)
 	if !ok {
-		n.sendSnapshot(to, p)
-		return
+		p.probe(p.next)
+		p.state, p.snapshot = sendSnapshot, n.snapshot
+		return n.sendPiece(to, p)
 	}
-	entries := n.log.slice(p.next, batchEntries)
+	if !p.maySend() {
+		return false
+	}
+	entries := n.log.slice(p.next, batchEntries, maxMessageBytes)
+	n.sendAppend(to, prev, t, entries)
+	if len(entries) > 0 || p.state == sendProbing {
+		p.sent(n.tick, entries)
+	}
+	return true
+}
+
+func (n *Node) sendAppend(to ident.Node, prev Index, t Term, entries []Entry) {
 	n.send(Message{
 		Kind: KindAppend, To: to, Index: prev, LogTerm: t, Entries: entries,
 		Commit: n.log.commit, Round: n.round, QuorumAgeTicks: n.quorumAge(),
 	})
-	p.next += Index(len(entries))
 }
 
-func (n *Node) sendSnapshot(to ident.Node, p *progress) {
-	if n.tick-p.snapshotAt < n.cfg.ElectionTicks {
-		// A snapshot is in flight; a heartbeat keeps the follower from starting
-		// an election.
-		n.send(Message{Kind: KindAppend, To: to, Index: n.log.last(), LogTerm: n.log.lastTerm(), Round: n.round, QuorumAgeTicks: n.quorumAge()})
-		return
+// sendHeartbeat sends a message without entries that the member accepts whatever it lacks.
+func (n *Node) sendHeartbeat(to ident.Node) {
+	prev := n.peers[to].match
+	t, ok := n.log.term(prev)
+	if !ok {
+		prev, t = 0, 0 // before all entries
+	}
+	n.sendAppend(to, prev, t, nil)
+}
+
+// sendPiece sends the next piece of a snapshot unless the former one is not acknowledged.
+func (n *Node) sendPiece(to ident.Node, p *progress) (sent bool) {
+	if p.awaiting {
+		return false
 	}
-	p.snapshotAt = n.tick
-	s := n.snapshot
-	n.send(Message{Kind: KindSnapshot, To: to, Snapshot: &s, Round: n.round})
+	p.awaiting, p.sentAt = true, n.tick
+	meta := p.snapshot
+	data := meta.Data
+	meta.Data = nil
+	end := min(len(data), p.offset+maxMessageBytes)
+	n.send(Message{
+		Kind: KindSnapshotPiece, To: to, Snapshot: &meta, Piece: data[p.offset:end], Offset: p.offset, Size: len(data),
+		Round: n.round,
+	})
+	return true
 }
 
 func (n *Node) handleAppend(m Message) {
@@ -96,7 +132,7 @@
 		n.becomeFollower(m.Term, m.From)
 	}
 	n.elapsed, n.followed = 0, m.From
-	reply := Message{Kind: KindAppendReply, To: m.From, Round: m.Round, Index: n.log.last()}
+	reply := Message{Kind: KindAppendReply, To: m.From, Round: m.Round}
 	t, ok := n.log.term(m.Index)
 	if m.Index < n.log.snapshot.Index {
 		// The snapshot covers the previous entry, so everything up to the
@@ -106,7 +142,7 @@
 		return
 	}
 	if !ok || t != m.LogTerm {
-		reply.Index = min(n.log.last(), m.Index)
+		reply.Rejected, reply.Index = m.Index, min(n.log.last(), m.Index)
 		if ok {
 			reply.Index = m.Index - 1
 		}
@@ -151,21 +187,33 @@
 	if n.role != roleLeader || p == nil {
 		return
 	}
-	p.replied, p.lastReplyAt = true, n.tick
-	p.round = max(p.round, m.Round)
-	n.confirmRounds()
+	n.recordReply(p, m)
 	if !m.Granted {
-		p.next = max(p.match+1, min(p.next, m.Index+1))
-		n.replicate(m.From)
+		if p.rejected(m.Rejected, m.Index) {
+			n.replicate(m.From)
+		}
 		return
 	}
-	if m.Index > p.match {
-		p.match = m.Index
+	n.recordMatch(m.From, p, m.Index)
+}
+
+func (n *Node) recordReply(p *progress, m Message) {
+	p.replied, p.lastReplyAt = true, n.tick
+	p.round = max(p.round, m.Round)
+	n.confirmRounds()
+}
+
+// recordMatch records that a member has all entries up to i, and sends it further ones.
+func (n *Node) recordMatch(id ident.Node, p *progress, i Index) {
+	news := i > p.match
+	p.accepted(n.tick, i)
+	if news {
 		n.advanceCommit()
 	}
-	p.next = max(p.next, p.match+1)
-	if p.next <= n.log.last() {
-		n.replicate(m.From)
+	for n.role == roleLeader && p.state != sendSnapshot && p.next <= n.log.last() {
+		if !n.replicate(id) || p.state != sendStreaming {
+			return
+		}
 	}
 }
 
@@ -228,6 +276,13 @@
 	}
 }
 
+// incomingSnapshot is a snapshot of which data has arrived so far.
+type incomingSnapshot struct {
+	meta Snapshot
+	from ident.Node
+	data []byte
+}
+
 func (n *Node) handleSnapshot(m Message) {
 	if n.role != roleFollower || n.leader != m.From {
 		n.becomeFollower(m.Term, m.From)
@@ -235,11 +290,21 @@
 	n.elapsed, n.followed = 0, m.From
 	reply := Message{Kind: KindSnapshotReply, To: m.From, Round: m.Round, Granted: true}
 	if m.Snapshot == nil || m.Snapshot.Index <= n.log.commit {
+		n.incoming = nil
 		reply.Index = n.log.commit
 		n.send(reply)
 		return
 	}
-	s := *m.Snapshot
+	if m.Kind == KindSnapshot {
+		m.Piece, m.Size = m.Snapshot.Data, len(m.Snapshot.Data)
+	}
+	reply.Offset = n.receivePiece(m)
+	if reply.Offset < m.Size {
+		n.send(reply)
+		return
+	}
+	s := n.incoming.meta
+	s.Data, n.incoming = n.incoming.data, nil
 	n.snapshot = s
 	n.log.reset(s)
 	n.restoreMembers()
@@ -249,6 +314,38 @@
 	n.send(reply)
 }
 
+// receivePiece stores a piece that continues the snapshot, and returns the number of bytes
+// that have arrived.
+func (n *Node) receivePiece(m Message) (received int) {
+	in := n.incoming
+	if m.Offset == 0 || in == nil || in.from != m.From || in.meta.Index != m.Snapshot.Index || in.meta.Term != m.Snapshot.Term {
+		in = &incomingSnapshot{meta: *m.Snapshot, from: m.From}
+		n.incoming = in
+	}
+	if m.Offset == len(in.data) {
+		in.data = append(in.data, m.Piece...)
+	}
+	return len(in.data)
+}
+
+func (n *Node) handleSnapshotReply(m Message) {
+	p := n.peers[m.From]
+	if n.role != roleLeader || p == nil {
+		return
+	}
+	n.recordReply(p, m)
+	switch {
+	case p.state != sendSnapshot:
+	case m.Index >= p.snapshot.Index:
+		p.probe(m.Index + 1)
+		n.recordMatch(m.From, p, m.Index)
+	case m.Index == 0 && (m.Offset > p.offset || m.Offset == 0):
+		// It starts again from zero if the member has restarted.
+		p.offset, p.awaiting = m.Offset, false
+		n.sendPiece(m.From, p)
+	}
+}
+
 // Compact replaces the log up to a committed index with a snapshot of the state
 // machine's data.
 func (n *Node) Compact(at Index, data json.RawMessage) []Effect {
@@ -258,7 +355,7 @@
 	}
 	s := Snapshot{Index: at, Term: t, Members: n.membersUpTo(at), Data: data}
 	n.snapshot = s
-	n.log.compact(s, CatchUpEntries)
+	n.log.compact(s, CatchUpEntries, CatchUpBytes)
 	n.emit(Save{Snapshot: &s})
 	return n.takeEffects()
 }
@@ -280,5 +377,5 @@
 
 // EntriesAfterSnapshot returns the log entries after the latest snapshot.
 func (n *Node) EntriesAfterSnapshot() []Entry {
-	return n.log.slice(max(n.log.first(), n.snapshot.Index+1), int(n.log.last()))
+	return n.log.slice(max(n.log.first(), n.snapshot.Index+1), int(n.log.last()), math.MaxInt)
 }
--- a/core/raft/types.go
+++ b/core/raft/types.go
@@ -112,9 +112,11 @@
 	KindVoteReply     MessageKind = "vote_reply"
 	KindAppend        MessageKind = "append"
 	KindAppendReply   MessageKind = "append_reply"
-	KindSnapshot      MessageKind = "snapshot"
 	KindElectNow      MessageKind = "elect_now"
+	KindSnapshotPiece MessageKind = "snapshot_piece"
 	KindSnapshotReply MessageKind = "snapshot_reply"
+	// KindSnapshot carries a whole snapshot; only earlier releases send it.
+	KindSnapshot MessageKind = "snapshot"
 )
 
 // Message is sent from one node to another.
@@ -134,9 +136,17 @@
 	Granted bool `json:"granted,omitempty"`
 	// Round is the number of the leader's latest heartbeat round.
 	Round uint64 `json:"round,omitempty"`
+	// Rejected is, in a reply without Granted, the index of the message that was rejected;
+	// earlier releases leave it out.
+	Rejected Index `json:"rejected,omitempty"`
 	// QuorumAgeTicks is the time since a majority last confirmed the leader.
-	QuorumAgeTicks int       `json:"age_ticks,omitempty"`
-	Snapshot       *Snapshot `json:"snapshot,omitempty"`
+	QuorumAgeTicks int `json:"age_ticks,omitempty"`
+	// Snapshot is sent without its data, of which the message holds the Piece at Offset.
+	// Size is that of all data. In a reply, Offset is the number of bytes received.
+	Snapshot *Snapshot `json:"snapshot,omitempty"`
+	Piece    []byte    `json:"piece,omitempty"`
+	Offset   int       `json:"offset,omitempty"`
+	Size     int       `json:"size,omitempty"`
 	// Forced marks a vote request that is part of a leadership transfer.
 	Forced bool `json:"forced,omitempty"`
 }
