raft: a follower takes the age of its configuration from its own clock

Cause: a message of the leader said how old the leader's confirmation was, and the follower counted from when it handled the message. A message that had waited, in a queue, in a connection behind a cut, or in a process that did not run, made an old configuration fresh. A host that did not run missed ticks, and so did its ages.

Now replies carry a reading of the follower's clock, and the leader returns the newest one: the message was sent after that, however long it took. Stamps begin at a random base, so that those of an earlier start are not taken for this one's. Stall adds time that was not ticked to all ages, but not to election timers, so that messages that have arrived are handled before an election.

Costs: 40 bytes a message; ages at followers are up to a heartbeat interval higher.

--- a/core/raft/catchup_test.go
+++ b/core/raft/catchup_test.go
@@ -266,3 +266,19 @@
 	s.execute(id, s.hosts[id].node.Step(Message{Kind: KindSnapshot, From: leader, To: id, Term: st.Term, Snapshot: &snap}), -1)
 	assert.Equal(t, string(s.hosts[id].disk.snapshot.Data), `"state"`)
 }
+
+// Guards against a daemon that did not run for a while and takes its age from the ticks
+// that it has counted.
+func TestStallCountsAsAge(t *testing.T) {
+	s := newSlowNetwork(1, 100)
+	id, leader := s.follower(t)
+	for _, n := range []ident.Node{id, leader} {
+		node := s.hosts[n].node
+		before := node.Status().QuorumAgeTicks
+		assert.Assert(t, before >= 0)
+		node.Stall(60)
+		assert.Equal(t, node.Status().QuorumAgeTicks, before+60)
+	}
+	s.steps(slowElection, 0)
+	assert.Assert(t, s.hosts[id].node.Status().QuorumAgeTicks < 10, "confirmed again")
+}
--- a/core/raft/elect.go
+++ b/core/raft/elect.go
@@ -94,7 +94,7 @@
 	n.elapsed = 0
 	n.peers = map[ident.Node]*progress{}
 	n.sentAt = map[uint64]int{}
-	n.confirmedAt = n.tick
+	n.confirmedAt = n.clock()
 	n.leadingSince = n.tick
 	n.trackPeers()
 	if former := n.peers[n.followed]; former != nil {
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -16,7 +16,8 @@
 	ID             ident.Node
 	ElectionTicks  int
 	HeartbeatTicks int
-	Rand           *rand.Rand
+	// Rand must differ between two starts of a node.
+	Rand *rand.Rand
 }
 
 const (
@@ -63,10 +64,14 @@
 	confirmedAt int
 	// confirmed is that round.
 	confirmed uint64
-	// leaderQuorumAge is the quorum age that the leader last sent while this node
-	// had all committed entries. It was received at the tick leaderQuorumAgeAt.
-	leaderQuorumAge   int
-	leaderQuorumAgeAt int
+	// confirmedAsOf is the latest time, on this node's own clock, at which a majority is
+	// known to have confirmed the leader while this node had all committed entries; negative
+	// if there is none.
+	confirmedAsOf int
+	// stampBase makes the stamps of this start differ from those of earlier ones.
+	stampBase Stamp
+	// stalled is the time that Tick has not counted.
+	stalled int
 	// incoming is the part of a snapshot that has arrived.
 	incoming *incomingSnapshot
 	// forced is set during an election that a leadership transfer started.
@@ -85,7 +90,8 @@
 
 // New returns a node that starts from restored state.
 func New(cfg Config, r Restored) *Node {
-	n := &Node{cfg: cfg, hard: r.HardState, log: newLog(r), snapshot: r.Snapshot, role: roleFollower, peers: map[ident.Node]*progress{}, heardAt: map[ident.Node]int{}}
+	n := &Node{cfg: cfg, hard: r.HardState, log: newLog(r), snapshot: r.Snapshot, role: roleFollower, peers: map[ident.Node]*progress{}, heardAt: map[ident.Node]int{}, confirmedAsOf: -1}
+	n.stampBase = Stamp(cfg.Rand.Uint64N(maxStampBase))
 	n.restoreMembers()
 	n.resetElectionTimer()
 	return n
@@ -105,6 +111,18 @@
 	return n.takeEffects()
 }
 
+// Stall tells the node of time that passed without a Tick because its host did not run.
+// Election timers do not count it, so that messages which have arrived meanwhile are
+// handled first, but ages do.
+func (n *Node) Stall(t Ticks) {
+	n.stalled += int(t)
+}
+
+// clock is the time since the node started, in ticks, stalls included.
+func (n *Node) clock() int {
+	return n.tick + n.stalled
+}
+
 func (n *Node) tickLeader() {
 	for _, p := range n.peers {
 		p.expire(n.tick, n.cfg.ElectionTicks)
@@ -357,12 +375,12 @@
 		if t, _ := n.log.term(n.log.commit); t != n.hard.Term {
 			return -1
 		}
-		return n.tick - n.confirmedAt
+		return n.clock() - n.confirmedAt
 	}
-	if n.leader == "" || n.leaderQuorumAgeAt == 0 {
+	if n.leader == "" || n.confirmedAsOf < 0 {
 		return -1
 	}
-	return n.leaderQuorumAge + n.tick - n.leaderQuorumAgeAt
+	return n.clock() - n.confirmedAsOf
 }
 
 // HardState returns the state that must be durable.
--- a/core/raft/progress.go
+++ b/core/raft/progress.go
@@ -49,6 +49,8 @@
 	lastReplyAt int
 	// round is the newest heartbeat round that the member acknowledged.
 	round uint64
+	// stamp is the newest reading of the member's own clock that it sent.
+	stamp Stamp
 }
 
 // inflightMessage is a message with entries up to last.
--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -33,7 +33,7 @@
 // entries.
 func (n *Node) heartbeat() {
 	n.round++
-	n.sentAt[n.round] = n.tick
+	n.sentAt[n.round] = n.clock()
 	for _, p := range n.others() {
 		if !n.replicate(p.ID) {
 			n.sendHeartbeat(p.ID)
@@ -96,7 +96,7 @@
 func (n *Node) sendAppend(to ident.Node, prev Index, t Term, entries []Entry) {
 	n.send(Message{
 		Kind: KindAppend, To: to, Index: prev, LogTerm: t, Entries: entries,
-		Commit: n.log.commit, Round: n.round, QuorumAgeTicks: n.quorumAge(),
+		Commit: n.log.commit, Round: n.round, QuorumAgeTicks: n.quorumAge(), Echo: n.peers[to].stamp,
 	})
 }
 
@@ -122,7 +122,7 @@
 	end := min(len(data), p.offset+maxMessageBytes)
 	n.send(Message{
 		Kind: KindSnapshotPiece, To: to, Snapshot: &meta, Piece: data[p.offset:end], Offset: p.offset, Size: len(data),
-		Round: n.round,
+		Round: n.round, Echo: p.stamp,
 	})
 	return true
 }
@@ -132,7 +132,7 @@
 		n.becomeFollower(m.Term, m.From)
 	}
 	n.elapsed, n.followed = 0, m.From
-	reply := Message{Kind: KindAppendReply, To: m.From, Round: m.Round}
+	reply := Message{Kind: KindAppendReply, To: m.From, Round: m.Round, Stamp: n.stamp()}
 	t, ok := n.log.term(m.Index)
 	if m.Index < n.log.snapshot.Index {
 		// The snapshot covers the previous entry, so everything up to the
@@ -163,10 +163,28 @@
 	match := m.Index + Index(len(m.Entries))
 	n.commitTo(min(m.Commit, match))
 	if m.Commit <= match && m.QuorumAgeTicks >= 0 {
-		n.leaderQuorumAge, n.leaderQuorumAgeAt = m.QuorumAgeTicks, n.tick
+		n.confirmAsOf(m)
 	}
 }
 
+// maxStampBase bounds the random base of stamps, so that they can't overflow.
+const maxStampBase = 1 << 52
+
+// stamp returns this node's clock as it is sent to the leader.
+func (n *Node) stamp() Stamp {
+	return n.stampBase + Stamp(n.clock()) + 1
+}
+
+// confirmAsOf notes as of when the state here is known to be the newest: the message was
+// sent after the stamp that it echoes. Stamps of an earlier start are not of this clock.
+func (n *Node) confirmAsOf(m Message) {
+	if m.Echo <= n.stampBase || m.Echo > n.stamp() {
+		return
+	}
+	sentAfter := int(m.Echo - n.stampBase - 1)
+	n.confirmedAsOf = max(n.confirmedAsOf, sentAfter-m.QuorumAgeTicks)
+}
+
 // updateMembers updates the members after a change of the log: from a new
 // membership entry, or from an older one if the latest was truncated.
 func (n *Node) updateMembers(added []Entry) {
@@ -200,6 +218,7 @@
 func (n *Node) recordReply(p *progress, m Message) {
 	p.replied, p.lastReplyAt = true, n.tick
 	p.round = max(p.round, m.Round)
+	p.stamp = max(p.stamp, m.Stamp)
 	n.confirmRounds()
 }
 
@@ -288,7 +307,7 @@
 		n.becomeFollower(m.Term, m.From)
 	}
 	n.elapsed, n.followed = 0, m.From
-	reply := Message{Kind: KindSnapshotReply, To: m.From, Round: m.Round, Granted: true}
+	reply := Message{Kind: KindSnapshotReply, To: m.From, Round: m.Round, Granted: true, Stamp: n.stamp()}
 	if m.Snapshot == nil || m.Snapshot.Index <= n.log.commit {
 		n.incoming = nil
 		reply.Index = n.log.commit
--- a/core/raft/types.go
+++ b/core/raft/types.go
@@ -35,6 +35,9 @@
 // Term numbers the leadership terms.
 type Term uint64
 
+// Stamp is a reading of a node's own clock, in ticks from a random base, or zero.
+type Stamp uint64
+
 // Index is a position in the log. The first one is 1.
 type Index uint64
 
@@ -141,6 +144,10 @@
 	Rejected Index `json:"rejected,omitempty"`
 	// QuorumAgeTicks is the time since a majority last confirmed the leader.
 	QuorumAgeTicks int `json:"age_ticks,omitempty"`
+	// Stamp is the follower's own clock at its reply. The leader returns the newest one as
+	// Echo: the message was sent after that, however long it was on its way.
+	Stamp Stamp `json:"stamp,omitempty"`
+	Echo  Stamp `json:"echo,omitempty"`
 	// Snapshot is sent without its data, of which the message holds the Piece at Offset.
 	// Size is that of all data. In a reply, Offset is the number of bytes received.
 	Snapshot *Snapshot `json:"snapshot,omitempty"`
