ctrl: Raft messages are acknowledged when they are handled

Cause: the handler answered once a message was in the queue of the control goroutine, so the sender, which waits for the answer, sent the next one at once. Up to 1,024 messages of any size and age waited, in front of them the timers of a daemon with a slow disk or little of a processor.

Now the answer follows the handling, and one message of each sender waits at most: with messages of 128 KB that is less than 1 MB among five voters. A tick waits only once; one that comes late counts the time that it was late for as age (raft.Node.Stall).

--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -92,6 +92,10 @@
 	outbox     *outbox
 	// unwritable is set while the data folder can't be written.
 	unwritable atomic.Bool
+	// unhandled holds the senders of the Raft messages in the queue.
+	unhandled sync.Map
+	// tickQueued is set while a tick is in the queue.
+	tickQueued atomic.Bool
 
 	// The fields below are accessed only from the queue's goroutine.
 	token          string
@@ -103,6 +107,8 @@
 	recentCommands []board.AcceptedCommand
 	applied        raft.Index
 	proposals      map[raft.Index]pendingProposal
+	// tickedUntil is the time that the node's ticks and stalls have counted.
+	tickedUntil time.Time
 	pendingReads   []pendingRead
 	// failed is set after a failed write. With shortage also set, the node starts anew
 	// when the shortage is over, and resumeAt is the time of the next attempt.
@@ -160,7 +166,7 @@
 		}
 	})
 	c.stopTimers = append(c.stopTimers,
-		c.opt.Clock.Every(TickInterval, func(now time.Time) { c.enqueue(func() { c.tick(now) }) }),
+		c.opt.Clock.Every(TickInterval, func(time.Time) { c.enqueueTick() }),
 		c.opt.Clock.Every(identityInterval, func(time.Time) {
 			c.resolveIdentity()
 			c.join()
@@ -215,6 +221,17 @@
 	}
 }
 
+// enqueueTick queues a tick unless one is queued already. One that follows a long
+// wait counts the time of those that were left out.
+func (c *Control) enqueueTick() {
+	if c.tickQueued.CompareAndSwap(false, true) {
+		c.enqueue(func() {
+			c.tickQueued.Store(false)
+			c.tick(c.opt.Clock.Now())
+		})
+	}
+}
+
 // startNode starts Raft from the restored state.
 func (c *Control) startNode() {
 	r := c.restored
@@ -232,6 +249,7 @@
 	c.node = raft.New(raft.Config{
 		ID: c.identity.Node, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Rand: c.rng,
 	}, r)
+	c.tickedUntil = c.opt.Clock.Now()
 	c.publish()
 }
 
@@ -240,6 +258,7 @@
 	if c.node == nil || c.failed {
 		return
 	}
+	c.countStall(now)
 	c.handleEffects(c.node.Tick())
 	c.answerReads()
 	c.updateFreshness(now)
@@ -247,6 +266,14 @@
 	c.maintainGroups(now)
 }
 
+// countStall tells the node how much more time has passed than the tick that follows
+// counts: the disk stalled, or this process did not run.
+func (c *Control) countStall(now time.Time) {
+	ticks := max(1, raft.Ticks(now.Sub(c.tickedUntil)/TickInterval))
+	c.tickedUntil = c.tickedUntil.Add(time.Duration(ticks) * TickInterval)
+	c.node.Stall(ticks - 1)
+}
+
 // resume starts the node anew from its folder if it stopped for a shortage and can
 // write again.
 func (c *Control) resume(now time.Time) {
--- a/io/ctrl/effects.go
+++ b/io/ctrl/effects.go
@@ -16,14 +16,31 @@
 	"go.uber.org/zap"
 )
 
-func (c *Control) handleRaft(_ context.Context, env wire.RaftEnvelope) (struct{}, error) {
-	c.outbox.setAddress(env.Message.From, env.Address)
+// errBusy is returned for a message whose sender has another one waiting here.
+var errBusy = errors.New("another message of this sender is not handled yet")
+
+// handleRaft returns when the message is handled, so that its sender does not send the
+// next one before. One message of each sender waits at most.
+func (c *Control) handleRaft(ctx context.Context, env wire.RaftEnvelope) (struct{}, error) {
+	from := env.Message.From
+	if _, waiting := c.unhandled.LoadOrStore(from, true); waiting {
+		return struct{}{}, errBusy
+	}
+	c.outbox.setAddress(from, env.Address)
+	handled := make(chan struct{})
 	c.enqueue(func() {
+		defer close(handled)
+		defer c.unhandled.Delete(from)
 		if c.node != nil && !c.failed {
 			c.handleEffects(c.node.Step(env.Message))
 			c.answerReads()
 		}
 	})
+	select {
+	case <-handled:
+	case <-ctx.Done():
+	case <-c.done:
+	}
 	return struct{}{}, nil
 }
 
