ctrl: a change that is sent again is not proposed again, and proposals are bounded in bytes

Cause: a client gives an attempt up after 0.7 s and sends the change again, here or through another control daemon. Each time the leader appended another entry, which waited behind the former ones: a commit that was slow became slower, and nothing bounded what waited.

The state machine still recognises changes that were committed before.

--- a/core/state/command.go
+++ b/core/state/command.go
@@ -110,6 +110,20 @@
 	return ""
 }
 
+// ChangeOf returns the change id of a command.
+func ChangeOf(c Command) ident.ChangeID {
+	return c.metadata().ChangeID
+}
+
+// SameChange reports whether two commands are one change that was sent twice.
+func SameChange(a, b Command) bool {
+	if ChangeOf(a) != ChangeOf(b) {
+		return false
+	}
+	// The change id of a document contains the digest of its content.
+	return (hasDocument(a) && hasDocument(b)) || commandDigest(a) == commandDigest(b)
+}
+
 // Encode encodes a command as JSON. Its errors wrap ErrCommand.
 func Encode(c Command) (data []byte, err error) {
 	body, err := json.Marshal(c)
--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -94,6 +94,8 @@
 	unwritable atomic.Bool
 	// unhandled holds the senders of the Raft messages in the queue.
 	unhandled sync.Map
+	// proposedBytes is the size of the proposals that wait for an outcome.
+	proposedBytes atomic.Int64
 	// tickQueued is set while a tick is in the queue.
 	tickQueued atomic.Bool
 
@@ -122,7 +124,15 @@
 // pendingProposal is a proposal whose entry is not committed yet.
 type pendingProposal struct {
 	term    raft.Term
-	replies chan wire.ProposeReply
+	command state.Command
+	// replies has one channel for each time that the change was sent.
+	replies []chan wire.ProposeReply
+}
+
+func (p pendingProposal) reply(r wire.ProposeReply) {
+	for _, replies := range p.replies {
+		replies <- r
+	}
 }
 
 // Open locks the data folder and restores the node's state from it.
--- a/io/ctrl/effects.go
+++ b/io/ctrl/effects.go
@@ -167,14 +167,14 @@
 	if r != nil && p.term == e.Term {
 		reply = wire.ProposeReply{Result: *r, Done: true}
 	}
-	p.replies <- reply
+	p.reply(reply)
 }
 
 // failProposals replies to all proposers that the outcome is unknown.
 func (c *Control) failProposals() {
 	for i, p := range c.proposals {
 		delete(c.proposals, i)
-		p.replies <- wire.ProposeReply{OutcomeUnknown: true}
+		p.reply(wire.ProposeReply{OutcomeUnknown: true})
 	}
 }
 
