--- a/core/board/daemon.go
+++ b/core/board/daemon.go
@@ -1,8 +1,10 @@
 package board
 
 import (
+	"encoding/json"
 	"math"
 	"reflect"
+	"sync"
 	"time"
 
 	"chicorymast/core/halt"
@@ -71,6 +73,13 @@
 	// highestClass is the highest class of any workspace.
 	highestClass ident.Class
 	digest       string
+	snapshot     *snapshot
+}
+
+// snapshot is the encoded state of a configuration, made when it is first needed.
+type snapshot struct {
+	once sync.Once
+	data []byte
 }
 
 // AcceptedCommand is one accepted command, encoded, and the revision it created.
@@ -84,6 +93,7 @@
 	return &Config{
 		State: st, Table: routeTable(st.Intent), RecentCommands: recent,
 		grants: grantIndex(st.Intent), keys: keyIndex(st.Intent), highestClass: st.Intent.HighestClass(), digest: st.Digest(),
+		snapshot: &snapshot{},
 	}
 }
 
@@ -93,6 +103,7 @@
 	before, after := c.State.Intent, st.Intent
 	next := &Config{
 		State: st, RecentCommands: recent, Table: c.Table, grants: c.grants, keys: c.keys, highestClass: c.highestClass, digest: st.Digest(),
+		snapshot: &snapshot{},
 	}
 	if !sameMap(before.Routes, after.Routes) {
 		next.Table = routeTable(after)
@@ -116,6 +127,22 @@
 	return c.digest
 }
 
+// Snapshot returns the state without its history as JSON. All daemons that fetch the same
+// revision share it. It is empty if the state can't be encoded, which no state that was
+// decoded from commands can cause.
+func (c *Config) Snapshot() json.RawMessage {
+	c.snapshot.once.Do(func() { c.snapshot.data, _ = json.Marshal(c.State.WithoutHistory()) })
+	return c.snapshot.data
+}
+
+// BytesOf returns the size of encoded commands in bytes.
+func BytesOf(commands []AcceptedCommand) (bytes int) {
+	for _, cmd := range commands {
+		bytes += len(cmd.Command)
+	}
+	return bytes
+}
+
 // WithInvalidDigest returns the same configuration with a digest that matches no
 // state, so that the next synchronisation returns a snapshot.
 func (c *Config) WithInvalidDigest() *Config {
--- a/io/agent/confirm_test.go
+++ b/io/agent/confirm_test.go
@@ -84,9 +84,10 @@
 // Guards against an old configuration that passes for confirmed since a reply to it came.
 func TestUnreadableConfigurationConfirmsNothing(t *testing.T) {
 	for name, d := range map[string]wire.ConfigDelta{
-		"command that can't be read": {Revision: 2, Commands: []json.RawMessage{json.RawMessage("{}")}, Digest: "other"},
-		"another digest":             {Revision: 2, Snapshot: drains(t, 2).State, Digest: "other"},
-		"delta of another revision":  {Revision: 9, Digest: drains(t, 9).Digest()},
+		"command that can't be read":  {Revision: 2, Commands: []json.RawMessage{json.RawMessage("{}")}, Digest: "other"},
+		"another digest":              {Revision: 2, Snapshot: drains(t, 2).Snapshot(), Digest: "other"},
+		"snapshot that can't be read": {Revision: 2, Snapshot: json.RawMessage("[]"), Digest: drains(t, 2).Digest()},
+		"delta of another revision":   {Revision: 9, Digest: drains(t, 9).Digest()},
 	} {
 		t.Run(name, func(t *testing.T) {
 			a, clock, _ := newSearcher(t, 0, fakeRelay{})
--- a/io/agent/reply.go
+++ b/io/agent/reply.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"encoding/json"
 	"time"
 
 	"chicorymast/core/board"
@@ -88,7 +89,11 @@
 func applyDelta(have *board.Config, d wire.ConfigDelta) (next *board.Config, err error) {
 	defer fault.Note(&err, "apply configuration delta to revision %d", d.Revision)
 	if d.Snapshot != nil {
-		return board.NewConfig(d.Snapshot, nil), nil
+		st := state.New()
+		if err := json.Unmarshal(d.Snapshot, st); err != nil {
+			return nil, err
+		}
+		return board.NewConfig(st, nil), nil
 	}
 	st := have.State.Clone()
 	recent := have.RecentCommands
--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -110,8 +110,8 @@
 	applied        raft.Index
 	proposals      map[raft.Index]pendingProposal
 	// tickedUntil is the time that the node's ticks and stalls have counted.
-	tickedUntil time.Time
-	pendingReads   []pendingRead
+	tickedUntil  time.Time
+	pendingReads []pendingRead
 	// failed is set after a failed write. With shortage also set, the node starts anew
 	// when the shortage is over, and resumeAt is the time of the next attempt.
 	failed, shortage bool
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -36,6 +36,9 @@
 	batchDelay = 20 * time.Millisecond
 	// maxWait bounds the wait that a daemon may ask for.
 	maxWait = 2 * time.Second
+	// maxProbeBytes is the size of the commands in the reply to a probe. A search asks
+	// several relays at once, and again while none is fresh.
+	maxProbeBytes = 4 << 10
 )
 
 // Options are the settings and dependencies of a relay.
@@ -112,7 +115,10 @@
 	received := r.opt.Clock.Now()
 	departures := r.departures(q)
 	if q.Probe {
-		reply := r.confirmation(q)
+		reply, c := r.confirmation()
+		if missing, kept := c.Since(q.HaveRevision); kept && board.BytesOf(missing) <= maxProbeBytes {
+			reply.Config = commandDelta(c, missing)
+		}
 		reply.Departures = departures
 		return reply, nil
 	}
@@ -210,10 +216,8 @@
 }
 
 func (r *Relay) reply(q wire.SyncRequest) wire.SyncReply {
-	reply := r.confirmation(q)
-	if c := r.opt.Board.Config.Read(); reply.Config == nil {
-		reply.Revision, reply.Config = c.State.Revision, configDelta(c, q.HaveRevision, q.HaveDigest)
-	}
+	reply, c := r.confirmation()
+	reply.Config = configDelta(c, q.HaveRevision, q.HaveDigest)
 	now := r.opt.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -223,14 +227,12 @@
 }
 
 // confirmation returns the part of a reply that says which configuration is confirmed as
-// of when, with the commands that lead to it if they are kept. The age is read first:
-// a configuration that is written meanwhile is newer than its age says, not older.
-func (r *Relay) confirmation(q wire.SyncRequest) wire.SyncReply {
+// of when, and that configuration. The age is read first: a configuration that is written
+// meanwhile is newer than its age says, not older.
+func (r *Relay) confirmation() (wire.SyncReply, *board.Config) {
 	age := r.age()
 	c := r.opt.Board.Config.Read()
-	return wire.SyncReply{
-		Relay: r.opt.VM, AgeMs: age.Milliseconds(), Revision: c.State.Revision, Config: commandDelta(c, q.HaveRevision),
-	}
+	return wire.SyncReply{Relay: r.opt.VM, AgeMs: age.Milliseconds(), Revision: c.State.Revision}, c
 }
 
 func entriesSince(now time.Time, d *member.Directory, epoch string, cursor wire.Cursor) (entries []member.Entry, full bool) {
@@ -243,29 +245,27 @@
 	return d.Since(now, cursor.Change), false
 }
 
+// configDelta returns what leads to the current revision: the commands since, or a snapshot
+// if these are not kept or take more bytes.
 func configDelta(c *board.Config, have ident.Revision, digest string) *wire.ConfigDelta {
 	st := c.State
 	if have > st.Revision || (have == st.Revision && (digest == "" || digest == c.Digest())) {
 		return nil
 	}
-	if d := commandDelta(c, have); d != nil {
-		return d
+	missing, kept := c.Since(have)
+	if kept && have < st.Revision && (board.BytesOf(missing) <= maxProbeBytes || board.BytesOf(missing) <= len(c.Snapshot())) {
+		return commandDelta(c, missing)
 	}
-	return &wire.ConfigDelta{Revision: st.Revision, Digest: c.Digest(), Snapshot: st.WithoutHistory()}
+	return &wire.ConfigDelta{Revision: st.Revision, Digest: c.Digest(), Snapshot: c.Snapshot()}
 }
 
-// commandDelta returns the commands that lead from an older revision to the current one,
-// or nil if they are not kept or there are none.
-func commandDelta(c *board.Config, have ident.Revision) *wire.ConfigDelta {
-	if have >= c.State.Revision {
-		return nil
-	}
-	commands, kept := c.Since(have)
-	if !kept {
+// commandDelta returns the commands that are missing, nil if there are none.
+func commandDelta(c *board.Config, missing []board.AcceptedCommand) *wire.ConfigDelta {
+	if len(missing) == 0 {
 		return nil
 	}
 	d := &wire.ConfigDelta{Revision: c.State.Revision, Digest: c.Digest()}
-	for _, command := range commands {
+	for _, command := range missing {
 		d.Commands = append(d.Commands, json.RawMessage(command.Command))
 	}
 	return d
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -63,12 +63,13 @@
 }
 
 // ConfigDelta leads to Revision from the revision of the request: by commands,
-// or by a snapshot when the relay no longer keeps these commands.
+// or by a snapshot when the relay no longer keeps these commands or it is smaller.
 type ConfigDelta struct {
 	Revision ident.Revision    `json:"revision"`
 	Commands []json.RawMessage `json:"commands,omitempty"`
-	Snapshot *state.State      `json:"snapshot,omitempty"`
-	Digest   string            `json:"digest"`
+	// Snapshot is a state.State, encoded once for all daemons.
+	Snapshot json.RawMessage `json:"snapshot,omitempty"`
+	Digest   string          `json:"digest"`
 }
 
 // PullRequest is sent by one relay to another.
