relay, bulk: large replies are admitted, and daemons are told when to ask again

When all daemons start at once, or 1,950 lose their relay, each asks a relay for all of the configuration and all members. The relay made all of these replies at once, each several times its size in memory while it is encoded, and a daemon whose reply took longer than 1.4 s gave it up and asked the next relay, while the first went on for nobody.

Now a relay sends at most 4 MB of large replies at once, counted until they are written. The others get a small reply at once: the age, the commands that they lack up to 4 KB, and the time at which to ask for the rest. The times follow each other at the measured rate of sending, so that daemons come back one after the other; who comes a little early is held. Meanwhile a daemon syncs on, small, so that changes are in force and its lease is kept. Decided by core/bulk, pure. The timeout of a first sync doubles with each one that got no reply, up to 11 s. A connection has at most 1,024 requests in work.

Without a gate 1,950 replies of 100 KB are 195 MB, made at once.

Cost when all do it at once: a question of 1 KB and a small reply a daemon each second; nothing on fleets whose replies are below 4 MB in all.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -232,6 +232,11 @@
 	return d.change
 }
 
+// Len returns the number of entries, those that are gone included.
+func (d *Directory) Len() int {
+	return len(d.records)
+}
+
 // HasOther reports whether a VM other than self is present and not gone.
 func (d *Directory) HasOther(self ident.VM) bool {
 	for vm, r := range d.records {
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -32,9 +32,6 @@
 )
 
 const (
-	// firstSyncTimeout is that of the first sync with a relay, which returns all members,
-	// some MB at most.
-	firstSyncTimeout = fresh.SyncHold + fresh.SyncSlack
 	// shortSyncWait replaces fresh.SyncHold while the relay's configuration is aging, so
 	// that the agent leaves a relay that is cut off from the leader before it could
 	// miss a change.
@@ -89,6 +86,12 @@
 	failed bool
 	// silence is the time for which the current relay has owed a reply.
 	silence fresh.Silence
+	// firstFailures counts first syncs with relays that got no reply in succession.
+	firstFailures int
+	// bulkAt is when to ask the relay again for a large reply that it has put off, and
+	// reserved what it said of it.
+	bulkAt   time.Time
+	reserved bool
 	// announcing is set when the last sync was interrupted by a change to announce.
 	announcing bool
 	// age is the age of the relay's configuration in its last reply.
@@ -171,8 +174,12 @@
 	a.failed = err != nil
 	defer a.checkStale()
 	if err != nil {
+		if a.cursor.Epoch == "" {
+			a.firstFailures++
+		}
 		return
 	}
+	a.firstFailures = 0
 	a.opt.Board.RelayContact.Write(&board.RelayContact{At: sent})
 	a.recall(reply)
 	a.applyReply(q, sent, reply)
@@ -181,8 +188,13 @@
 // waitFor returns how long the relay may hold the next sync. One that announces a change
 // is not held, so that nothing interrupts it and a silent relay is noticed.
 func (a *Agent) waitFor() time.Duration {
+	untilBulk := a.bulkAt.Sub(a.opt.Clock.Now())
 	switch {
-	case a.cursor.Epoch == "" || a.announcing:
+	case a.announcing:
+		return 0
+	case untilBulk > 0:
+		return min(untilBulk, fresh.SyncHold)
+	case a.cursor.Epoch == "":
 		return 0
 	case a.age > agingAfter:
 		return shortSyncWait
@@ -197,7 +209,7 @@
 // for the given time.
 func (a *Agent) timeoutFor(now time.Time, wait time.Duration) time.Duration {
 	if a.cursor.Epoch == "" {
-		return firstSyncTimeout
+		return fresh.FirstSync(a.firstFailures)
 	}
 	return a.silence.Begin(now, wait)
 }
@@ -256,6 +268,8 @@
 		HaveDigest:   c.Digest(),
 		Directory:    a.cursor,
 		WaitMs:       wait.Milliseconds(),
+		Small:        a.bulkAt.After(a.opt.Clock.Now()),
+		Reserved:     a.reserved,
 	}
 }
 
--- a/io/agent/reply.go
+++ b/io/agent/reply.go
@@ -16,7 +16,13 @@
 )
 
 func (a *Agent) applyReply(q wire.SyncRequest, sent time.Time, reply wire.SyncReply) {
-	a.applyMembers(reply)
+	switch {
+	case reply.RetryMs > 0:
+		a.bulkAt, a.reserved = a.opt.Clock.Now().Add(time.Duration(reply.RetryMs)*time.Millisecond), reply.Reserved
+	case !q.Small:
+		a.reserved = false
+		a.applyMembers(reply)
+	}
 	a.age = time.Duration(reply.AgeMs) * time.Millisecond
 	a.confirm(q, sent, reply)
 }
--- a/io/agent/search.go
+++ b/io/agent/search.go
@@ -204,6 +204,7 @@
 	a.relay = next
 	a.mu.Unlock()
 	a.age = 0
+	a.bulkAt, a.reserved = time.Time{}, false
 	a.cursor = wire.Cursor{}
 	a.opt.Log.Emit(event.RelayChanged, zap.String("relay", next), zap.String("reason", string(reason)), a.unconfirmed())
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"chicorymast/core/board"
+	"chicorymast/core/bulk"
 	"chicorymast/core/fresh"
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
@@ -39,6 +40,10 @@
 	// maxProbeBytes is the size of the commands in the reply to a probe. A search asks
 	// several relays at once, and again while none is fresh.
 	maxProbeBytes = 4 << 10
+	// entryBytes is the encoded size of an entry of the directory.
+	entryBytes = 330
+	// gateWait bounds the wait for another large reply to be sent.
+	gateWait = 500 * time.Millisecond
 )
 
 // Options are the settings and dependencies of a relay.
@@ -69,6 +74,9 @@
 	mirrors   map[string]*mirror
 	changed   chan struct{}
 	active    bool
+	// gate admits large replies; gateFreed is closed when one was sent.
+	gate      *bulk.Gate
+	gateFreed chan struct{}
 }
 
 // mirror is a copy of the direct members of another relay.
@@ -87,6 +95,8 @@
 		directory: member.New(member.DefaultLease),
 		mirrors:   map[string]*mirror{},
 		changed:   make(chan struct{}),
+		gate:      bulk.NewGate(bulk.MaxHeld),
+		gateFreed: make(chan struct{}),
 	}
 }
 
@@ -116,16 +126,14 @@
 	departures := r.departures(q)
 	if q.Probe {
 		reply, c := r.confirmation()
-		if missing, kept := c.Since(q.HaveRevision); kept && board.BytesOf(missing) <= maxProbeBytes {
-			reply.Config = commandDelta(c, missing)
-		}
+		reply.Config = smallDelta(c, q)
 		reply.Departures = departures
 		return reply, nil
 	}
 	r.announce(q.Entry)
 	r.await(ctx, q, min(time.Duration(q.WaitMs)*time.Millisecond, maxWait))
 	held := r.opt.Clock.Now().Sub(received) // before the age is read, which goes on
-	reply := r.reply(q)
+	reply := r.reply(ctx, q)
 	reply.Departures, reply.HeldMs = departures, held.Milliseconds()
 	return reply, nil
 }
@@ -210,13 +218,26 @@
 func (r *Relay) pending(q wire.SyncRequest) (changed <-chan struct{}, pending bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	c := r.opt.Board.Config.Read()
+	if q.Small {
+		return nil, smallDelta(c, q) != nil
+	}
 	behind := q.Directory.Epoch != r.epoch || q.Directory.Change != r.directory.LastChange()
-	older := q.HaveRevision < r.opt.Board.Config.Read().State.Revision
-	return r.changed, behind || older
+	return r.changed, behind || q.HaveRevision < c.State.Revision
 }
 
-func (r *Relay) reply(q wire.SyncRequest) wire.SyncReply {
+func (r *Relay) reply(ctx context.Context, q wire.SyncRequest) wire.SyncReply {
+	var later bulk.Later
+	admitted := false
+	if !q.Small {
+		later, admitted = r.admit(ctx, q)
+	}
 	reply, c := r.confirmation()
+	if !admitted {
+		reply.Config = smallDelta(c, q)
+		reply.RetryMs, reply.Reserved = later.After.Milliseconds(), later.Reserved
+		return reply
+	}
 	reply.Config = configDelta(c, q.HaveRevision, q.HaveDigest)
 	now := r.opt.Clock.Now()
 	r.mu.Lock()
@@ -226,6 +247,70 @@
 	return reply
 }
 
+// admit returns when a reply to the daemon may be made, or when it should ask again. The
+// reply is counted until it was written.
+func (r *Relay) admit(ctx context.Context, q wire.SyncRequest) (later bulk.Later, admitted bool) {
+	end := r.opt.Clock.Now().Add(gateWait)
+	for reserved := q.Reserved; ; {
+		size := r.replySize(q)
+		r.mu.Lock()
+		now, freed := r.opt.Clock.Now(), r.gateFreed
+		verdict := r.gate.Admit(now, size, reserved && now.Before(end))
+		r.mu.Unlock()
+		switch v := verdict.(type) {
+		case bulk.Send:
+			if size > bulk.Small {
+				wire.AfterReply(ctx, func() { r.sent(size) })
+			}
+			return later, true
+		case bulk.Later:
+			return v, false
+		case bulk.Wait:
+			r.awaitGate(ctx, freed, end.Sub(now))
+		}
+	}
+}
+
+// awaitGate returns when a large reply was sent, or when the wait is over.
+func (r *Relay) awaitGate(ctx context.Context, freed <-chan struct{}, wait time.Duration) {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-freed:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gate.EndWait()
+}
+
+// sent releases a reply at the gate.
+func (r *Relay) sent(size bulk.Bytes) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gate.Sent(r.opt.Clock.Now(), size)
+	close(r.gateFreed)
+	r.gateFreed = make(chan struct{})
+}
+
+// replySize estimates the size of the reply to a sync.
+func (r *Relay) replySize(q wire.SyncRequest) (size bulk.Bytes) {
+	if d := configDelta(r.opt.Board.Config.Read(), q.HaveRevision, q.HaveDigest); d != nil {
+		size = bulk.Bytes(len(d.Snapshot))
+		for _, command := range d.Commands {
+			size += bulk.Bytes(len(command))
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changes := uint64(r.directory.Len())
+	if q.Directory.Epoch == r.epoch {
+		changes = min(changes, r.directory.LastChange()-q.Directory.Change)
+	}
+	return size + bulk.Bytes(changes*entryBytes)
+}
+
 // confirmation returns the part of a reply that says which configuration is confirmed as
 // of when, and that configuration. The age is read first: a configuration that is written
 // meanwhile is newer than its age says, not older.
@@ -259,6 +344,14 @@
 	return &wire.ConfigDelta{Revision: st.Revision, Digest: c.Digest(), Snapshot: c.Snapshot()}
 }
 
+// smallDelta returns the commands that a daemon lacks if they take few bytes.
+func smallDelta(c *board.Config, q wire.SyncRequest) *wire.ConfigDelta {
+	if missing, kept := c.Since(q.HaveRevision); kept && board.BytesOf(missing) <= maxProbeBytes {
+		return commandDelta(c, missing)
+	}
+	return nil
+}
+
 // commandDelta returns the commands that are missing, nil if there are none.
 func commandDelta(c *board.Config, missing []board.AcceptedCommand) *wire.ConfigDelta {
 	if len(missing) == 0 {
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chicorymast/core/board"
+	"chicorymast/core/bulk"
 	"chicorymast/core/fresh"
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
@@ -157,3 +158,46 @@
 	assert.NilError(t, err)
 	assert.Assert(t, size <= len(snapshot)+8<<10, "%d bytes for a configuration of %d", size, len(snapshot))
 }
+
+// occupy makes a relay send large replies up to its limit; the returned function ends them.
+func occupy(t testing.TB, r *Relay) (end func()) {
+	t.Helper()
+	assert.Equal(t, r.gate.Admit(r.opt.Clock.Now(), bulk.MaxHeld, false), bulk.Send{})
+	return func() { r.sent(bulk.MaxHeld) }
+}
+
+// Guards against a relay that makes all of its large replies at once when many daemons start.
+func TestLargeRepliesArePutOff(t *testing.T) {
+	r, clock := newRelay(t, "relay", never)
+	for i := range 200 {
+		r.announce(up(ident.VM(strconv.Itoa(i))))
+	}
+	withHistory(t, r, 3)
+	r.opt.Board.Freshness.Write(&board.Freshness{AsOf: clock.Now()})
+	end := occupy(t, r)
+	q := wire.SyncRequest{Entry: up("starting")}
+	reply, err := r.sync(t.Context(), q)
+	assert.NilError(t, err)
+	assert.Assert(t, reply.RetryMs > 0 && reply.Reserved)
+	assert.Assert(t, len(reply.Members) == 0 && reply.Directory.Epoch == "")
+	assert.Assert(t, reply.Config != nil && reply.AgeMs == 0, "changes are in force meanwhile")
+	t.Run("small ones are not", func(t *testing.T) {
+		small := q
+		small.Small = true
+		reply, err := r.sync(t.Context(), small)
+		assert.NilError(t, err)
+		assert.Assert(t, reply.RetryMs == 0 && reply.Config != nil && len(reply.Members) == 0)
+	})
+	t.Run("until others were sent", func(t *testing.T) {
+		q.Reserved = true
+		answered := make(chan wire.SyncReply)
+		go func() {
+			reply, err := r.sync(t.Context(), q)
+			assert.Check(t, err)
+			answered <- reply
+		}()
+		end()
+		reply := <-answered
+		assert.Assert(t, reply.Full && len(reply.Members) == 201)
+	})
+}
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -33,6 +33,11 @@
 	WaitMs int64 `json:"wait_ms"`
 	// Probe asks only for the relay's configuration, its age and the departures.
 	Probe bool `json:"probe,omitempty"`
+	// Small asks for a reply without Directory and Members, and without a Config that takes
+	// many bytes: the daemon was asked to come back later for them.
+	Small bool `json:"small,omitempty"`
+	// Reserved is that of the reply which asked the daemon to come back.
+	Reserved bool `json:"reserved,omitempty"`
 }
 
 // Cursor is a position in the stream of changes of one directory.
@@ -57,6 +62,10 @@
 	// Full is set when Members is the complete list and replaces the earlier one.
 	Full    bool           `json:"whole,omitempty"`
 	Members []member.Entry `json:"members,omitempty"`
+	// RetryMs is set if the relay sends large replies to too many daemons at once. The reply
+	// is small, and the daemon should ask for the rest after this time.
+	RetryMs  int64 `json:"retry_ms,omitempty"`
+	Reserved bool  `json:"reserved,omitempty"`
 	// Departures are those of the daemon's own VM that the relay knew before the request.
 	// They are returned to probes and to the first sync with a relay.
 	Departures []tenure.Departure `json:"departures,omitempty"`
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -109,9 +109,9 @@
 		_ = conn.Close()
 		return
 	}
-	h := jsonrpc2.HandlerWithError(s.dispatch).SuppressErrClosed()
+	h := &limitedHandler{inner: jsonrpc2.HandlerWithError(s.dispatch).SuppressErrClosed()}
 	counting := &countingConn{Conn: conn, in: &s.Received, out: &s.Sent}
-	rpc := jsonrpc2.NewConn(context.Background(), newStream(counting), jsonrpc2.AsyncHandler(h))
+	rpc := jsonrpc2.NewConn(context.Background(), newStream(counting), h)
 	s.conns[rpc] = struct{}{}
 	go func() {
 		<-rpc.DisconnectNotify()
@@ -121,6 +121,53 @@
 	}()
 }
 
+// maxConcurrent is the number of requests of one connection that are handled at once.
+const maxConcurrent = 1024
+
+// limitedHandler handles each request in a goroutine of its own, up to maxConcurrent.
+type limitedHandler struct {
+	inner   jsonrpc2.Handler
+	running atomic.Int64
+}
+
+func (h *limitedHandler) Handle(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	if h.running.Add(1) > maxConcurrent {
+		h.running.Add(-1)
+		if !r.Notif {
+			busy := &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "too many requests on this connection"}
+			_ = c.ReplyWithError(ctx, r.ID, busy) // fails only if the connection is closed
+		}
+		return
+	}
+	go func() {
+		defer h.running.Add(-1)
+		after := &afterReply{}
+		defer after.run()
+		h.inner.Handle(context.WithValue(ctx, afterReplyKey{}, after), c, r)
+	}()
+}
+
+type afterReplyKey struct{}
+
+// afterReply holds what a handler wants to be called after its reply.
+type afterReply struct{ calls []func() }
+
+func (a *afterReply) run() {
+	for _, f := range a.calls {
+		f()
+	}
+}
+
+// AfterReply calls f when the reply of the handler with this context has been written, or
+// could not be. Outside a handler it calls f at once.
+func AfterReply(ctx context.Context, f func()) {
+	if after, ok := ctx.Value(afterReplyKey{}).(*afterReply); ok {
+		after.calls = append(after.calls, f)
+		return
+	}
+	f()
+}
+
 func (s *Server) dispatch(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 	h := s.methods[Method(r.Method)]
 	if h == nil || r.Params == nil {
--- a/io/wire/wire_test.go
+++ b/io/wire/wire_test.go
@@ -101,3 +101,32 @@
 		mustEcho(b, p, address, 1)
 	}
 }
+
+func TestAfterReply(t *testing.T) {
+	called := false
+	AfterReply(t.Context(), func() { called = true })
+	assert.Assert(t, called, "outside a handler")
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	replied, after := make(chan struct{}), make(chan struct{})
+	srv := NewServer()
+	Handle(srv, MethodRead, func(ctx context.Context, _ ReadRequest) (ReadReply, error) {
+		AfterReply(ctx, func() {
+			<-replied
+			close(after)
+		})
+		return ReadReply{Done: true}, nil
+	})
+	go func() { _ = srv.Serve(ln) }() // returns when the listener is closed
+	pool := NewPool(PlainDialer(time.Second))
+	t.Cleanup(func() {
+		pool.Close()
+		_ = ln.Close()
+		srv.Close()
+	})
+	reply, err := Call[ReadReply](t.Context(), pool, ln.Addr().String(), MethodRead, ReadRequest{})
+	assert.NilError(t, err)
+	assert.Assert(t, reply.Done)
+	close(replied)
+	<-after
+}
