--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -25,8 +25,18 @@
 	batchEntries = 256
 	// CatchUpEntries and CatchUpBytes are how much before a snapshot stays in the log at
 	// most, so that followers slightly behind need no snapshot.
-	CatchUpEntries = 256
+	CatchUpEntries = 512
 	CatchUpBytes   = 1 << 20
+	// minSnapshotEntries and maxSnapshotEntries are the numbers of entries after which a new
+	// snapshot may be and is written. Those after the snapshot are applied one by one when
+	// a node starts, which takes about a millisecond each.
+	minSnapshotEntries = 200
+	maxSnapshotEntries = 1000
+	// maxLogBytes is the size of the entries after which a snapshot is written, however few.
+	maxLogBytes = 4 << 20
+	// logShare is the part of the size of the last snapshot that the entries after it take at
+	// least, so that snapshots cost a small multiple of the entries.
+	logShare = 4
 )
 
 type role string
@@ -388,6 +398,20 @@
 	return n.hard
 }
 
+// SnapshotDue reports whether a new snapshot should be written, after the given number and
+// bytes of entries since the last one of the given size.
+func SnapshotDue(entries, bytes, snapshotBytes int) bool {
+	if entries >= maxSnapshotEntries || bytes >= max(maxLogBytes, snapshotBytes) {
+		return true
+	}
+	return entries >= minSnapshotEntries && bytes >= snapshotBytes/logShare
+}
+
+// SnapshotBytes returns the size of the newest snapshot in bytes.
+func (n *Node) SnapshotBytes() int {
+	return len(n.snapshot.Data)
+}
+
 // SnapshotIndex returns the index of the newest snapshot.
 func (n *Node) SnapshotIndex() Index {
 	return n.snapshot.Index
--- a/core/state/document.go
+++ b/core/state/document.go
@@ -43,19 +43,21 @@
 }
 
 // checkDocument rejects a document that is not based on the version in force, has
-// no higher version or has a delta that does not match its digest.
-func (s *State) checkDocument(d *DocumentChange) (r Result, ok bool) {
+// no higher version or has a delta that does not match its digest. It returns the text of
+// any other.
+func (s *State) checkDocument(d *DocumentChange) (text string, r Result, ok bool) {
 	have := s.Document.Version
 	if d.Base != have {
-		return Result{Outcome: OutcomeConflict, ConflictsWith: s.ConfirmedBy, Detail: fmt.Sprintf("built on version %d, but %d is in force", d.Base, have)}, false
+		return "", Result{Outcome: OutcomeConflict, ConflictsWith: s.ConfirmedBy, Detail: fmt.Sprintf("built on version %d, but %d is in force", d.Base, have)}, false
 	}
 	if d.Version <= have {
-		return Result{Outcome: OutcomeInvalid, Detail: fmt.Sprintf("version %d is not above %d, which is in force", d.Version, have)}, false
+		return "", Result{Outcome: OutcomeInvalid, Detail: fmt.Sprintf("version %d is not above %d, which is in force", d.Version, have)}, false
 	}
-	if _, matches := s.resultingText(d); !matches {
-		return Result{Outcome: OutcomeInvalid, Detail: "the delta does not lead to the document that it names"}, false
+	text, matches := s.resultingText(d)
+	if !matches {
+		return "", Result{Outcome: OutcomeInvalid, Detail: "the delta does not lead to the document that it names"}, false
 	}
-	return Result{}, true
+	return text, Result{}, true
 }
 
 // resultingText returns the text that a change results in, and whether it matches the
@@ -70,8 +72,7 @@
 
 // setDocument replaces the document. On daemons other than control daemons, which
 // receive no text, it sets version and digest only.
-func (s *State) setDocument(d *DocumentChange) {
-	text, _ := s.resultingText(d)
+func (s *State) setDocument(d *DocumentChange, text string) {
 	s.Document = Document{Version: d.Version, Digest: d.Digest, Text: text}
 }
 
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -182,8 +182,11 @@
 }
 
 func (s *State) confirm(c Confirm) Result {
+	text := ""
 	if c.Document != nil {
-		if r, ok := s.checkDocument(c.Document); !ok {
+		var r Result
+		var ok bool
+		if text, r, ok = s.checkDocument(c.Document); !ok {
 			return r
 		}
 	}
@@ -201,7 +204,7 @@
 	s.Intent = want
 	s.ConfirmedBy, s.ConfirmedAt = c.ChangeID, s.Revision
 	if c.Document != nil {
-		s.setDocument(c.Document)
+		s.setDocument(c.Document, text)
 	}
 	s.dropOrphanKeys()
 	return r
--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -42,8 +42,6 @@
 	// electionTicks is the shortest election timeout.
 	electionTicks  = 16
 	heartbeatTicks = 2
-	// snapshotEntries is the number of entries after which a new snapshot is written.
-	snapshotEntries = 1000
 	// recentCommandLimit is the number of commands that are kept to be sent as deltas.
 	recentCommandLimit = 1024
 	queueLength        = 1024
@@ -108,7 +106,9 @@
 	state          *state.State
 	recentCommands []board.AcceptedCommand
 	applied        raft.Index
-	proposals      map[raft.Index]pendingProposal
+	// appliedBytes is the size of the entries that were applied since the last snapshot.
+	appliedBytes int
+	proposals    map[raft.Index]pendingProposal
 	// tickedUntil is the time that the node's ticks and stalls have counted.
 	tickedUntil  time.Time
 	pendingReads []pendingRead
@@ -254,7 +254,7 @@
 	if len(r.Snapshot.Members.Voters) == 0 && c.initialTokens != nil {
 		r.Snapshot.Members = raft.Membership{Voters: c.initialVoters()}
 	}
-	c.applied = r.Snapshot.Index
+	c.applied, c.appliedBytes = r.Snapshot.Index, 0
 	c.voterCount = len(r.Snapshot.Members.Voters)
 	c.node = raft.New(raft.Config{
 		ID: c.identity.Node, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Rand: c.rng,
--- a/io/ctrl/effects.go
+++ b/io/ctrl/effects.go
@@ -97,6 +97,7 @@
 	changed := false
 	for _, e := range entries {
 		c.applied = e.Index
+		c.appliedBytes += len(e.Data)
 		if e.Kind == raft.EntryMembers {
 			c.logMembership(e)
 		}
@@ -184,7 +185,7 @@
 		c.failed = true
 		return
 	}
-	c.state, c.applied, c.recentCommands = next, s.Index, nil
+	c.state, c.applied, c.appliedBytes, c.recentCommands = next, s.Index, 0, nil
 	c.failProposals()
 	c.publish()
 }
@@ -201,15 +202,16 @@
 	}
 }
 
-// compact writes a snapshot once the log has grown by snapshotEntries entries.
+// compact writes a snapshot once the log has grown enough.
 func (c *Control) compact() {
-	if c.applied < c.node.SnapshotIndex()+snapshotEntries {
+	if !raft.SnapshotDue(int(c.applied-c.node.SnapshotIndex()), c.appliedBytes, c.node.SnapshotBytes()) {
 		return
 	}
 	data, err := json.Marshal(c.state)
 	if err != nil {
 		return
 	}
+	c.appliedBytes = 0
 	c.handleEffects(c.node.Compact(c.applied, data))
 }
 
