board: recent commands are bounded in bytes, and by one function

A control daemon and each daemon that follows it kept the last 1,024 commands, whatever their size; one command can have megabytes. Now also 1 MB at most (TestRecentCommandsAreBounded fails without it for commands of 10 KB: 10 MB). One copy of the rule instead of two; a list of commands copies the kept ones once, not once a command.

--- a/core/board/daemon.go
+++ b/core/board/daemon.go
@@ -88,6 +88,24 @@
 	Command  []byte
 }
 
+const (
+	// maxRecent is the number of commands that are kept to be sent as deltas, and
+	// MaxRecentBytes their size in bytes.
+	maxRecent      = 1024
+	MaxRecentBytes = 1 << 20
+)
+
+// AppendRecent appends accepted commands to the recent ones and drops the oldest beyond the
+// limits. It may change the array of the first slice.
+func AppendRecent(recent []AcceptedCommand, commands ...AcceptedCommand) []AcceptedCommand {
+	recent = append(recent, commands...)
+	recent = recent[max(0, len(recent)-maxRecent):]
+	for excess := BytesOf(recent) - MaxRecentBytes; excess > 0; recent = recent[1:] {
+		excess -= len(recent[0].Command)
+	}
+	return recent
+}
+
 // NewConfig indexes a state, which must not be changed afterwards.
 func NewConfig(st *state.State, recent []AcceptedCommand) *Config {
 	return &Config{
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -46,8 +46,6 @@
 	// preferredPause is the time between two attempts to return to a relay that is
 	// earlier in the list than the current one.
 	preferredPause = 2 * time.Second
-	// recentCommandLimit is the number of commands that are kept to be sent as deltas.
-	recentCommandLimit = 1024
 )
 
 // Options are the settings and dependencies of an agent.
--- a/io/agent/reply.go
+++ b/io/agent/reply.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"chicorymast/core/board"
@@ -102,19 +103,16 @@
 		return board.NewConfig(st, nil), nil
 	}
 	st := have.State.Clone()
-	recent := have.RecentCommands
+	var accepted []board.AcceptedCommand
 	for _, raw := range d.Commands {
 		cmd, err := state.Decode(raw)
 		if err != nil {
 			return nil, err
 		}
 		st.ApplyAccepted(cmd)
-		recent = append(recent[:len(recent):len(recent)], board.AcceptedCommand{Revision: st.Revision, Command: raw})
+		accepted = append(accepted, board.AcceptedCommand{Revision: st.Revision, Command: raw})
 	}
-	if len(recent) > recentCommandLimit {
-		recent = recent[len(recent)-recentCommandLimit:]
-	}
-	return have.Next(st, recent), nil
+	return have.Next(st, board.AppendRecent(slices.Clone(have.RecentCommands), accepted...)), nil
 }
 
 func (a *Agent) updateFreshness(sent time.Time, reply wire.SyncReply) {
