daemon, platform: documents in work are bounded in bytes

A document could have 32 MB and several could be sent at once; each is in memory as a body, its decoded form, a delta and a command, in a process of 280 MB.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -42,6 +42,7 @@
 	"chicorymast/io/trace"
 	"chicorymast/io/trail"
 	"chicorymast/io/wire"
+	"chicorymast/platform"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -240,7 +241,7 @@
 		{"peer", cfg.Listen.Peer, d.proxy.PeerHandler()},
 		{"local", cfg.Listen.Local, d.proxy.LocalHandler(d.upstreams)},
 		{"admin", cfg.Listen.Admin, d.adminHandler()},
-		{"platform", cfg.Platform.API, d.platform().API()},
+		{"platform", cfg.Platform.API, limitBodies(d.platform().API(), platform.DocumentLimit)},
 		{"ready", cfg.Platform.Ready, d.platform().Ready()},
 	}
 	for _, h := range handlers {
