--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"chicorymast/config"
@@ -26,6 +27,9 @@
 	if err != nil {
 		return err
 	}
+	if limit := cfg.Daemon.RuntimeLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	log, err := event.Open(os.Stdout, cfg.Log.Level, cfg.Log.Format)
 	if err != nil {
 		return err
--- a/config/daemon.go
+++ b/config/daemon.go
@@ -41,6 +41,22 @@
 	// down, so that callers and peers notice before its listeners close. It is part
 	// of ShutdownTimeout.
 	ShutdownDelay time.Duration `ini:"shutdown_delay"`
+	// MemoryLimitMB is the memory that the process may take, in MB; zero means that no limit
+	// is known. A change takes a restart.
+	MemoryLimitMB float64 `ini:"memory_limit_mb"`
+}
+
+// heapShare is the part of the memory limit that the Go runtime may use before it collects
+// garbage at any cost. The rest is for what it does not count: the program, buffers of the
+// operating system, and growth during a collection.
+const heapShare = 0.75
+
+// maxMemoryLimitMB is a limit above that of any VM.
+const maxMemoryLimitMB = 1 << 24
+
+// RuntimeLimit returns the limit of the Go runtime in bytes, zero if there is none.
+func (d Daemon) RuntimeLimit() int64 {
+	return int64(d.MemoryLimitMB * heapShare * (1 << 20))
 }
 
 func defaultDaemon() Daemon {
@@ -61,6 +77,8 @@
 		return "data_folder", "is missing: a control daemon stores the configuration there"
 	case d.ShutdownDelay < 0 || d.ShutdownDelay >= d.ShutdownTimeout:
 		return "shutdown_delay", "must be at least zero and less than shutdown_timeout"
+	case !(d.MemoryLimitMB >= 0 && d.MemoryLimitMB <= maxMemoryLimitMB):
+		return "memory_limit_mb", "must be 0 or the memory in MB"
 	case d.ShutdownTimeout <= 0:
 		return "shutdown_timeout", "must be above zero"
 	}
--- a/core/raft/log.go
+++ b/core/raft/log.go
@@ -42,7 +42,7 @@
 	part := l.entries[i-l.first():]
 	part = part[:min(limit, len(part))]
 	for n := range part {
-		if maxBytes -= bytesOf(part[n : n+1]); maxBytes < 0 && n > 0 {
+		if maxBytes -= BytesOf(part[n : n+1]); maxBytes < 0 && n > 0 {
 			part = part[:n]
 			break
 		}
@@ -93,7 +93,7 @@
 	lastDropped := s.Index
 	for lastDropped > l.snapshot.Index && s.Index-lastDropped < Index(keep) {
 		at := lastDropped - l.first()
-		if keepBytes -= bytesOf(l.entries[at : at+1]); keepBytes < 0 {
+		if keepBytes -= BytesOf(l.entries[at : at+1]); keepBytes < 0 {
 			break
 		}
 		lastDropped--
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -32,8 +32,8 @@
 	// a node starts, which takes about a millisecond each.
 	minSnapshotEntries = 200
 	maxSnapshotEntries = 1000
-	// maxLogBytes is the size of the entries after which a snapshot is written, however few.
-	maxLogBytes = 4 << 20
+	// MaxLogBytes is the size of the entries after which a snapshot is written, however few.
+	MaxLogBytes = 4 << 20
 	// logShare is the part of the size of the last snapshot that the entries after it take at
 	// least, so that snapshots cost a small multiple of the entries.
 	logShare = 4
@@ -401,7 +401,7 @@
 // SnapshotDue reports whether a new snapshot should be written, after the given number and
 // bytes of entries since the last one of the given size.
 func SnapshotDue(entries, bytes, snapshotBytes int) bool {
-	if entries >= maxSnapshotEntries || bytes >= max(maxLogBytes, snapshotBytes) {
+	if entries >= maxSnapshotEntries || bytes >= max(MaxLogBytes, snapshotBytes) {
 		return true
 	}
 	return entries >= minSnapshotEntries && bytes >= snapshotBytes/logShare
--- a/core/raft/progress.go
+++ b/core/raft/progress.go
@@ -3,12 +3,12 @@
 import "slices"
 
 const (
-	// maxMessageBytes is the size of the entries, or of the piece of a snapshot, in one
+	// MaxMessageBytes is the size of the entries, or of the piece of a snapshot, in one
 	// message. A message with a single larger entry exceeds it.
-	maxMessageBytes = 128 << 10
-	// maxInflightBytes and maxInflightMessages bound what is sent to a member ahead of
+	MaxMessageBytes = 128 << 10
+	// MaxInflightBytes and maxInflightMessages bound what is sent to a member ahead of
 	// its acknowledgements.
-	maxInflightBytes    = 512 << 10
+	MaxInflightBytes    = 512 << 10
 	maxInflightMessages = 32
 	// entryOverhead is the encoded size of an entry without its data, in bytes.
 	entryOverhead = 64
@@ -79,7 +79,7 @@
 	for _, m := range p.inflight {
 		bytes += m.bytes
 	}
-	return len(p.inflight) < maxInflightMessages && bytes < maxInflightBytes
+	return len(p.inflight) < maxInflightMessages && bytes < MaxInflightBytes
 }
 
 // sent records that a message with entries was sent.
@@ -90,7 +90,7 @@
 		return
 	}
 	p.next += Index(len(entries))
-	p.inflight = append(p.inflight, inflightMessage{last: p.next - 1, bytes: bytesOf(entries)})
+	p.inflight = append(p.inflight, inflightMessage{last: p.next - 1, bytes: BytesOf(entries)})
 }
 
 // accepted records that the member has all entries up to i.
@@ -143,7 +143,8 @@
 	}
 }
 
-func bytesOf(entries []Entry) (bytes int) {
+// BytesOf returns the encoded size of entries in bytes.
+func BytesOf(entries []Entry) (bytes int) {
 	for _, e := range entries {
 		bytes += entryOverhead + len(e.Data)
 	}
--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -85,7 +85,7 @@
 	if !p.maySend() {
 		return false
 	}
-	entries := n.log.slice(p.next, batchEntries, maxMessageBytes)
+	entries := n.log.slice(p.next, batchEntries, MaxMessageBytes)
 	n.sendAppend(to, prev, t, entries)
 	if len(entries) > 0 || p.state == sendProbing {
 		p.sent(n.tick, entries)
@@ -119,7 +119,7 @@
 	meta := p.snapshot
 	data := meta.Data
 	meta.Data = nil
-	end := min(len(data), p.offset+maxMessageBytes)
+	end := min(len(data), p.offset+MaxMessageBytes)
 	n.send(Message{
 		Kind: KindSnapshotPiece, To: to, Snapshot: &meta, Piece: data[p.offset:end], Offset: p.offset, Size: len(data),
 		Round: n.round, Echo: p.stamp,
--- a/core/raft/snapshot_test.go
+++ b/core/raft/snapshot_test.go
@@ -24,6 +24,6 @@
 		assert.Assert(t, longest <= maxSnapshotEntries)
 		assert.Assert(t, written <= 20*logged, "%d bytes of snapshots for %d of entries", written, logged)
 	}
-	assert.Assert(t, SnapshotDue(1, maxLogBytes, 0), "a few large entries")
+	assert.Assert(t, SnapshotDue(1, MaxLogBytes, 0), "a few large entries")
 	assert.Assert(t, !SnapshotDue(minSnapshotEntries-1, entry*minSnapshotEntries, 0))
 }
--- a/io/ctrl/ctrl.go
+++ b/io/ctrl/ctrl.go
@@ -42,9 +42,7 @@
 	// electionTicks is the shortest election timeout.
 	electionTicks  = 16
 	heartbeatTicks = 2
-	// recentCommandLimit is the number of commands that are kept to be sent as deltas.
-	recentCommandLimit = 1024
-	queueLength        = 1024
+	queueLength    = 1024
 	// resumeInterval is the time between two attempts to write during a shortage.
 	resumeInterval = 250 * time.Millisecond
 )
@@ -92,6 +90,8 @@
 	unwritable atomic.Bool
 	// unhandled holds the senders of the Raft messages in the queue.
 	unhandled sync.Map
+	// sent counts what was sent to other control daemons.
+	sent sentCounts
 	// proposedBytes is the size of the proposals that wait for an outcome.
 	proposedBytes atomic.Int64
 	// tickQueued is set while a tick is in the queue.
@@ -121,6 +121,20 @@
 	voterCount int
 }
 
+// sentCounts counts the entries, and the bytes of entries and snapshots, in Raft messages.
+type sentCounts struct{ entries, bytes atomic.Int64 }
+
+// Sent returns the number of log entries that were sent to other control daemons since the
+// start, and the bytes of entries and snapshots.
+func (c *Control) Sent() (entries, bytes int64) {
+	return c.sent.entries.Load(), c.sent.bytes.Load()
+}
+
+// ProposedBytes returns the size of the proposals that wait for an outcome.
+func (c *Control) ProposedBytes() int64 {
+	return c.proposedBytes.Load()
+}
+
 // pendingProposal is a proposal whose entry is not committed yet.
 type pendingProposal struct {
 	term    raft.Term
--- a/io/ctrl/effects.go
+++ b/io/ctrl/effects.go
@@ -89,6 +89,8 @@
 		address = c.outbox.addressOf(m.To)
 	}
 	if address != "" {
+		c.sent.entries.Add(int64(len(m.Entries)))
+		c.sent.bytes.Add(int64(raft.BytesOf(m.Entries) + len(m.Piece)))
 		c.outbox.send(address, m)
 	}
 }
@@ -138,11 +140,8 @@
 	if c.state.Revision == before {
 		return true // a refused command is in the audit trail, too
 	}
-	c.recentCommands = append(c.recentCommands,
+	c.recentCommands = board.AppendRecent(c.recentCommands,
 		board.AcceptedCommand{Revision: c.state.Revision, Command: withoutDocumentText(cmd, e.Data)})
-	if len(c.recentCommands) > recentCommandLimit {
-		c.recentCommands = c.recentCommands[len(c.recentCommands)-recentCommandLimit:]
-	}
 	return true
 }
 
--- a/io/ctrl/propose.go
+++ b/io/ctrl/propose.go
@@ -9,9 +9,9 @@
 	"chicorymast/io/wire"
 )
 
-// maxProposedBytes is the size of the proposals that may wait for an outcome. It holds at
+// MaxProposedBytes is the size of the proposals that may wait for an outcome. It holds at
 // least one of the largest size.
-const maxProposedBytes = 8 << 20
+const MaxProposedBytes = 8 << 20
 
 // handlePropose proposes a command that an operator's daemon sent. Done is set only
 // for a committed entry. With OutcomeUnknown the change may still be committed, and
@@ -23,7 +23,7 @@
 	}
 	size := int64(len(q.Command))
 	defer c.proposedBytes.Add(-size)
-	if waiting := c.proposedBytes.Add(size); waiting > maxProposedBytes && waiting > size {
+	if waiting := c.proposedBytes.Add(size); waiting > MaxProposedBytes && waiting > size {
 		return wire.ProposeReply{}, nil // not proposed; the client tries again
 	}
 	replies := make(chan wire.ProposeReply, 1)
--- a/io/ctrl/propose_test.go
+++ b/io/ctrl/propose_test.go
@@ -108,7 +108,7 @@
 	for range c.proposals {
 		held += size
 	}
-	assert.Assert(t, held <= maxProposedBytes, "%d bytes", held)
+	assert.Assert(t, held <= MaxProposedBytes, "%d bytes", held)
 	assert.Assert(t, held > 0)
 	commit()
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -132,6 +132,7 @@
 	if err := d.buildPeerServices(); err != nil {
 		return nil, err
 	}
+	d.registerBulkMetrics()
 	d.buildProxy()
 	return d, d.listen()
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -76,6 +76,7 @@
 	active    bool
 	// gate admits large replies; gateFreed is closed when one was sent.
 	gate      *bulk.Gate
+	putOff    int
 	gateFreed chan struct{}
 }
 
@@ -264,6 +265,7 @@
 			}
 			return later, true
 		case bulk.Later:
+			r.countPutOff()
 			return v, false
 		case bulk.Wait:
 			r.awaitGate(ctx, freed, end.Sub(now))
@@ -271,6 +273,20 @@
 	}
 }
 
+func (r *Relay) countPutOff() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.putOff++
+}
+
+// LargeReplies returns the size of the large replies that are made and sent now, and how
+// often one was put off since the start.
+func (r *Relay) LargeReplies() (held bulk.Bytes, putOff int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.gate.Held(), r.putOff
+}
+
 // awaitGate returns when a large reply was sent, or when the wait is over.
 func (r *Relay) awaitGate(ctx context.Context, freed <-chan struct{}, wait time.Duration) {
 	t := time.NewTimer(wait)
