--- a/core/board/daemon.go
+++ b/core/board/daemon.go
@@ -89,9 +89,9 @@
 }
 
 const (
-	// maxRecent is the number of commands that are kept to be sent as deltas, and
-	// MaxRecentBytes their size in bytes.
-	maxRecent      = 1024
+	// maxRecent is the number of commands that are kept to be sent as deltas.
+	maxRecent = 1024
+	// MaxRecentBytes is their size in bytes.
 	MaxRecentBytes = 1 << 20
 )
 
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -23,10 +23,11 @@
 const (
 	// batchEntries is the maximum number of entries in one message.
 	batchEntries = 256
-	// CatchUpEntries and CatchUpBytes are how much before a snapshot stays in the log at
-	// most, so that followers slightly behind need no snapshot.
+	// CatchUpEntries is how many entries before a snapshot stay in the log, so that
+	// followers slightly behind need no snapshot.
 	CatchUpEntries = 512
-	CatchUpBytes   = 1 << 20
+	// CatchUpBytes is the size in bytes up to which they stay.
+	CatchUpBytes = 1 << 20
 	// minSnapshotEntries and maxSnapshotEntries are the numbers of entries after which a new
 	// snapshot may be and is written. Those after the snapshot are applied one by one when
 	// a node starts, which takes about a millisecond each.
@@ -100,7 +101,10 @@
 
 // New returns a node that starts from restored state.
 func New(cfg Config, r Restored) *Node {
-	n := &Node{cfg: cfg, hard: r.HardState, log: newLog(r), snapshot: r.Snapshot, role: roleFollower, peers: map[ident.Node]*progress{}, heardAt: map[ident.Node]int{}, confirmedAsOf: -1}
+	n := &Node{
+		cfg: cfg, hard: r.HardState, log: newLog(r), snapshot: r.Snapshot, role: roleFollower,
+		peers: map[ident.Node]*progress{}, heardAt: map[ident.Node]int{}, confirmedAsOf: -1,
+	}
 	n.stampBase = Stamp(cfg.Rand.Uint64N(maxStampBase))
 	n.restoreMembers()
 	n.resetElectionTimer()
--- a/io/ctrl/inbox_test.go
+++ b/io/ctrl/inbox_test.go
@@ -25,8 +25,8 @@
 	}()
 	f := <-c.queue
 	select {
-	case <-answered:
-		t.Fatal("acknowledged before it was handled")
+	case err := <-answered:
+		t.Fatal("acknowledged before it was handled", err)
 	default:
 	}
 	f()
--- a/io/ctrl/replay_test.go
+++ b/io/ctrl/replay_test.go
@@ -38,7 +38,10 @@
 		}
 		for j := range add {
 			name := ident.Route(fmt.Sprintf("route-%d-%d", i, j))
-			next.Routes[name] = intent.RouteSpec{Host: "host.example", Prefix: "/" + string(name) + "/", Service: "service", Class: ident.Classes[0], Timeout: time.Second, Attempts: 2}
+			next.Routes[name] = intent.RouteSpec{
+				Host: "host.example", Prefix: "/" + string(name) + "/", Service: "service", Class: ident.Classes[0],
+				Timeout: time.Second, Attempts: 2,
+			}
 		}
 		data, err := json.Marshal(next.Routes)
 		assert.NilError(t, err)
@@ -46,7 +49,9 @@
 		cmd, err := state.Encode(state.Confirm{
 			Metadata: state.Metadata{ChangeID: state.DocumentChangeID(state.DocumentVersion(i+1), digest), Actor: "operator"},
 			Base:     ident.Revision(i), Patch: intent.Diff(have, next),
-			Document: &state.DocumentChange{Base: state.DocumentVersion(i), Version: state.DocumentVersion(i + 1), Digest: digest, Delta: delta.Between(text, string(data))},
+			Document: &state.DocumentChange{
+				Base: state.DocumentVersion(i), Version: state.DocumentVersion(i + 1), Digest: digest, Delta: delta.Between(text, string(data)),
+			},
 		})
 		assert.NilError(t, err)
 		entries = append(entries, raft.Entry{Index: raft.Index(i + 1), Term: 1, Kind: raft.EntryCommand, Data: cmd})
@@ -59,7 +64,10 @@
 	entries := routeChanges(b, 60, 500)
 	b.ResetTimer()
 	for b.Loop() {
-		c, err := Open(Options{VM: "a", Address: "a", Folder: b.TempDir(), Clock: timer.NewManual(time.Unix(1000, 0)), Board: board.New(), Pool: wire.NewPool(nil), Log: event.Discard(), Seed: 1})
+		c, err := Open(Options{
+			VM: "a", Address: "a", Folder: b.TempDir(), Clock: timer.NewManual(time.Unix(1000, 0)), Board: board.New(),
+			Pool: wire.NewPool(nil), Log: event.Discard(), Seed: 1,
+		})
 		assert.NilError(b, err)
 		c.node = raft.New(raft.Config{ID: "a", ElectionTicks: 10, HeartbeatTicks: 2, Rand: c.rng}, raft.Restored{Entries: entries})
 		c.apply(entries)
--- a/io/daemon/memory_test.go
+++ b/io/daemon/memory_test.go
@@ -35,7 +35,10 @@
 func resultBytes(t *testing.T) int {
 	t.Helper()
 	id := state.DocumentChangeID(1_000_000, strings.Repeat("f", 64))
-	r := state.Result{ChangeID: id, Kind: state.KindConfirm, Actor: "operator", AtMillis: 1_800_000_000_000, Outcome: state.OutcomeAccepted, Revision: 1_000_000, Digest: strings.Repeat("f", 32)}
+	r := state.Result{
+		ChangeID: id, Kind: state.KindConfirm, Actor: "operator", AtMillis: 1_800_000_000_000,
+		Outcome: state.OutcomeAccepted, Revision: 1_000_000, Digest: strings.Repeat("f", 32),
+	}
 	data, err := json.Marshal(struct {
 		Results map[ident.ChangeID]state.Result
 		Trail   []ident.ChangeID
@@ -47,11 +50,11 @@
 // Guards against queues, batches and replies whose bounds together exceed the memory of a
 // control daemon.
 func TestMemoryOfAControlDaemonIsBounded(t *testing.T) {
-	sum := idleBytes
+	sum, stateBytes := idleBytes, state.KeptChanges*resultBytes(t)+platform.DocumentLimit
 	for what, bytes := range map[string]int{
 		"large replies to daemons":            encodings * int(bulk.MaxHeld),
-		"log and entries before the snapshot": raft.MaxLogBytes + raft.CatchUpBytes,
-		"state and snapshots":                 copies * (state.KeptChanges*resultBytes(t) + platform.DocumentLimit),
+		"log and entries before the snapshot": max(raft.MaxLogBytes, stateBytes) + raft.CatchUpBytes,
+		"state and snapshots":                 copies * stateBytes,
 		"changes that wait for an outcome":    2 * ctrl.MaxProposedBytes,
 		"Raft messages being sent":            peers * encodings * raft.MaxMessageBytes,
 		"Raft messages not handled":           peers * encodings * raft.MaxMessageBytes,
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -117,7 +117,10 @@
 	st := state.New()
 	var recent []board.AcceptedCommand
 	for i := range changes {
-		cmd := state.SetDrain{Metadata: state.Metadata{ChangeID: ident.ChangeID(strconv.Itoa(i)), Actor: ident.Actor(strings.Repeat("a", 500))}, VM: "vm", Draining: i%2 == 0}
+		cmd := state.SetDrain{
+			Metadata: state.Metadata{ChangeID: ident.ChangeID(strconv.Itoa(i)), Actor: ident.Actor(strings.Repeat("a", 500))},
+			VM:       "vm", Draining: i%2 == 0,
+		}
 		data, err := state.Encode(cmd)
 		assert.NilError(t, err)
 		assert.Equal(t, st.Apply(cmd).Outcome, state.OutcomeAccepted)
