raft: a follower that has restarted gets the stamps of its new start back

A leader returned the highest stamp that it had got from a follower. Stamps begin at a random base at each start, so one start in two begins lower, and the follower never learned the age of its configuration while that leader lasted: daemons had to use other relays. TestFollowerThatHasRestartedIsConfirmed fails on the former code (age unknown). Now the leader returns the latest one; an older one that arrives late only makes the age higher.

--- a/core/raft/catchup_test.go
+++ b/core/raft/catchup_test.go
@@ -282,3 +282,15 @@
 	s.steps(slowElection, 0)
 	assert.Assert(t, s.hosts[id].node.Status().QuorumAgeTicks < 10, "confirmed again")
 }
+
+// Guards against a leader that returns stamps of a follower's former start to it.
+func TestFollowerThatHasRestartedIsConfirmed(t *testing.T) {
+	s := newSlowNetwork(1, 100)
+	id, _ := s.follower(t)
+	for range 10 {
+		s.start(id) // with another base of its stamps, lower or higher
+		s.steps(slowElection/2, 0)
+		age := s.hosts[id].node.Status().QuorumAgeTicks
+		assert.Assert(t, age >= 0 && age < 10, "%d ticks", age)
+	}
+}
--- a/core/raft/progress.go
+++ b/core/raft/progress.go
@@ -49,7 +49,7 @@
 	lastReplyAt int
 	// round is the newest heartbeat round that the member acknowledged.
 	round uint64
-	// stamp is the newest reading of the member's own clock that it sent.
+	// stamp is the latest reading of the member's own clock that has arrived.
 	stamp Stamp
 }
 
--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -122,7 +122,7 @@
 	end := min(len(data), p.offset+MaxMessageBytes)
 	n.send(Message{
 		Kind: KindSnapshotPiece, To: to, Snapshot: &meta, Piece: data[p.offset:end], Offset: p.offset, Size: len(data),
-		Round: n.round, Echo: p.stamp,
+		Round: n.round,
 	})
 	return true
 }
@@ -218,7 +218,9 @@
 func (n *Node) recordReply(p *progress, m Message) {
 	p.replied, p.lastReplyAt = true, n.tick
 	p.round = max(p.round, m.Round)
-	p.stamp = max(p.stamp, m.Stamp)
+	if m.Stamp != 0 {
+		p.stamp = m.Stamp // not the highest: the stamps of a new start may be lower
+	}
 	n.confirmRounds()
 }
 
