wire, agent: a large first reply is not given up while it arrives

The first sync with a relay was given up after 1.4 s and made again by the next relay, however much of its reply had arrived: a fleet whose configuration and members take longer never starts, and each attempt costs the same again.

Now the first sync ends when nothing has arrived for 1.4 s, or after 10 s. A silent relay is left as soon as before. TestLargeReplyIsNotGivenUpWhileItArrives.

--- a/core/fresh/fresh.go
+++ b/core/fresh/fresh.go
@@ -30,6 +30,9 @@
 	SyncHold = time.Second
 	// SyncSlack is the time for the rest of a sync, a slow round trip included.
 	SyncSlack = 400 * time.Millisecond
+	// FirstSyncLimit bounds the first sync with a relay, which may return all of the
+	// configuration and all members, as long as its reply is arriving.
+	FirstSyncLimit = 10 * time.Second
 	// StaleAfter is the age at which a relay's configuration is stale.
 	StaleAfter = 800 * time.Millisecond
 	// SearchTimeout leaves a relay on another continent time to answer.
@@ -56,20 +59,6 @@
 	return left, left > 0
 }
 
-// firstSyncLimit bounds the timeout of the first sync with a relay.
-const firstSyncLimit = 8 * (SyncHold + SyncSlack)
-
-// FirstSync returns the timeout of the first sync with a relay, which may return all of the
-// configuration and all members, after the given number of such syncs without a reply. It
-// doubles, so that a reply that takes long arrives at last instead of being made for nobody.
-func FirstSync(failures int) time.Duration {
-	timeout := SyncHold + SyncSlack
-	for range failures {
-		timeout = min(2*timeout, firstSyncLimit)
-	}
-	return timeout
-}
-
 // Silence measures for how long a relay has not replied. The zero value is ready for use.
 type Silence struct {
 	// due is when the relay counts as silent, zero if it owes no reply.
--- a/core/fresh/fresh_test.go
+++ b/core/fresh/fresh_test.go
@@ -97,12 +97,3 @@
 		})
 	}
 }
-
-// Guards against a large first reply that is given up, and made again, for ever.
-func TestFirstSyncGetsMoreTimeAfterEachFailure(t *testing.T) {
-	assert.Equal(t, FirstSync(0), SyncHold+SyncSlack)
-	for failures := range 20 {
-		assert.Assert(t, FirstSync(failures+1) >= min(2*FirstSync(failures), firstSyncLimit))
-		assert.Assert(t, FirstSync(failures) <= firstSyncLimit)
-	}
-}
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -84,8 +84,6 @@
 	failed bool
 	// silence is the time for which the current relay has owed a reply.
 	silence fresh.Silence
-	// firstFailures counts first syncs with relays that got no reply in succession.
-	firstFailures int
 	// bulkAt is when to ask the relay again for a large reply that it has put off, and
 	// reserved what it said of it.
 	bulkAt   time.Time
@@ -153,14 +151,15 @@
 	}
 	wait := a.waitFor()
 	sent := a.opt.Clock.Now()
-	callCtx, cancel := context.WithTimeout(ctx, a.timeoutFor(sent, wait))
+	timeout, idle := a.timeoutFor(sent, wait)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	stopInterrupt := func() bool { return false }
 	if wait > 0 {
 		stopInterrupt = a.interruptOnChange(callCtx, cancel)
 	}
 	q := a.request(wait)
-	reply, err := wire.Call[wire.SyncReply](callCtx, a.opt.Pool, a.relay, wire.MethodSync, q)
+	reply, err := wire.CallLarge[wire.SyncReply](callCtx, a.opt.Pool, a.relay, wire.MethodSync, q, idle)
 	a.announcing = stopInterrupt() && err != nil
 	if ctx.Err() != nil || a.announcing {
 		return
@@ -172,12 +171,8 @@
 	a.failed = err != nil
 	defer a.checkStale()
 	if err != nil {
-		if a.cursor.Epoch == "" {
-			a.firstFailures++
-		}
 		return
 	}
-	a.firstFailures = 0
 	a.opt.Board.RelayContact.Write(&board.RelayContact{At: sent})
 	a.recall(reply)
 	a.applyReply(q, sent, reply)
@@ -203,13 +198,13 @@
 	}
 }
 
-// timeoutFor returns the timeout of a sync that starts now and that the relay may hold
-// for the given time.
-func (a *Agent) timeoutFor(now time.Time, wait time.Duration) time.Duration {
+// timeoutFor returns the timeout of a sync that starts now and that the relay may hold for
+// the given time, and for a sync whose reply may be large how long nothing may arrive.
+func (a *Agent) timeoutFor(now time.Time, wait time.Duration) (timeout, idle time.Duration) {
 	if a.cursor.Epoch == "" {
-		return fresh.FirstSync(a.firstFailures)
+		return fresh.FirstSyncLimit, fresh.SyncHold + fresh.SyncSlack
 	}
-	return a.silence.Begin(now, wait)
+	return a.silence.Begin(now, wait), 0
 }
 
 // interruptOnChange cancels a waiting sync when this VM has a change to announce,
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -260,25 +260,69 @@
 
 // Call sends a request and waits for the reply until ctx ends.
 func Call[R any](ctx context.Context, p *Pool, address string, m Method, params any) (reply R, err error) {
+	return call[R](ctx, p, address, m, params, 0)
+}
+
+// CallLarge is Call for a reply that may be large: it also ends, with
+// context.DeadlineExceeded, once nothing has arrived from the address for the given time.
+func CallLarge[R any](ctx context.Context, p *Pool, address string, m Method, params any, idle time.Duration) (reply R, err error) {
+	return call[R](ctx, p, address, m, params, idle)
+}
+
+func call[R any](ctx context.Context, p *Pool, address string, m Method, params any, idle time.Duration) (reply R, err error) {
 	defer fault.Note(&err, "%s to %s", m, address)
 	conn, err := p.conn(ctx, address)
 	if err != nil {
 		return reply, err
 	}
+	if idle > 0 {
+		var stop func()
+		ctx, stop = withIdleLimit(ctx, &conn.bytes.received, idle)
+		defer stop()
+	}
 	before := conn.bytes.received.Load()
 	err = conn.Call(ctx, string(m), params, &reply)
+	timedOut := errors.Is(context.Cause(ctx), context.DeadlineExceeded)
 	var refused *jsonrpc2.Error
 	switch {
-	case err == nil || errors.As(err, &refused) || ctx.Err() == context.Canceled:
+	case err == nil || errors.As(err, &refused):
+		return reply, err
+	case timedOut:
+		err = context.DeadlineExceeded
+		if idle > 0 || conn.bytes.received.Load() == before {
+			p.Replaced.Add(1)
+			p.discard(address, conn)
+		}
 	case ctx.Err() == nil:
 		p.discard(address, conn)
-	case conn.bytes.received.Load() == before:
-		p.Replaced.Add(1)
-		p.discard(address, conn)
 	}
 	return reply, err
 }
 
+// withIdleLimit returns a context that ends with context.DeadlineExceeded as its cause once
+// the count of received bytes stays the same for the given time.
+func withIdleLimit(ctx context.Context, received *atomic.Int64, idle time.Duration) (limited context.Context, stop func()) {
+	limited, cancel := context.WithCancelCause(ctx)
+	go func() {
+		t := time.NewTicker(idle)
+		defer t.Stop()
+		for last := received.Load(); ; {
+			select {
+			case <-limited.Done():
+				return
+			case <-t.C:
+			}
+			now := received.Load()
+			if now == last {
+				cancel(context.DeadlineExceeded)
+				return
+			}
+			last = now
+		}
+	}()
+	return limited, func() { cancel(nil) }
+}
+
 // Notify sends a message that has no reply.
 func Notify(ctx context.Context, p *Pool, address string, m Method, params any) (err error) {
 	defer fault.Note(&err, "%s to %s", m, address)
--- a/io/wire/wire_test.go
+++ b/io/wire/wire_test.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"errors"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -130,3 +131,48 @@
 	close(replied)
 	<-after
 }
+
+// dripping is a connection whose bytes arrive in pieces, with a pause before each.
+type dripping struct {
+	net.Conn
+	piece int
+	pause time.Duration
+}
+
+func (d dripping) Read(p []byte) (int, error) {
+	time.Sleep(d.pause)
+	return d.Conn.Read(p[:min(len(p), d.piece)])
+}
+
+// Guards against a large reply that is given up while it arrives, and made again for nobody.
+func TestLargeReplyIsNotGivenUpWhileItArrives(t *testing.T) {
+	const idle, pause, pieces = time.Second, 50 * time.Millisecond, 30
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	srv := NewServer()
+	Handle(srv, MethodRead, func(context.Context, ReadRequest) (ReadReply, error) {
+		return ReadReply{Leader: strings.Repeat("x", pieces<<10), Done: true}, nil
+	})
+	silent := make(chan struct{})
+	Handle(srv, MethodProbe, func(context.Context, ProbeRequest) (ProbeReply, error) {
+		<-silent
+		return ProbeReply{}, nil
+	})
+	go func() { _ = srv.Serve(ln) }() // returns when the listener is closed
+	dial := PlainDialer(time.Second)
+	pool := NewPool(func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dial(ctx, address)
+		return dripping{Conn: conn, piece: 1 << 10, pause: pause}, err
+	})
+	t.Cleanup(func() {
+		close(silent)
+		pool.Close()
+		_ = ln.Close()
+		srv.Close()
+	})
+	reply, err := CallLarge[ReadReply](t.Context(), pool, ln.Addr().String(), MethodRead, ReadRequest{}, idle)
+	assert.NilError(t, err)
+	assert.Equal(t, len(reply.Leader), pieces<<10)
+	_, err = CallLarge[ProbeReply](t.Context(), pool, ln.Addr().String(), MethodProbe, ProbeRequest{}, idle)
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+}
