deploy, commands: the platform's memory limit comes with the command line

The templates are as before; the limit is a flag of the run line, which overrides the setting. TestMemoryLimitFlag.

--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -42,3 +42,14 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(committed), page.String(), "renew it with: go run . man > docs/man/chicorymast.1")
 }
+
+// A platform that fills in the limit must not keep daemons from starting.
+func TestMemoryLimitFlag(t *testing.T) {
+	for value, want := range map[string]megabytes{"": 0, "284": 284, "184.5": 184.5} {
+		var m megabytes
+		assert.NilError(t, m.UnmarshalFlag(value))
+		assert.Equal(t, m, want)
+	}
+	var m megabytes
+	assert.Assert(t, m.UnmarshalFlag("much") != nil)
+}
--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 
 	"chicorymast/config"
@@ -12,7 +13,22 @@
 	"chicorymast/io/event"
 )
 
+// megabytes is a size in MB; an empty one is zero.
+type megabytes float64
+
+// UnmarshalFlag implements flags.Unmarshaler.
+func (m *megabytes) UnmarshalFlag(value string) error {
+	if value == "" {
+		return nil
+	}
+	parsed, err := strconv.ParseFloat(value, 64)
+	*m = megabytes(parsed)
+	return err
+}
+
 type daemonCommand struct {
+	MemoryLimit megabytes `long:"memory-limit-mb" description:"what the process may take, in MB, instead of [daemon] memory_limit_mb"`
+
 	Config string `long:"config" short:"c" env:"CHICORYMAST_SETTINGS" required:"true" description:"settings file"`
 }
 
@@ -27,6 +43,9 @@
 	if err != nil {
 		return err
 	}
+	if c.MemoryLimit > 0 {
+		cfg.Daemon.MemoryLimitMB = float64(c.MemoryLimit)
+	}
 	if limit := cfg.Daemon.RuntimeLimit(); limit > 0 {
 		debug.SetMemoryLimit(limit)
 	}
