raft: followers of a leader of an earlier release are fresh, too

During an upgrade a follower of this release learned no age from a leader of the release before, which returns no stamps: its relay counted as stale, and the replicas of records on its VM were not ready.

Now a leader of this release says that it knows no stamp yet, and a message without one counts as sent when it is handled, as it did in the release before. TestLeaderOfAnEarlierReleaseConfirms fails on the former code.

--- a/core/raft/catchup_test.go
+++ b/core/raft/catchup_test.go
@@ -294,3 +294,24 @@
 		assert.Assert(t, age >= 0 && age < 10, "%d ticks", age)
 	}
 }
+
+// Guards against followers that are never fresh during an upgrade, while a leader of the
+// release before returns no stamps.
+func TestLeaderOfAnEarlierReleaseConfirms(t *testing.T) {
+	s := newSlowNetwork(1, 100)
+	id, leader := s.follower(t)
+	s.start(id)
+	s.hosts[id].node.Stall(10) // it has run for a while
+	assert.Equal(t, s.hosts[id].node.Status().QuorumAgeTicks, -1)
+	st := s.hosts[leader].node.Status()
+	m := Message{Kind: KindAppend, From: leader, To: id, Term: st.Term, Index: st.Last, LogTerm: st.Term, Commit: st.Commit, QuorumAgeTicks: 2}
+	s.hosts[id].node.Step(m)
+	assert.Equal(t, s.hosts[id].node.Status().QuorumAgeTicks, 2)
+	t.Run("a leader of this release says that it knows no stamp yet", func(t *testing.T) {
+		s.start(id)
+		s.hosts[id].node.Stall(10)
+		m.Echo = noStamp
+		s.hosts[id].node.Step(m)
+		assert.Equal(t, s.hosts[id].node.Status().QuorumAgeTicks, -1)
+	})
+}
--- a/core/raft/replicate.go
+++ b/core/raft/replicate.go
@@ -96,7 +96,7 @@
 func (n *Node) sendAppend(to ident.Node, prev Index, t Term, entries []Entry) {
 	n.send(Message{
 		Kind: KindAppend, To: to, Index: prev, LogTerm: t, Entries: entries,
-		Commit: n.log.commit, Round: n.round, QuorumAgeTicks: n.quorumAge(), Echo: n.peers[to].stamp,
+		Commit: n.log.commit, Round: n.round, QuorumAgeTicks: n.quorumAge(), Echo: max(n.peers[to].stamp, noStamp),
 	})
 }
 
@@ -167,21 +167,30 @@
 	}
 }
 
-// maxStampBase bounds the random base of stamps, so that they can't overflow.
-const maxStampBase = 1 << 52
+const (
+	// noStamp is returned to a member of which no stamp has arrived yet.
+	noStamp Stamp = 1
+	// maxStampBase bounds the random base of stamps, so that they can't overflow.
+	maxStampBase = 1 << 52
+)
 
 // stamp returns this node's clock as it is sent to the leader.
 func (n *Node) stamp() Stamp {
-	return n.stampBase + Stamp(n.clock()) + 1
+	return n.stampBase + Stamp(n.clock()) + noStamp + 1
 }
 
 // confirmAsOf notes as of when the state here is known to be the newest: the message was
-// sent after the stamp that it echoes. Stamps of an earlier start are not of this clock.
+// sent after the stamp that it returns. Stamps of an earlier start are not of this clock. A
+// leader of an earlier release returns none, and counts as having sent it just now.
 func (n *Node) confirmAsOf(m Message) {
-	if m.Echo <= n.stampBase || m.Echo > n.stamp() {
-		return
+	sentAfter := n.clock()
+	if m.Echo != 0 {
+		first := n.stamp() - Stamp(n.clock())
+		if m.Echo < first || m.Echo > n.stamp() {
+			return
+		}
+		sentAfter = int(m.Echo - first)
 	}
-	sentAfter := int(m.Echo - n.stampBase - 1)
 	n.confirmedAsOf = max(n.confirmedAsOf, sentAfter-m.QuorumAgeTicks)
 }
 
