--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -74,10 +74,11 @@
 	mirrors   map[string]*mirror
 	changed   chan struct{}
 	active    bool
-	// gate admits large replies; gateFreed is closed when one was sent.
+	// gate admits large replies, and gateFreed is closed when one was sent. putOff counts
+	// those that were not admitted.
 	gate      *bulk.Gate
-	putOff    int
 	gateFreed chan struct{}
+	putOff    int
 }
 
 // mirror is a copy of the direct members of another relay.
@@ -228,8 +229,7 @@
 }
 
 func (r *Relay) reply(ctx context.Context, q wire.SyncRequest) wire.SyncReply {
-	var later bulk.Later
-	admitted := false
+	later, admitted := bulk.Later{}, false
 	if !q.Small {
 		later, admitted = r.admit(ctx, q)
 	}
@@ -252,11 +252,11 @@
 // reply is counted until it was written.
 func (r *Relay) admit(ctx context.Context, q wire.SyncRequest) (later bulk.Later, admitted bool) {
 	end := r.opt.Clock.Now().Add(gateWait)
-	for reserved := q.Reserved; ; {
+	for {
 		size := r.replySize(q)
 		r.mu.Lock()
 		now, freed := r.opt.Clock.Now(), r.gateFreed
-		verdict := r.gate.Admit(now, size, reserved && now.Before(end))
+		verdict := r.gate.Admit(now, size, q.Reserved && now.Before(end))
 		r.mu.Unlock()
 		switch v := verdict.(type) {
 		case bulk.Send:
