--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -260,16 +260,17 @@
 
 // Call sends a request and waits for the reply until ctx ends.
 func Call[R any](ctx context.Context, p *Pool, address string, m Method, params any) (reply R, err error) {
-	return call[R](ctx, p, address, m, params, 0)
+	return callWithin[R](ctx, p, address, m, params, 0)
 }
 
 // CallLarge is Call for a reply that may be large: it also ends, with
 // context.DeadlineExceeded, once nothing has arrived from the address for the given time.
 func CallLarge[R any](ctx context.Context, p *Pool, address string, m Method, params any, idle time.Duration) (reply R, err error) {
-	return call[R](ctx, p, address, m, params, idle)
+	return callWithin[R](ctx, p, address, m, params, idle)
 }
 
-func call[R any](ctx context.Context, p *Pool, address string, m Method, params any, idle time.Duration) (reply R, err error) {
+// callWithin is CallLarge, with no limit of the time without bytes if idle is zero.
+func callWithin[R any](ctx context.Context, p *Pool, address string, m Method, params any, idle time.Duration) (reply R, err error) {
 	defer fault.Note(&err, "%s to %s", m, address)
 	conn, err := p.conn(ctx, address)
 	if err != nil {
@@ -300,8 +301,8 @@
 }
 
 // withIdleLimit returns a context that ends with context.DeadlineExceeded as its cause once
-// the count of received bytes stays the same for the given time.
-func withIdleLimit(ctx context.Context, received *atomic.Int64, idle time.Duration) (limited context.Context, stop func()) {
+// the count of received bytes stays the same for the given time, and a function that ends it.
+func withIdleLimit(ctx context.Context, received *atomic.Int64, idle time.Duration) (context.Context, func()) {
 	limited, cancel := context.WithCancelCause(ctx)
 	go func() {
 		t := time.NewTicker(idle)
