--- a/core/bulk/bulk.go
+++ b/core/bulk/bulk.go
@@ -26,10 +26,10 @@
 	MaxHeld Bytes = 4 << 20
 	// Small is the size up to which a reply is not counted.
 	Small Bytes = 16 << 10
-	// firstRate is the number of bytes a second that is assumed until some were sent. It
-	// is low: who comes back too late loses less than the others lose by a herd.
+	// firstRate is the number of bytes a second that is assumed until some were sent.
 	firstRate = 2 << 20
-	minRate   = 128 << 10
+	// minRate is the lowest number of bytes a second that is assumed.
+	minRate = 128 << 10
 	// smoothing is the weight of the latest reply in the rate.
 	smoothing = 0.2
 	// maxWaiting is the number of questions that are held at once.
