proxy, daemon: a response with an invalid status is a failure

What callers saw: a closed connection where an upstream answered with status 000, 001, 099 or +20. net/http panics on WriteHeader below 100, after the request has run, and the servers have no error log, so nothing showed it. 101 was passed on though nobody had asked to switch, 600 to 999 as they were, and 205 with content. After a 204 with content the connection went back to the pool with that content on it.

checkStatus says in one place which statuses may pass: 200 to 599, 205 without content only. Anything else is answer_invalid, a 502: the connection is closed, the call is retried where it may run again, and counts against the VM. The same for responses of daemons, which may be of an earlier release. Handlers that panic are logged and counted.

A final status of 100 to 199 other than 101 can't be told from an interim response; the call ends with its deadline, as before.

--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -55,6 +55,7 @@
 	ReasonUpstreamFailed           Reason = "upstream_failed"
 	ReasonUpstreamCrashed          Reason = "upstream_crashed"
 	ReasonAnswerIncomplete         Reason = "answer_incomplete"
+	ReasonAnswerInvalid            Reason = "answer_invalid"
 	ReasonCrashSuspect             Reason = "crash_suspect"
 	ReasonQuotaUnreachable         Reason = "quota_unreachable"
 	ReasonRecordUnreachable        Reason = "record_unreachable"
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -56,6 +56,8 @@
 	clock timer.Clock
 	board *board.Board
 	reg   *prometheus.Registry
+	// panics counts requests whose handler panicked.
+	panics *prometheus.CounterVec
 
 	secure    *secure.Identity
 	openFile  store.OpenFunc
@@ -109,6 +111,7 @@
 		clock:    timer.NewClock(),
 		board:    board.New(),
 		reg:      prometheus.NewRegistry(),
+		panics:   newPanicCounter(),
 		server:   wire.NewServer(),
 		serveErr: make(chan error, 1),
 	}
@@ -122,7 +125,7 @@
 		return d.secure.Dial(ctx, dialer, address)
 	})
 	d.pool = wire.NewPool(d.dial)
-	d.reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	d.reg.MustRegister(d.panics, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	if d.tracer, err = trace.Open(cfg.Trace, cfg.Daemon.VM); err != nil {
 		return nil, err
 	}
@@ -281,6 +284,7 @@
 		return err
 	}
 	ln = newPatientListener(ln, name, d.log)
+	handler = reportPanics(handler, name, d.log, d.panics.WithLabelValues(name))
 	limits := d.callerLimits()
 	if name == "caller" {
 		d.callers = newCallerServer(limitListener(ln, d.Config().Calls.Connections), handler, limits)
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -53,6 +53,8 @@
 	ActionOutcomeUnknown ID = 1702
 	ConnectionReplaced   ID = 1703
 	LibraryMessage       ID = 1704
+	ResponseInvalid      ID = 1705
+	HandlerPanicked      ID = 1706
 	UpstreamOverloaded   ID = 1801
 	EntryShedding        ID = 1802
 	RequestRefused       ID = 1901
@@ -113,6 +115,8 @@
 	{ActionOutcomeUnknown, zapcore.WarnLevel, "An action that must run at most once ended with an unknown outcome."},
 	{ConnectionReplaced, zapcore.InfoLevel, "An unresponsive connection was closed and replaced."},
 	{LibraryMessage, zapcore.WarnLevel, "A library reported a problem, mostly bytes on a connection that belong to no response."},
+	{ResponseInvalid, zapcore.WarnLevel, "A response had an invalid status, or content that its status excludes; the caller got an error."},
+	{HandlerPanicked, zapcore.ErrorLevel, "A request made its handler panic; its connection was closed."},
 	{UpstreamOverloaded, zapcore.InfoLevel, "The upstream on this VM is overloaded, or takes less than its slots allow."},
 	{EntryShedding, zapcore.InfoLevel, "New calls are refused at this entry because services of their call trees are overloaded."},
 	{RequestRefused, zapcore.InfoLevel, "A request was refused, or failed, where it entered the fleet."},
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -151,8 +151,12 @@
 		if resp.Close {
 			exchange.closeConnection()
 		}
+		p.noteInvalidAnswer(upstream.Address, refusal)
 		return p.refusePeer(w, r.RemoteAddr, call, retryOutcome{unspentRetries, nestedFailure}, refusal)
 	}
+	if contentIsLeft(resp) {
+		exchange.closeConnection()
+	}
 	p.recordStatement(upstream, exchange.receivedAt(p.opt.Clock.Now()), resp)
 	if nestedFailure && resp.StatusCode >= http.StatusInternalServerError {
 		p.noteNestedFailure(call, resp.StatusCode, p.opt.Clock.Now().Sub(start))
@@ -283,6 +287,10 @@
 // request. It sets Close on the response, since the connection must not be reused,
 // except if only the trace id is wrong.
 func (p *Proxy) checkResponse(req *http.Request, resp *http.Response) *fault.Refusal {
+	if refusal := checkStatus(resp); refusal != nil {
+		resp.Close = true
+		return refusal
+	}
 	if closeDelimited(req, resp) {
 		resp.Close = true
 		return fault.Failed(fault.ReasonAnswerIncomplete, "the upstream's answer has no length, so its end can't be told")
--- a/io/proxy/problem.go
+++ b/io/proxy/problem.go
@@ -37,6 +37,7 @@
 	fault.ReasonUpstreamFailed:           http.StatusBadGateway,
 	fault.ReasonUpstreamCrashed:          http.StatusBadGateway,
 	fault.ReasonAnswerIncomplete:         http.StatusBadGateway,
+	fault.ReasonAnswerInvalid:            http.StatusBadGateway,
 	fault.ReasonCancelled:                499, // nginx: client closed request
 }
 
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -31,6 +31,13 @@
 		return attempt{refusal: r}
 	}
 	p.router.recordAlive(vm.DataCentre)
+	if r := checkStatus(resp); r != nil {
+		defer stop()
+		_ = resp.Body.Close()
+		p.noteInvalidAnswer(vm.Address, r)
+		p.reportOutcome(o, vm, r, nil)
+		return attempt{refusal: r}
+	}
 	result, ok := header.GetResult(resp.Header)
 	if !ok {
 		defer stop()
@@ -222,7 +229,7 @@
 // vmOutcome classifies a refusal by what it says of the VM's health.
 func vmOutcome(r *fault.Refusal) route.Outcome {
 	switch r.Reason {
-	case fault.ReasonUpstreamFailed, fault.ReasonUpstreamCrashed, fault.ReasonAnswerIncomplete:
+	case fault.ReasonUpstreamFailed, fault.ReasonUpstreamCrashed, fault.ReasonAnswerIncomplete, fault.ReasonAnswerInvalid:
 		return route.OutcomeFailed
 	}
 	return route.OutcomeRefused
