place, proxy: trees run elsewhere as wholes where their deep service is full

What callers saw: with one of seven upstreams of a deep service in a data centre and a third of the callers, each call of a tree that found no room there crossed to another data centre by itself, four of them a tree.

core/place follows what runs report with their responses: how many of their calls leave the data centre, of how many to the services that they leave for. That part of a route's calls runs elsewhere as a whole and crosses once. Off by default ([calls] place_trees).

--- a/config/calls.go
+++ b/config/calls.go
@@ -29,6 +29,9 @@
 	// RetrySlack unused retries are saved. Each daemon enforces its share.
 	RetryRatio float64 `ini:"retry_ratio"`
 	RetrySlack float64 `ini:"retry_slack"`
+	// PlaceTrees lets calls run in another data centre where the calls that their runs
+	// make would otherwise go there one by one.
+	PlaceTrees bool `ini:"place_trees"`
 	// Connections is the maximum number of open connections on the caller listener.
 	Connections int `ini:"connections"`
 }
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -158,6 +158,17 @@
 
 // PickAvoiding is Pick without the VMs of some data centres.
 func (b *Balancer) PickAvoiding(now time.Time, level int, tried map[ident.VM]bool, blocked map[ident.DataCentre]bool) (Candidate, bool) {
+	return b.PickIn(now, level, tried, blocked, "")
+}
+
+// PickIn is PickAvoiding with another data centre preferred than the own one. Empty stands
+// for the own one.
+func (b *Balancer) PickIn(
+	now time.Time, level int, tried map[ident.VM]bool, blocked map[ident.DataCentre]bool, preferred ident.DataCentre,
+) (Candidate, bool) {
+	if preferred == "" {
+		preferred = b.home
+	}
 	untried := slices.DeleteFunc(b.untried(tried), func(p *peer) bool { return blocked[p.DataCentre] })
 	usable := usablePeers(now, untried)
 	if len(usable) == 0 {
@@ -167,7 +178,7 @@
 		return Candidate{}, false
 	}
 	b.lastSpill = Spill{}
-	p := b.choose(now, level, usable)
+	p := b.choose(now, level, usable, preferred)
 	p.outstanding++
 	if p.failures >= ejectAfterFailures {
 		p.probing = true
@@ -266,11 +277,11 @@
 	return untried
 }
 
-// choose prefers the own data centre as long as the better of two VMs drawn
-// there is not nearly full.
-func (b *Balancer) choose(now time.Time, level int, usable []*peer) *peer {
+// choose prefers one data centre as long as the better of two VMs drawn there is not
+// nearly full.
+func (b *Balancer) choose(now time.Time, level int, usable []*peer, preferred ident.DataCentre) *peer {
 	usable = b.belowLimit(now, level, usable)
-	local, remote := b.splitByLocality(usable)
+	local, remote := splitByLocality(usable, preferred)
 	if len(local) == 0 {
 		return b.betterOfTwo(now, level, remote)
 	}
@@ -282,6 +293,9 @@
 	if q.shedding(now, level) || q.score(now) >= p.score(now) {
 		return p
 	}
+	if preferred != b.home {
+		return q
+	}
 	b.lastSpill = Spill{LocalVM: p.VM, LocalLoad: p.score(now), LocalReportAge: p.reportAge(now), Load: q.score(now)}
 	return q
 }
@@ -325,9 +339,9 @@
 	return false
 }
 
-func (b *Balancer) splitByLocality(usable []*peer) (local, remote []*peer) {
+func splitByLocality(usable []*peer, preferred ident.DataCentre) (local, remote []*peer) {
 	for _, p := range usable {
-		if p.DataCentre == b.home {
+		if p.DataCentre == preferred {
 			local = append(local, p)
 		} else {
 			remote = append(remote, p)
--- a/io/header/header.go
+++ b/io/header/header.go
@@ -24,6 +24,7 @@
 	"chicorymast/core/ident"
 	"chicorymast/core/inflow"
 	"chicorymast/core/notice"
+	"chicorymast/core/place"
 )
 
 // Header names.
@@ -117,6 +118,9 @@
 	// Notice is what the upstream says about itself, nil for nothing or if the daemon
 	// has not heard from it yet.
 	Notice *notice.Notice `json:"notice,omitempty"`
+	// Crossings is what a run of the route costs in calls between data centres, nil for
+	// nothing.
+	Crossings *place.Crossings `json:"cross,omitempty"`
 }
 
 // SetCall sets the call header.
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -10,6 +10,7 @@
 	"chicorymast/core/admit"
 	"chicorymast/core/fault"
 	"chicorymast/core/ident"
+	"chicorymast/core/place"
 	"chicorymast/core/poison"
 	"chicorymast/core/retry"
 	"chicorymast/core/route"
@@ -22,6 +23,8 @@
 	call header.Call
 	// parent is the action id of the call that an upstream makes this one for.
 	parent ident.ActionID
+	// parentRoute is the route of that call.
+	parentRoute ident.Route
 	// attempts counts how often the call was sent.
 	attempts int
 	method   string
@@ -117,11 +120,13 @@
 		return nil, retryOutcome{unspentRetries: d.budget.Remaining()}, r
 	}
 	for n := 0; ; n++ {
-		vm, spill, ok := p.pick(o.call, d.tried)
+		preferred := p.placement.choose(o.call.Route, func() []place.Room { return p.router.rooms(o.call.Service) })
+		vm, spill, ok := p.pick(o.call, d.tried, preferred)
 		if !ok {
 			return d.finalRefusal(false)
 		}
 		p.noteSpill(o, vm, spill)
+		p.notePlacement(o, vm, preferred, spill)
 		o.attempts++
 		lent := d.budget.Lend()
 		sent := p.opt.Clock.Now()
@@ -145,12 +150,13 @@
 }
 
 // pick chooses a VM that has not been tried, or any VM in pass-through mode once
-// all have been tried.
-func (p *Proxy) pick(c header.Call, tried map[ident.VM]bool) (route.Candidate, route.Spill, bool) {
+// all have been tried. It looks in the preferred data centre first; empty stands for the
+// own one.
+func (p *Proxy) pick(c header.Call, tried map[ident.VM]bool, preferred ident.DataCentre) (route.Candidate, route.Spill, bool) {
 	level := admissionLevel(c)
-	vm, spill, ok := p.router.pick(c.Service, level, tried)
+	vm, spill, ok := p.router.pick(c.Service, level, tried, preferred)
 	if !ok && len(tried) > 0 && p.passThrough() {
-		return p.router.pick(c.Service, level, nil)
+		return p.router.pick(c.Service, level, nil, "")
 	}
 	return vm, spill, ok
 }
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -345,7 +345,7 @@
 	if p.opt.Dialect.ForwardedFor {
 		setForwardedFor(h, r)
 	}
-	return &outboundCall{
+	o := &outboundCall{
 		call: header.Call{
 			Action:             action,
 			Workspace:          in.workspace,
@@ -369,6 +369,10 @@
 		body:        in.body,
 		fingerprint: contentFingerprint(r, in.body),
 	}
+	if in.parent != nil {
+		o.parentRoute = in.parent.call.Route
+	}
+	return o
 }
 
 // contentFingerprint returns the fingerprint of a request's content, which is
--- a/io/proxy/local.go
+++ b/io/proxy/local.go
@@ -216,6 +216,6 @@
 	h.Set("Host", r.Host)
 	p.entryAdmission.recordNestedCall(parent.call.Route, name)
 	return &outboundCall{
-		call: call, parent: parent.call.Action, method: r.Method, url: r.URL, header: h, body: body, fingerprint: contentFingerprint(r, body),
+		call: call, parent: parent.call.Action, parentRoute: parent.call.Route, method: r.Method, url: r.URL, header: h, body: body, fingerprint: contentFingerprint(r, body),
 	}, nil
 }
--- a/io/proxy/metrics.go
+++ b/io/proxy/metrics.go
@@ -16,6 +16,9 @@
 	seconds  *prometheus.HistogramVec
 	retries  prometheus.Counter
 	replays  prometheus.Counter
+	// elsewhere and treesAway are set where calls are dispatched.
+	elsewhere *prometheus.CounterVec
+	treesAway *prometheus.GaugeVec
 	// The gauges below are set by overloadReporter.
 	limit            prometheus.Gauge
 	upstreamLimit    prometheus.Gauge
@@ -44,6 +47,12 @@
 		replays: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "chicorymast_replays_total", Help: "Answers given again from an action's record.",
 		}),
+		elsewhere: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chicorymast_calls_elsewhere_total", Help: "Calls sent to other data centres, by reason.",
+		}, []string{"why"}),
+		treesAway: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "chicorymast_trees_away_share", Help: "Share of a route's calls that run in other data centres as whole trees.",
+		}, []string{"route"}),
 		limit: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "chicorymast_admission_limit", Help: "Concurrency limit of the upstream on this VM.",
 		}),
@@ -63,7 +72,7 @@
 			Name: "chicorymast_entry_refuse_share", Help: "Share of the demand for a service to refuse, as known at this entry.",
 		}, []string{"route", "service"}),
 	}
-	reg.MustRegister(m.calls, m.refusals, m.seconds, m.retries, m.replays,
+	reg.MustRegister(m.calls, m.refusals, m.seconds, m.retries, m.replays, m.elsewhere, m.treesAway,
 		m.limit, m.upstreamLimit, m.startedRate, m.arrivingSlots, m.refuseShare, m.entryRefuseShare)
 	return m
 }
--- a/io/proxy/ownfault_test.go
+++ b/io/proxy/ownfault_test.go
@@ -39,7 +39,7 @@
 			call: header.Call{Service: service, Route: "browse", TimeoutMs: 1000}, method: http.MethodGet,
 			url: &url.URL{Path: "/"}, header: http.Header{}, body: &payload{complete: true},
 		}
-		vm, _, ok := p.pick(o.call, map[ident.VM]bool{"b": true})
+		vm, _, ok := p.pick(o.call, map[ident.VM]bool{"b": true}, "")
 		assert.Assert(t, ok)
 		a := p.sendOnce(context.Background(), o, vm, 0)
 		assert.Assert(t, a.refusal != nil && a.refusal.NotRun)
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -119,6 +119,7 @@
 		NotRun: r.NotRun, NestedFailure: retries.nestedFailure,
 		ServiceCosts: p.entryAdmission.serviceCosts(call.Route, p.admission.refuseShare()),
 		Notice:       p.ownNotice(p.opt.Board.Upstream.Read()),
+		Crossings:    p.placement.report(call.Route),
 	})
 	WriteProblem(w, p.opt.Dialect, r, 0)
 	return HTTPStatus(r)
@@ -169,6 +170,7 @@
 	p.passResponse(w, resp, header.Result{
 		Load: p.admission.load(), UnspentRetries: unspentRetries, NestedFailure: nestedFailure, NotRun: p.opt.Dialect.ProvesNotRun(resp),
 		ServiceCosts: p.entryAdmission.serviceCosts(call.Route, p.admission.refuseShare()), Notice: p.ownNotice(upstream),
+		Crossings: p.placement.report(call.Route),
 	})
 	return resp.StatusCode
 }
@@ -192,6 +194,7 @@
 	sample.SelfTimeUnknown = !p.entryAdmission.selfTimeKnown(sc.call.Route)
 	if !sample.Shed {
 		p.entryAdmission.recordRun(sc.call.Route, sample.HoldTime)
+		p.placement.recordRun(sc.call.Route)
 	}
 	return sample
 }
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -97,6 +97,7 @@
 	admission      *admission
 	calls          *callTable
 	entryAdmission *entryAdmission
+	placement      *placement
 	suspects       *suspects
 	notices        *notices
 	running        atomic.Int64
@@ -124,6 +125,7 @@
 	p.router = newRouter(opt, p.notices, rand.New(rand.NewPCG(opt.Seed+1, opt.Seed)))
 	p.admission = newAdmission(opt)
 	p.entryAdmission = newEntryAdmission(opt)
+	p.placement = newPlacement(opt, p.randomFloat)
 	p.suspects = newSuspects(opt)
 	return p
 }
--- a/io/proxy/router.go
+++ b/io/proxy/router.go
@@ -13,6 +13,7 @@
 	"chicorymast/core/ident"
 	"chicorymast/core/intent"
 	"chicorymast/core/member"
+	"chicorymast/core/place"
 	"chicorymast/core/retry"
 	"chicorymast/core/route"
 )
@@ -50,6 +51,8 @@
 	config   *board.Config
 	// leaving is the number of processes that were known to leave.
 	leaving uint64
+	// rooms are the slots of the candidates by data centre.
+	rooms []place.Room
 }
 
 func newRouter(opt Options, n *notices, rng *rand.Rand) *router {
@@ -103,13 +106,13 @@
 	return retry.NewThrottle(calls.RetryRatio/retryLevels, limit)
 }
 
-func (rt *router) pick(name ident.Service, level int, tried map[ident.VM]bool) (route.Candidate, route.Spill, bool) {
+func (rt *router) pick(name ident.Service, level int, tried map[ident.VM]bool, preferred ident.DataCentre) (route.Candidate, route.Spill, bool) {
 	s := rt.service(name)
 	now := rt.opt.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refresh(now, rt.opt.Board, rt.notices, name)
-	vm, ok := s.balancer.PickAvoiding(now, level, tried, rt.blocked(now))
+	vm, ok := s.balancer.PickIn(now, level, tried, rt.blocked(now), preferred)
 	if ok {
 		rt.startProbe(now, vm.DataCentre)
 	}
@@ -194,6 +197,7 @@
 	if len(candidates) == 0 {
 		candidates = staying(now, n, undrainedCandidates(members.StoppingByService[name], config))
 	}
+	s.rooms = roomsOf(candidates)
 	s.balancer.Update(now, candidates)
 }
 
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -47,6 +47,7 @@
 		return attempt{refusal: r}
 	}
 	p.notices.learn(p.opt.Clock.Now(), vm, result)
+	p.placement.record(o, vm, result)
 	p.entryAdmission.recordCosts(o.call.Route, vm.VM, p.serviceCosts(o.call, vm.VM, result))
 	if result.Reason != "" {
 		defer stop()
--- a/io/proxy/truncate_test.go
+++ b/io/proxy/truncate_test.go
@@ -136,7 +136,7 @@
 		VM: "a", Addresses: member.Addresses{Peer: peer.ln.Addr().String()}, Phase: member.PhaseUp,
 		Upstream: &member.Upstream{Service: service, Slots: 4, Phase: member.PhaseUp},
 	}}))
-	vm, _, ok := p.pick(header.Call{Service: service}, nil)
+	vm, _, ok := p.pick(header.Call{Service: service}, nil, "")
 	assert.Assert(t, ok)
 	return &peerCaller{p: p, vm: vm}
 }
