--- a/core/place/place.go
+++ b/core/place/place.go
@@ -58,12 +58,13 @@
 	return Crossings{PerRun: min(c.PerRun, fanout), Fanout: fanout}
 }
 
-// excess returns the part of the deep work that does not fit where the runs are.
+// excess returns the part of the deep work that does not fit where the runs are, beyond
+// what it would cost to move the trees.
 func (c Crossings) excess() float64 {
-	if c.Fanout < minFanout {
+	if c.PerRun <= moveCost {
 		return 0
 	}
-	return min(1, c.PerRun/c.Fanout)
+	return (c.PerRun - moveCost) / (c.Fanout - moveCost)
 }
 
 const (
@@ -74,9 +75,10 @@
 	// minCrossedShare is the share of the calls to a child route that must cross for its
 	// calls to count in Fanout.
 	minCrossedShare = 0.02
-	// minFanout is the smallest number of deep calls for which moving a tree saves
-	// crossings: the move costs one.
-	minFanout = 1.5
+	// moveCost is the number of crossings that moving a tree costs. Runs that cross less
+	// often stay: a service that has room on average still sends a few calls elsewhere in
+	// bursts, and moving trees would not spare these.
+	moveCost = 1.0
 )
 
 // Meter counts the crossings of the runs on one VM, by route.
