proxy: nested calls are tied to their parents by the ids that theirs begin with

Without a trace context the parent of a nested call was the running call with the nearest deadline. They got the priority, rank, admitted share and retry budget of a stranger, so that a full upstream shed some calls of every tree, and routes of equal class ended unequally well.

Upstreams there derive the id of a nested call from that of its parent (ID.SUFFIX). The dialect names the separator; an id without it still uses the deadline, and an id whose parent has ended has none.

--- a/io/header/dialect.go
+++ b/io/header/dialect.go
@@ -42,6 +42,10 @@
 	// a second from all daemons together, Leaving with the value 1 while it leaves.
 	Limit   string
 	Leaving string
+	// NestedAction separates the action id of a nested call from that of the call which it
+	// is made for, where upstreams derive the one from the other ("ID.SUFFIX"). Empty if
+	// they don't.
+	NestedAction string
 	// PropagateTrace passes the W3C trace context on to upstreams.
 	PropagateTrace bool
 	// ForwardedFor passes the caller's address on in X-Forwarded-For.
@@ -141,6 +145,19 @@
 	return ident.Rate(n), err == nil
 }
 
+// ParentAction returns the action id of the call that a nested call is made for. It reports
+// false if the id of the nested call does not name it.
+func (d Dialect) ParentAction(nested ident.ActionID) (parent ident.ActionID, ok bool) {
+	if d.NestedAction == "" {
+		return "", false
+	}
+	i := strings.LastIndex(string(nested), d.NestedAction)
+	if i <= 0 {
+		return "", false
+	}
+	return nested[:i], true
+}
+
 // MatchesRequest reports whether resp carries the action id of req. It always
 // does if upstreams do not echo the id.
 func (d Dialect) MatchesRequest(req *http.Request, resp *http.Response) bool {
--- a/io/proxy/calls.go
+++ b/io/proxy/calls.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"chicorymast/core/ident"
 	"chicorymast/core/retry"
 	"chicorymast/io/header"
 )
@@ -85,22 +86,36 @@
 type callTable struct {
 	mu    sync.Mutex
 	calls map[string]*servedCall
+	// byAction holds the latest call of each action id.
+	byAction map[ident.ActionID]*servedCall
 }
 
 func newCallTable() *callTable {
-	return &callTable{calls: map[string]*servedCall{}}
+	return &callTable{calls: map[string]*servedCall{}, byAction: map[ident.ActionID]*servedCall{}}
 }
 
 func (t *callTable) add(token string, c *servedCall) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.calls[token] = c
+	t.byAction[c.call.Action] = c
 }
 
 func (t *callTable) remove(token string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	c := t.calls[token]
 	delete(t.calls, token)
+	if c != nil && t.byAction[c.call.Action] == c {
+		delete(t.byAction, c.call.Action)
+	}
+}
+
+// findByAction returns the running call with an action id, nil if there is none.
+func (t *callTable) findByAction(id ident.ActionID) *servedCall {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.byAction[id]
 }
 
 func (t *callTable) find(token string) *servedCall {
--- a/io/proxy/incoming.go
+++ b/io/proxy/incoming.go
@@ -60,7 +60,7 @@
 	if p.opt.Dialect.PropagateTrace || !in.isNested() || !ok {
 		return // with a trace context the tracestate header names the parent
 	}
-	parent := p.calls.findByDeadline(p.opt.Clock.Now().Add(left))
+	parent := p.findParent(in.action, left)
 	if parent == nil {
 		return
 	}
@@ -68,6 +68,16 @@
 	p.entryAdmission.recordNestedCall(parent.call.Route, in.route)
 }
 
+// findParent returns the call that the upstream made a nested call for, nil if it is unknown.
+// The action id tells it where upstreams derive ids. Deadlines are a guess: nested calls may
+// have a shorter one than their parent, which then looks like another call's.
+func (p *Proxy) findParent(nested ident.ActionID, left time.Duration) *servedCall {
+	if action, ok := p.opt.Dialect.ParentAction(nested); ok {
+		return p.calls.findByAction(action)
+	}
+	return p.calls.findByDeadline(p.opt.Clock.Now().Add(left))
+}
+
 // isNested reports whether the call is nested. If workspaces with keys exist, calls
 // without a key on open routes are those between services.
 func (in *incomingCall) isNested() bool {
