--- a/core/place/place.go
+++ b/core/place/place.go
@@ -185,7 +185,7 @@
 	// reportWeight is the weight of one report in the moving average.
 	reportWeight = 0.05
 	// reportTTL is how long a report is used without another one.
-	reportTTL = 3 * time.Second
+	reportTTL = 10 * time.Second
 	// maxAway keeps some calls at home, so that reports keep coming.
 	maxAway = 0.95
 )
@@ -261,7 +261,7 @@
 	weights := make([]float64, len(rooms))
 	for i, room := range rooms {
 		if room.DataCentre != p.home {
-			weights[i] = pl.weight(now, room)
+			weights[i] = p.weight(now, pl, room)
 			total += weights[i]
 		}
 	}
@@ -278,16 +278,16 @@
 // minAway is the smallest part that is worth moving.
 const minAway = 0.02
 
-// weight returns the relative share of the moved calls that a data centre gets: as many as
-// its slots, less the part of its deep work that does not fit there either.
-func (pl *plan) weight(now time.Time, room Room) float64 {
-	free := 1.0
+// weight returns the relative share of the moved calls that a data centre gets: by its slots
+// and by the crossings that a move there saves. Where all data centres are as full as home,
+// a move saves nothing.
+func (p *Planner) weight(now time.Time, pl *plan, room Room) float64 {
+	saved := -moveCost
+	if e := pl.reports[p.home]; e != nil {
+		saved += e.PerRun
+	}
 	if e := pl.reports[room.DataCentre]; e != nil && now.Sub(e.at) <= reportTTL {
-		free = 1 - fullExcess*e.excess()
+		saved -= e.PerRun
 	}
-	return max(0, free) * float64(room.Slots)
+	return max(0, saved) * float64(room.Slots)
 }
-
-// fullExcess makes a data centre count as full once half of the deep work of its runs leaves
-// it: moved trees would cross again from there.
-const fullExcess = 2
