proxy: send small requests in one write, without a probing goroutine

net/http reads the body of a GET, HEAD or OPTIONS request in a goroutine, with a timer of 200 ms, to learn whether it is empty. With the transfer encoding identity, which is not sent, nothing is probed. Bodies of up to 3 KB are handed over as readers in memory, of which net/http knows that they don't block, so head and body are one write on each hop. Without GetBody neither is sent again on its own; the test has a case more for it.

--- a/io/daemon/cost_test.go
+++ b/io/daemon/cost_test.go
@@ -97,7 +97,7 @@
 	peers := d.listeners[0]
 	assert.Equal(tb, peers.name, "peer")
 	stop := d.proxy.Start()
-	go func() { _ = d.callers.Serve() }()     // ends when the listener is closed
+	go func() { _ = d.callers.Serve() }()         // ends when the listener is closed
 	go func() { _ = peers.srv.Serve(peers.ln) }() // as above
 	tb.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -228,7 +228,7 @@
 
 // usage is what a process has used since its start.
 type usage struct {
-	processor                time.Duration
+	processor               time.Duration
 	reads, writes, switches int64
 }
 
@@ -334,7 +334,9 @@
 	before := readUsage()
 	errs := make(chan error, parallel)
 	for i := range clients {
-		go func() { errs <- run("run"+strconv.FormatInt(before.processor.Nanoseconds(), 36), i, (b.N+parallel-1-i)/parallel) }()
+		go func() {
+			errs <- run("run"+strconv.FormatInt(before.processor.Nanoseconds(), 36), i, (b.N+parallel-1-i)/parallel)
+		}()
 	}
 	for range clients {
 		assert.NilError(b, <-errs)
--- a/io/proxy/body.go
+++ b/io/proxy/body.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 	"sync/atomic"
 
 	"chicorymast/core/fault"
@@ -70,7 +69,7 @@
 		return
 	}
 	if p.complete {
-		r.Body = unretriableBody{bytes.NewReader(p.buffered)}
+		r.Body = memoryBody(p.buffered)
 		return
 	}
 	r.Body = unretriableBody{io.MultiReader(bytes.NewReader(p.buffered), p.remainder)}
@@ -79,18 +78,57 @@
 // setNoBody makes a request without a body that net/http does not retry on its
 // own. On a reused connection it retries GET, HEAD and OPTIONS requests whose
 // Body is nil or http.NoBody. Any other Body prevents that, and none is sent if
-// the Body is empty. A TRACE request would be sent chunked with such a Body, so
-// it uses http.NoBody on a connection that is not reused.
+// the Body is empty. The transfer encoding identity, which is not sent, keeps
+// net/http from reading the Body in a goroutine to learn whether it is empty. A TRACE
+// request uses http.NoBody on a connection that is not reused.
 func setNoBody(r *http.Request) {
 	r.Body, r.ContentLength = http.NoBody, 0
 	switch r.Method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions:
-		r.Body = unretriableBody{strings.NewReader("")}
+		r.Body, r.TransferEncoding = emptyBody{}, identity
 	case http.MethodTrace:
 		r.Close = true
 	}
 }
 
+var identity = []string{"identity"}
+
+// emptyBody is an empty body other than http.NoBody. net/http copies it without a buffer.
+type emptyBody struct{}
+
+func (emptyBody) Read([]byte) (int, error)         { return 0, io.EOF }
+func (emptyBody) WriteTo(io.Writer) (int64, error) { return 0, nil }
+func (emptyBody) Close() error                     { return nil }
+
+// memoryBody returns a body of which net/http knows that reading it never blocks, so that
+// head and body are sent in one write. Without GetBody it is not sent again.
+func memoryBody(data []byte) io.ReadCloser {
+	return io.NopCloser(bytes.NewReader(data))
+}
+
+// maxJoinedBody is the largest body in bytes that is sent in one write with the head: that
+// of a write buffer of net/http, less the room for a usual head.
+const maxJoinedBody = 3 << 10
+
+// readSmallBody reads the body of a request into memory if it is declared to be small, and
+// the sender does not wait to be asked for it.
+func readSmallBody(r *http.Request) io.ReadCloser {
+	if r.ContentLength <= 0 || r.ContentLength > maxJoinedBody || r.Header.Get("Expect") != "" {
+		return unretriableBody{r.Body}
+	}
+	data := make([]byte, r.ContentLength)
+	n, err := io.ReadFull(r.Body, data)
+	if err != nil {
+		return unretriableBody{io.MultiReader(bytes.NewReader(data[:n]), failedReader{err})}
+	}
+	return memoryBody(data)
+}
+
+// failedReader returns the error with which reading a body has ended.
+type failedReader struct{ err error }
+
+func (f failedReader) Read([]byte) (int, error) { return 0, f.err }
+
 type unretriableBody struct{ io.Reader }
 
 func (unretriableBody) Close() error { return nil }
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -211,9 +211,10 @@
 		trace.Inject(ctx, req.Header, token)
 	}
 	req.ContentLength = r.ContentLength
-	req.Body = unretriableBody{r.Body}
 	if r.ContentLength == 0 {
 		setNoBody(req)
+	} else {
+		req.Body = readSmallBody(r)
 	}
 	return req.WithContext(ctx), exchange
 }
--- a/io/proxy/retry_test.go
+++ b/io/proxy/retry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -70,6 +71,10 @@
 		"towards an upstream, with a body": func(r *http.Request) {
 			r.Body, r.ContentLength = unretriableBody{strings.NewReader("body")}, 4
 		},
+		"towards an upstream, with a body in memory": func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader("body")), 4
+			r.Body = readSmallBody(r)
+		},
 	}
 	for name, attach := range bodies {
 		for _, method := range []string{"GET", "HEAD", "OPTIONS", "TRACE", "POST", "PUT", "PATCH", "DELETE"} {
--- a/io/proxy/watch.go
+++ b/io/proxy/watch.go
@@ -85,9 +85,11 @@
 	w.onSilent()
 }
 
-// watchRequestBody resets the watchdog whenever part of the request body is sent.
+// watchRequestBody resets the watchdog whenever part of the request body is sent. A body
+// that is sent in one write with the head is not sent in parts.
 func (w *watchdog) watchRequestBody(r *http.Request) {
-	if r.Body != nil && r.Body != http.NoBody {
+	joined := r.ContentLength >= 0 && r.ContentLength <= maxJoinedBody
+	if r.Body != nil && r.Body != http.NoBody && !joined {
 		r.Body = &watchedBody{ReadCloser: r.Body, w: w}
 	}
 }
