--- a/io/header/header.go
+++ b/io/header/header.go
@@ -14,7 +14,6 @@
 package header
 
 import (
-	"encoding/json"
 	"errors"
 	"net/http"
 	"strings"
@@ -119,42 +118,6 @@
 	Notice *notice.Notice `json:"notice,omitempty"`
 }
 
-// SetCall sets the call header.
-func SetCall(h http.Header, c Call) {
-	setJSON(h, callHeader, c)
-}
-
-// GetCall decodes the call header. Errors: ErrNoCall.
-func GetCall(h http.Header) (c Call, err error) {
-	if json.Unmarshal([]byte(h.Get(callHeader)), &c) != nil || c.Service == "" {
-		return Call{}, ErrNoCall
-	}
-	return c, nil
-}
-
-// SetResult sets the result header.
-func SetResult(h http.Header, result Result) {
-	setJSON(h, resultHeader, result)
-}
-
-// GetResult decodes the result header. It reports false if the header is
-// missing or invalid.
-func GetResult(h http.Header) (result Result, ok bool) {
-	text := h.Get(resultHeader)
-	if text == "" || json.Unmarshal([]byte(text), &result) != nil {
-		return Result{}, false
-	}
-	return result, true
-}
-
-func setJSON(h http.Header, name string, v any) {
-	data, err := json.Marshal(v)
-	if err != nil {
-		return // Call and Result always marshal
-	}
-	h.Set(name, string(data))
-}
-
 // hopByHop lists the hop-by-hop headers (RFC 9110, section 7.6.1).
 var hopByHop = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
