proxy, trace: no spans where nobody would see them

With no exporter, and where the trace context is not passed on, each daemon still made a span for each call, with random ids under a lock and a context of its own. Now it makes none. Where spans are exported or trace contexts passed on, nothing changes.

--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -19,7 +19,6 @@
 	"chicorymast/io/event"
 	"chicorymast/io/header"
 	"chicorymast/io/record"
-	"chicorymast/io/trace"
 
 	"github.com/cespare/xxhash/v2"
 	"go.opentelemetry.io/otel/attribute"
@@ -36,14 +35,16 @@
 	defer p.running.Add(-1)
 	defer trackBody(r).flushAndDiscard(w)
 	start := p.opt.Clock.Now()
-	ctx, span := p.opt.Tracer.Start(trace.Extract(r), "entry")
+	ctx, span := p.startSpan(r, "entry")
 	defer span.End()
 	in, refusal := p.checkRequest(w, r)
 	if refusal != nil {
 		p.refuseCaller(w, in.subject(), refusal, 0, start, p.freshnessInputs)
 		return
 	}
-	span.SetAttributes(attribute.String("chicorymast.route", string(in.route)))
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("chicorymast.route", string(in.route)))
+	}
 	within, refusal := p.acceptFor(p.timeout(r, in))
 	if refusal != nil {
 		p.refuseCaller(w, in.subject(), refusal, 0, start, noInputs)
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -42,9 +42,11 @@
 		p.refusePeer(w, r.RemoteAddr, call, retryOutcome{}, fault.Refuse(fault.ReasonNotMember, "this address is for daemons"))
 		return
 	}
-	ctx, span := p.opt.Tracer.Start(trace.Extract(r), "serve",
-		attribute.String("chicorymast.route", string(call.Route)), attribute.Int("chicorymast.depth", call.Depth))
+	ctx, span := p.startSpan(r, "serve")
 	defer span.End()
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("chicorymast.route", string(call.Route)), attribute.Int("chicorymast.depth", call.Depth))
+	}
 	within, refusal := p.acceptFor(time.Duration(call.TimeoutMs) * time.Millisecond)
 	if refusal != nil {
 		p.refusePeer(w, r.RemoteAddr, call, retryOutcome{unspentRetries: call.Retries}, refusal)
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -38,6 +38,8 @@
 	"chicorymast/io/trace"
 	"chicorymast/io/trail"
 	"chicorymast/io/wire"
+
+	oteltrace "go.opentelemetry.io/otel/trace"
 )
 
 // Options configures a Proxy.
@@ -172,6 +174,15 @@
 	return p.opt.Config().Daemon.Mode == config.ModePassThrough
 }
 
+// startSpan starts a span of a request, as a child of the one that its headers name. Where
+// spans are neither exported nor passed on, nobody would see it and none is started.
+func (p *Proxy) startSpan(r *http.Request, name string) (context.Context, oteltrace.Span) {
+	if !p.opt.Dialect.PropagateTrace && !p.opt.Tracer.Exports() {
+		return r.Context(), trace.None()
+	}
+	return p.opt.Tracer.Start(trace.Extract(r), name)
+}
+
 func (p *Proxy) newToken() string {
 	const digits = "0123456789abcdef"
 	p.rngMu.Lock()
--- a/io/trace/trace.go
+++ b/io/trace/trace.go
@@ -82,6 +82,17 @@
 	return t.tracer.Start(ctx, name, trace.WithAttributes(attrs...))
 }
 
+// Exports reports whether spans go anywhere. Without an exporter they serve only to pass on a
+// trace context.
+func (t *Tracer) Exports() bool {
+	return t.file != nil
+}
+
+// None returns a span that does nothing.
+func None() trace.Span {
+	return trace.SpanFromContext(context.Background())
+}
+
 // Extract returns the request's context with the trace context of its headers.
 func Extract(r *http.Request) context.Context {
 	return propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
