header, proxy: one copy of the headers on each hop, without their values

Each hop copied all headers with their values, an entry twice, and then removed some 20 names from the copy, each spelled canonically first. Now the headers that pass are picked into a map that shares the values; the first attempt sends the map that the entry has made. Later attempts still get a copy. The headers that pass are the same.

--- a/io/header/dialect.go
+++ b/io/header/dialect.go
@@ -83,10 +83,12 @@
 // SetUpstream sets the headers for an upstream and overwrites or deletes
 // those that the caller sent under the same names.
 func (d Dialect) SetUpstream(h http.Header, u UpstreamHeaders) {
-	h.Set(d.Timeout, d.formatTimeLeft(u.TimeLeft))
-	setOrDelete(h, d.Workspace, string(u.Workspace))
-	setOrDelete(h, d.Caller, string(u.Caller))
-	setOrDelete(h, d.TargetUpstream, string(u.Target))
+	const headers = 4
+	values := make([]string, headers) // one allocation for all of them
+	setOrDelete(h, d.Timeout, d.formatTimeLeft(u.TimeLeft), values[0:1:1])
+	setOrDelete(h, d.Workspace, string(u.Workspace), values[1:2:2])
+	setOrDelete(h, d.Caller, string(u.Caller), values[2:3:3])
+	setOrDelete(h, d.TargetUpstream, string(u.Target), values[3:4:4])
 }
 
 func (d Dialect) formatTimeLeft(left time.Duration) string {
@@ -170,12 +172,15 @@
 	return strconv.FormatFloat(roundedUp.Seconds(), 'f', decimals, 64)
 }
 
-func setOrDelete(h http.Header, name, value string) {
+// setOrDelete sets a header to a value, which is stored in values, or deletes it.
+func setOrDelete(h http.Header, name, value string, values []string) {
 	if name == "" {
 		return
 	}
-	h.Del(name)
-	if value != "" {
-		h.Set(name, value)
+	if value == "" {
+		h.Del(name)
+		return
 	}
+	values[0] = value
+	h[http.CanonicalHeaderKey(name)] = values
 }
--- a/io/header/header.go
+++ b/io/header/header.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	header.StripInbound(r.Header)           // request from a caller
+//	h := header.FromCaller(r.Header)        // request from a caller
 //	header.SetCall(out.Header, call)        // request to a peer
 //	call, err := header.GetCall(r.Header)   // at the peer
 //	header.SetResult(w.Header(), result)    // response of the peer
@@ -15,8 +15,6 @@
 
 import (
 	"errors"
-	"net/http"
-	"strings"
 
 	"chicorymast/core/admit"
 	"chicorymast/core/fault"
@@ -117,61 +115,3 @@
 	// has not heard from it yet.
 	Notice *notice.Notice `json:"notice,omitempty"`
 }
-
-// hopByHop lists the hop-by-hop headers (RFC 9110, section 7.6.1).
-var hopByHop = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// StripHopByHop removes the hop-by-hop headers, including those that the
-// Connection header names.
-func StripHopByHop(h http.Header) {
-	for _, value := range h.Values("Connection") {
-		for name := range strings.SplitSeq(value, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		h.Del(name)
-	}
-}
-
-// StripInternal removes all headers whose names begin with Prefix.
-func StripInternal(h http.Header) {
-	for name := range h {
-		if strings.HasPrefix(http.CanonicalHeaderKey(name), Prefix) {
-			delete(h, name)
-		}
-	}
-}
-
-// StripCredentials removes the Authorization header, which holds a caller's key.
-func StripCredentials(h http.Header) {
-	h.Del("Authorization")
-}
-
-// StripInbound removes the headers of a caller's request that must not be
-// forwarded.
-func StripInbound(h http.Header) {
-	StripHopByHop(h)
-	StripInternal(h)
-	StripCredentials(h)
-	h.Del("Expect")
-}
-
-// retryHeaders are the headers for which net/http retries a request without a body on its
-// own, whatever its method.
-var retryHeaders = []string{IdempotencyKey, "X-Idempotency-Key"}
-
-// LowerRetryHeaders moves these headers to their lower-case names, under which net/http
-// does not know them.
-func LowerRetryHeaders(h http.Header) {
-	for _, name := range retryHeaders {
-		values := h.Values(name)
-		h.Del(name)
-		if len(values) > 0 {
-			h[strings.ToLower(name)] = values
-		}
-	}
-}
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -26,8 +26,11 @@
 	attempts int
 	method   string
 	url      *url.URL
-	header   http.Header
-	body     *payload
+	host     string
+	// header is sent with the first attempt; later ones get a copy, since net/http may
+	// still be reading it.
+	header http.Header
+	body   *payload
 	// fingerprint identifies the content, to recognise requests that crash upstreams.
 	fingerprint poison.Fingerprint
 }
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -299,7 +299,7 @@
 		return
 	}
 	h := http.Header{}
-	copyHeader(h, resp.header)
+	header.CopyResponse(h, resp.header)
 	p.opt.Records.End(claim, dedup.PhaseDone, dedup.Response{Stored: resp.stream == nil, Status: resp.status, Header: h, Body: resp.body})
 }
 
@@ -340,9 +340,7 @@
 	if action == "" {
 		action = ident.ActionID(p.newToken())
 	}
-	h := r.Header.Clone()
-	header.StripInbound(h)
-	h.Set("Host", r.Host)
+	h := header.FromCaller(r.Header)
 	if p.opt.Dialect.ForwardedFor {
 		setForwardedFor(h, r)
 	}
@@ -366,6 +364,7 @@
 		parent:      in.subject().parent,
 		method:      r.Method,
 		url:         r.URL,
+		host:        r.Host,
 		header:      h,
 		body:        in.body,
 		fingerprint: contentFingerprint(r, in.body),
@@ -396,7 +395,7 @@
 // writeResponse sends a response to the caller. If the body ends early the
 // connection is aborted, so that the caller does not take it for complete.
 func (p *Proxy) writeResponse(w http.ResponseWriter, name ident.Route, resp *response, start time.Time) {
-	copyHeader(w.Header(), resp.header)
+	header.CopyResponse(w.Header(), resp.header)
 	p.opt.Metrics.call("entry", name, strconv.Itoa(resp.status), p.opt.Clock.Now().Sub(start))
 	if resp.stream == nil {
 		if resp.length >= 0 && w.Header().Get("Content-Length") == "" && len(resp.body) > 0 {
--- a/io/proxy/local.go
+++ b/io/proxy/local.go
@@ -211,11 +211,9 @@
 	if spec.Class.Above(call.Class) {
 		call.Class = spec.Class
 	}
-	h := r.Header.Clone()
-	header.StripInbound(h)
-	h.Set("Host", r.Host)
 	p.entryAdmission.recordNestedCall(parent.call.Route, name)
 	return &outboundCall{
-		call: call, parent: parent.call.Action, method: r.Method, url: r.URL, header: h, body: body, fingerprint: contentFingerprint(r, body),
+		call: call, parent: parent.call.Action, method: r.Method, url: r.URL, host: r.Host, header: header.FromCaller(r.Header),
+		body: body, fingerprint: contentFingerprint(r, body),
 	}, nil
 }
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -201,10 +201,8 @@
 		Scheme: "http", Host: upstream.Address, Path: r.URL.Path, RawPath: r.URL.RawPath,
 		RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
 	}
-	req := &http.Request{Method: r.Method, URL: target, Header: r.Header.Clone(), Host: r.Host}
-	header.StripHopByHop(req.Header)
-	header.StripInternal(req.Header)
-	header.StripCredentials(req.Header)
+	req := new(http.Request).WithContext(ctx) // the compiler keeps the former one on the stack
+	req.Method, req.URL, req.Header, req.Host = r.Method, target, header.FromPeer(r.Header), r.Host
 	header.LowerRetryHeaders(req.Header)
 	p.opt.Dialect.SetUpstream(req.Header, header.UpstreamHeaders{
 		TimeLeft: left, Workspace: call.Workspace, Caller: call.Caller, Target: upstream.ID,
@@ -218,7 +216,7 @@
 	} else {
 		req.Body = readSmallBody(r)
 	}
-	return req.WithContext(ctx), exchange
+	return req, exchange
 }
 
 // transportFor returns the transport for a request to the upstream. A connection that is
@@ -322,7 +320,7 @@
 // passResponse streams the upstream's response to the peer. If the body ends
 // early the connection to the peer is aborted.
 func (p *Proxy) passResponse(w http.ResponseWriter, resp *http.Response, result header.Result) {
-	copyHeader(w.Header(), resp.Header)
+	header.CopyResponse(w.Header(), resp.Header)
 	header.SetResult(w.Header(), result)
 	w.WriteHeader(resp.StatusCode)
 	if err := stream(w, resp.Body, resp.ContentLength); err != nil {
@@ -331,14 +329,6 @@
 	}
 }
 
-func copyHeader(dst, src http.Header) {
-	for name, values := range src {
-		dst[name] = values
-	}
-	header.StripHopByHop(dst)
-	header.StripInternal(dst)
-}
-
 // stream copies a body. If its length is unknown, each chunk is flushed.
 func stream(w http.ResponseWriter, body io.Reader, length int64) error {
 	if length >= 0 {
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"time"
 
@@ -77,7 +78,11 @@
 func (p *Proxy) peerRequest(ctx context.Context, o *outboundCall, vm route.Candidate, lent int, w *watchdog) *http.Request {
 	target := *o.url
 	target.Scheme, target.Host = "http", vm.Address
-	req := &http.Request{Method: o.method, URL: &target, Header: o.header.Clone(), Host: o.header.Get("Host")}
+	req := new(http.Request).WithContext(ctx)
+	req.Method, req.URL, req.Header, req.Host = o.method, &target, o.header, o.host
+	if o.attempts > 1 {
+		req.Header = maps.Clone(o.header)
+	}
 	call := o.call
 	call.Retries = lent
 	call.ServiceRefuseShare = p.entryAdmission.serviceRefuseShare(call.Route, call.Service)
@@ -94,7 +99,7 @@
 	if !o.body.complete {
 		req.Header.Set("Expect", "100-continue")
 	}
-	return req.WithContext(ctx)
+	return req
 }
 
 func remaining(ctx context.Context, now time.Time) time.Duration {
