state: a command to evacuate a data centre

An operator could drain a VM, but not a data centre: each VM needed an order of its own.

set_evacuation is accepted like set_drain; an order that is in force already is accepted again. It may name the confirmation that its plan was based on, which is not part of what the change id stands for, so a resent order gets its first outcome.

--- a/core/state/command.go
+++ b/core/state/command.go
@@ -61,6 +61,18 @@
 	Draining bool     `json:"draining"`
 }
 
+// SetEvacuation starts or ends the evacuation of a data centre: no upstream there
+// gets new calls while it lasts.
+type SetEvacuation struct {
+	Metadata
+	DataCentre ident.DataCentre `json:"data_centre"`
+	Evacuating bool             `json:"evacuating"`
+	// Base is the revision of the last confirmation when the plan was made; zero means
+	// that no plan was made. It is not part of what the change id stands for, so that an
+	// order that was planned again is acknowledged again.
+	Base ident.Revision `json:"base,omitempty"`
+}
+
 // AssignGroup sets the members of a replica group, which stores records of
 // actions, in a data centre. The leader proposes it and changes one member at a
 // time.
@@ -78,11 +90,12 @@
 
 // The kinds of commands.
 const (
-	KindConfirm     Kind = "confirm"
-	KindGrantKey    Kind = "grant_key"
-	KindWithdrawKey Kind = "withdraw_key"
-	KindSetDrain    Kind = "set_drain"
-	KindAssignGroup Kind = "assign_group"
+	KindConfirm       Kind = "confirm"
+	KindGrantKey      Kind = "grant_key"
+	KindWithdrawKey   Kind = "withdraw_key"
+	KindSetDrain      Kind = "set_drain"
+	KindSetEvacuation Kind = "set_evacuation"
+	KindAssignGroup   Kind = "assign_group"
 )
 
 // ErrCommand is wrapped by all errors of Encode and Decode.
@@ -104,6 +117,8 @@
 		return KindWithdrawKey
 	case SetDrain:
 		return KindSetDrain
+	case SetEvacuation:
+		return KindSetEvacuation
 	case AssignGroup:
 		return KindAssignGroup
 	}
@@ -148,6 +163,8 @@
 		return decodeBody[WithdrawKey](env.Body)
 	case KindSetDrain:
 		return decodeBody[SetDrain](env.Body)
+	case KindSetEvacuation:
+		return decodeBody[SetEvacuation](env.Body)
 	case KindAssignGroup:
 		return decodeBody[AssignGroup](env.Body)
 	}
--- a/core/state/digest.go
+++ b/core/state/digest.go
@@ -52,6 +52,7 @@
 	toggleAll(&s.itemHash, "data_centre", s.Intent.DataCentres)
 	toggleAll(&s.itemHash, "key", s.Keys)
 	toggleAll(&s.itemHash, "drain", s.Drains)
+	toggleAll(&s.itemHash, "evacuation", s.Evacuations)
 	for dc, groups := range s.ReplicaGroups {
 		for i, g := range groups {
 			s.itemHash.toggle("replicas", groupName(dc, i), g)
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -69,6 +69,9 @@
 	Intent   intent.Intent           `json:"intent"`
 	Keys     map[ident.KeyDigest]Key `json:"keys"`
 	Drains   map[ident.VM]bool       `json:"drains"`
+	// Evacuations are the data centres whose upstreams get no new calls. The field is
+	// left out while it is empty: earlier releases don't know it.
+	Evacuations map[ident.DataCentre]bool `json:"evacuations,omitempty"`
 	// ReplicaGroups are the replica groups of each data centre.
 	ReplicaGroups map[ident.DataCentre][]ReplicaGroup `json:"groups"`
 	// ConfirmedBy is the change that last replaced the intent, and ConfirmedAt the
@@ -90,6 +93,7 @@
 		Intent:        intent.Empty(),
 		Keys:          map[ident.KeyDigest]Key{},
 		Drains:        map[ident.VM]bool{},
+		Evacuations:   map[ident.DataCentre]bool{},
 		ReplicaGroups: map[ident.DataCentre][]ReplicaGroup{},
 		Results:       map[ident.ChangeID]Result{},
 	}
@@ -100,6 +104,7 @@
 	c := *s
 	c.Keys = maps.Clone(s.Keys)
 	c.Drains = maps.Clone(s.Drains)
+	c.Evacuations = maps.Clone(s.Evacuations)
 	c.ReplicaGroups = maps.Clone(s.ReplicaGroups)
 	c.Results = maps.Clone(s.Results)
 	c.AuditTrail = slices.Clone(s.AuditTrail)
@@ -112,6 +117,7 @@
 	c := *s
 	c.Keys = maps.Clone(s.Keys)
 	c.Drains = maps.Clone(s.Drains)
+	c.Evacuations = maps.Clone(s.Evacuations)
 	c.ReplicaGroups = maps.Clone(s.ReplicaGroups)
 	c.Results = map[ident.ChangeID]Result{}
 	c.AuditTrail = nil
@@ -165,6 +171,8 @@
 		return s.withdrawKey(c)
 	case SetDrain:
 		return s.setDrain(c)
+	case SetEvacuation:
+		return s.setEvacuation(c)
 	case AssignGroup:
 		return s.assignGroup(c)
 	}
@@ -191,8 +199,7 @@
 		}
 	}
 	if c.Base != s.ConfirmedAt {
-		detail := fmt.Sprintf("planned on revision %d, but %d is in force", c.Base, s.ConfirmedAt)
-		return Result{Outcome: OutcomeConflict, ConflictsWith: s.ConfirmedBy, Detail: detail}
+		return s.overtaken(c.Base)
 	}
 	want := c.Patch.Apply(s.Intent)
 	if err := intent.Check("intent", want); err != nil {
@@ -210,6 +217,12 @@
 	return r
 }
 
+// overtaken is the result of a change whose plan was made before the last confirmation.
+func (s *State) overtaken(base ident.Revision) Result {
+	detail := fmt.Sprintf("planned on revision %d, but %d is in force", base, s.ConfirmedAt)
+	return Result{Outcome: OutcomeConflict, ConflictsWith: s.ConfirmedBy, Detail: detail}
+}
+
 // dropOrphanKeys removes the keys of workspaces that are no longer in the intent.
 func (s *State) dropOrphanKeys() {
 	maps.DeleteFunc(s.Keys, func(d ident.KeyDigest, k Key) bool {
@@ -308,6 +321,9 @@
 	case SetDrain:
 		c.Metadata = Metadata{}
 		return c
+	case SetEvacuation:
+		c.Metadata, c.Base = Metadata{}, 0
+		return c
 	case AssignGroup:
 		c.Metadata = Metadata{}
 		return c
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -118,6 +118,7 @@
 	}
 	f.Add(data)
 	f.Add([]byte(`{"kind":"withdraw_key","body":{}}`))
+	f.Add([]byte(`{"kind":"set_evacuation","body":{"change_id":"e","data_centre":"east","evacuating":true,"base":1}}`))
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		if cmd, err := Decode(data); err == nil {
 			New().Apply(cmd) // must not panic
