proxy, daemon, relay: upstreams of evacuated data centres get no calls

Entries leave out VMs of evacuated data centres as they do drained ones, also in the fallback to stopping daemons. The daemon beside an upstream there refuses calls as draining, not run, as soon as it has the configuration, so an entry that lags behind does no harm; calls that wait for a slot get the second that a drain leaves them. The upstream is announced as draining, so daemons of an earlier release avoid it, too, and it records no departure, so the undo brings it back.

A daemon that has restarted has no configuration until its relay sends it, which may be put off when it is large. Relays therefore tell such a daemon, in a probe and in each sync, whether its data centre is evacuated: one field, absent otherwise.

--- a/core/board/daemon.go
+++ b/core/board/daemon.go
@@ -356,7 +356,8 @@
 	Address    string
 	HealthPath string
 	LoadPath   string
-	// Drained is set while an operator's drain of this VM is in force.
+	// Drained is set while an operator's drain of this VM or an evacuation of its data
+	// centre is in force.
 	Drained bool
 }
 
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -62,9 +62,10 @@
 	RelayAddresses func() []string
 	// RelayActive reports whether other daemons use this one as their relay.
 	RelayActive func() bool
-	// Recall gets the departures that a relay knows of this VM from before; it is called
-	// for each relay that is probed or used for the first time.
-	Recall func([]tenure.Departure)
+	// Recall gets what a relay knows of this VM from before: the departures, and whether
+	// its data centre is evacuated while this daemon has no configuration. It is called for
+	// each relay that is probed or used for the first time.
+	Recall func(departures []tenure.Departure, evacuated bool)
 	// Control is set for a control daemon.
 	Control bool
 	// FollowConfig is false on control daemons, which get the configuration from
--- a/io/agent/reply.go
+++ b/io/agent/reply.go
@@ -50,8 +50,8 @@
 
 // recall passes on what a relay knows of upstreams that have left this VM.
 func (a *Agent) recall(reply wire.SyncReply) {
-	if a.opt.Recall != nil && (a.cursor.Epoch == "" || len(reply.Departures) > 0) {
-		a.opt.Recall(reply.Departures)
+	if a.opt.Recall != nil && (a.cursor.Epoch == "" || len(reply.Departures) > 0 || reply.Evacuated) {
+		a.opt.Recall(reply.Departures, reply.Evacuated)
 	}
 }
 
--- a/io/agent/search.go
+++ b/io/agent/search.go
@@ -143,8 +143,8 @@
 			}
 			replies = append(replies, *result)
 			a.confirm(q, sent, result.reply)
-			if a.opt.Recall != nil && len(result.reply.Departures) > 0 {
-				a.opt.Recall(result.reply.Departures)
+			if a.opt.Recall != nil && (len(result.reply.Departures) > 0 || result.reply.Evacuated) {
+				a.opt.Recall(result.reply.Departures, result.reply.Evacuated)
 			}
 			if result.age <= fresh.StaleAfter && !settling {
 				settling = true
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -126,7 +126,7 @@
 	if d.tracer, err = trace.Open(cfg.Trace, cfg.Daemon.VM); err != nil {
 		return nil, err
 	}
-	d.upstreams = newUpstreamRegistry(cfg.Daemon.VM, d.clock, d.board, d.log, upstreamLease(cfg.Platform))
+	d.upstreams = newUpstreamRegistry(cfg.Daemon.VM, cfg.Daemon.DataCentre, d.clock, d.board, d.log, upstreamLease(cfg.Platform))
 	d.upstreams.recalling = true // until the agent has reached a relay
 	d.changes = change.New(change.Options{Board: d.board, Clock: d.clock, Pool: d.pool, ControlAddresses: d.controls})
 	if err := d.buildPeerServices(); err != nil {
--- a/io/daemon/upstreams.go
+++ b/io/daemon/upstreams.go
@@ -32,10 +32,11 @@
 // upstreamRegistry records the announcement of the upstream on this VM in the board's
 // sections Upstream and Departures, of which it is the only writer.
 type upstreamRegistry struct {
-	vm    ident.VM
-	clock timer.Clock
-	board *board.Board
-	log   *event.Log
+	vm         ident.VM
+	dataCentre ident.DataCentre
+	clock      timer.Clock
+	board      *board.Board
+	log        *event.Log
 
 	mu     sync.Mutex
 	lease  time.Duration
@@ -44,10 +45,13 @@
 	// before; held are the announcements that wait for that, maxHeld at most.
 	recalling bool
 	held      []proxy.Announcement
+	// evacuated is set if a relay has said that the data centre is evacuated, before this
+	// daemon had a configuration.
+	evacuated bool
 }
 
-func newUpstreamRegistry(vm ident.VM, c timer.Clock, b *board.Board, log *event.Log, lease time.Duration) *upstreamRegistry {
-	return &upstreamRegistry{vm: vm, clock: c, board: b, log: log, lease: lease, tenure: tenure.New(c.Now(), lease)}
+func newUpstreamRegistry(vm ident.VM, dc ident.DataCentre, c timer.Clock, b *board.Board, log *event.Log, lease time.Duration) *upstreamRegistry {
+	return &upstreamRegistry{vm: vm, dataCentre: dc, clock: c, board: b, log: log, lease: lease, tenure: tenure.New(c.Now(), lease)}
 }
 
 // Announce records or renews the announcement of the upstream and returns how long
@@ -85,11 +89,13 @@
 	return notice.Process{Upstream: a.Upstream, StartedMs: a.StartedMs}
 }
 
-// Recall adds what a relay knows of upstreams that have left this VM. The first call, with
-// or without any, ends the wait for that.
-func (r *upstreamRegistry) Recall(departures []tenure.Departure) {
+// Recall adds what a relay knows of upstreams that have left this VM, and whether operators
+// evacuate its data centre. The first call, with or without any, ends the wait for that.
+func (r *upstreamRegistry) Recall(departures []tenure.Departure, evacuated bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.evacuated = r.evacuated || evacuated
+	r.updateDrained()
 	if r.tenure.Recall(r.clock.Now(), departures) {
 		r.publishDepartures()
 		r.log.Emit(event.DeparturesRecalled, zap.Any("departures", departures))
@@ -264,7 +270,7 @@
 }
 
 // tick marks the upstream as gone if its announcement has expired, and updates
-// whether operators drain this VM.
+// whether operators let it take calls.
 func (r *upstreamRegistry) tick(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -274,7 +280,8 @@
 	r.updateDrained()
 }
 
-// updateDrained updates whether operators drain this VM; the mutex is held.
+// updateDrained updates whether operators drain this VM or evacuate its data centre; the
+// mutex is held.
 func (r *upstreamRegistry) updateDrained() {
 	next := *r.board.Upstream.Read()
 	if next.Drained == r.isDrained() {
@@ -284,6 +291,9 @@
 	r.board.Upstream.Write(&next)
 }
 
+// isDrained reports whether operators drain this VM or evacuate its data centre. Without a
+// configuration it goes by what relays have said.
 func (r *upstreamRegistry) isDrained() bool {
-	return r.board.Config.Read().State.Drains[r.vm]
+	st := r.board.Config.Read().State
+	return !st.TakesCalls(r.vm, r.dataCentre) || (st.Revision == 0 && r.evacuated)
 }
--- a/io/daemon/upstreams_test.go
+++ b/io/daemon/upstreams_test.go
@@ -8,6 +8,7 @@
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
 	"chicorymast/core/notice"
+	"chicorymast/core/state"
 	"chicorymast/core/tenure"
 	"chicorymast/io/event"
 	"chicorymast/io/proxy"
@@ -18,7 +19,7 @@
 
 func newTestRegistry() (*upstreamRegistry, *timer.Manual) {
 	clock := timer.NewManual(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
-	r := newUpstreamRegistry("vm", clock, board.New(), event.Discard(), defaultUpstreamLease)
+	r := newUpstreamRegistry("vm", "east", clock, board.New(), event.Discard(), defaultUpstreamLease)
 	r.board.RelayContact.Write(&board.RelayContact{At: clock.Now().Add(time.Hour)}) // no departure waits for a relay
 	return r, clock
 }
@@ -203,20 +204,20 @@
 			clock.Advance(1500 * time.Millisecond)
 			announce(t, r, announcement("a", started, 40+sequence))
 		}
-		r.Recall(nil)
+		r.Recall(nil, false)
 		r.mustBeInPhase(t, "a", member.PhaseUp)
 	})
 	t.Run("one that a relay knows as gone", func(t *testing.T) {
 		r, clock, started := recalling()
 		announce(t, r, announcement("a", started, 40))
-		r.Recall([]tenure.Departure{{Process: notice.Process{Upstream: "a", StartedMs: started}, Stage: tenure.Gone, AtMs: clock.Now().UnixMilli()}})
+		r.Recall([]tenure.Departure{{Process: notice.Process{Upstream: "a", StartedMs: started}, Stage: tenure.Gone, AtMs: clock.Now().UnixMilli()}}, false)
 		assert.Assert(t, !r.board.Upstream.Read().Present())
 	})
 	t.Run("one that deregisters meanwhile", func(t *testing.T) {
 		r, _, started := recalling()
 		announce(t, r, announcement("a", started, 40))
 		r.Deregister("a")
-		r.Recall(nil)
+		r.Recall(nil, false)
 		assert.Assert(t, !r.board.Upstream.Read().Present())
 	})
 	t.Run("one that drains meanwhile, then a late announcement", func(t *testing.T) {
@@ -226,15 +227,70 @@
 		announce(t, r, draining)
 		assert.Equal(t, len(*r.board.Departures.Read()), 1, "acknowledged, but no relay is told")
 		announce(t, r, announcement("a", started, 40))
-		r.Recall(nil)
+		r.Recall(nil, false)
 		r.mustBeInPhase(t, "a", member.PhaseDraining)
 	})
 	t.Run("a departure that becomes known late", func(t *testing.T) {
 		r, clock, started := recalling()
 		announce(t, r, announcement("a", started, 40))
-		r.Recall(nil)
+		r.Recall(nil, false)
 		r.mustBeInPhase(t, "a", member.PhaseUp)
-		r.Recall([]tenure.Departure{{Process: notice.Process{Upstream: "a", StartedMs: started}, Stage: tenure.Draining, AtMs: clock.Now().UnixMilli()}})
+		r.Recall([]tenure.Departure{{Process: notice.Process{Upstream: "a", StartedMs: started}, Stage: tenure.Draining, AtMs: clock.Now().UnixMilli()}}, false)
 		r.mustBeInPhase(t, "a", member.PhaseDraining)
 	})
 }
+
+func evacuated(dcs ...ident.DataCentre) *board.Config {
+	st := state.New()
+	st.Revision++ // a configuration without any evacuation
+	for _, dc := range dcs {
+		st.Apply(state.SetEvacuation{Metadata: state.Metadata{ChangeID: ident.ChangeID(dc)}, DataCentre: dc, Evacuating: true})
+	}
+	return board.NewConfig(st, nil)
+}
+
+// Guards against an upstream that is announced as taking calls in an evacuated data centre,
+// also by a daemon that has restarted and has no configuration yet, and against one that
+// gets none after the undo.
+func TestEvacuatedDataCentreDrainsItsUpstreams(t *testing.T) {
+	drained := func(r *upstreamRegistry) bool { return r.board.Upstream.Read().Drained }
+	t.Run("while the evacuation lasts", func(t *testing.T) {
+		r, clock := newTestRegistry()
+		_, err := r.Announce(announcement("a", 1, 1))
+		assert.NilError(t, err)
+		for _, c := range []struct {
+			config *board.Config
+			want   bool
+		}{{evacuated("west"), false}, {evacuated("west", "east"), true}, {evacuated("west"), false}} {
+			r.board.Config.Write(c.config)
+			r.tick(clock.Now())
+			assert.Equal(t, drained(r), c.want)
+		}
+		assert.Equal(t, len(*r.board.Departures.Read()), 0, "an evacuated upstream has not left")
+		r.mustBeInPhase(t, "a", member.PhaseUp)
+	})
+	t.Run("from the first announcement after a restart", func(t *testing.T) {
+		r, clock := newTestRegistry()
+		r.recalling = true
+		_, err := r.Announce(announcement("a", clock.Now().UnixMilli(), 1))
+		assert.NilError(t, err)
+		r.Recall(nil, true)
+		r.mustBeInPhase(t, "a", member.PhaseUp)
+		assert.Assert(t, drained(r), "drained only once the configuration has arrived")
+		r.Recall(nil, false) // another relay, which lags behind
+		assert.Assert(t, drained(r))
+		r.board.Config.Write(evacuated("east"))
+		r.tick(clock.Now())
+		assert.Assert(t, drained(r))
+	})
+	t.Run("until the configuration says otherwise", func(t *testing.T) {
+		r, clock := newTestRegistry()
+		_, err := r.Announce(announcement("a", 1, 1))
+		assert.NilError(t, err)
+		r.Recall(nil, true)
+		assert.Assert(t, drained(r))
+		r.board.Config.Write(evacuated())
+		r.tick(clock.Now())
+		assert.Assert(t, !drained(r), "a relay's word outlasts the configuration")
+	})
+}
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -90,15 +90,22 @@
 	// A stopping daemon still accepts calls while its listener is open. They
 	// come from daemons that do not know yet that it is stopping, or that have
 	// no other upstream for the service.
-	if !takesCalls(upstream) {
+	if !p.takesCalls(upstream) {
 		return fault.Refuse(fault.ReasonDraining, "the upstream on this VM takes no new work")
 	}
 	return nil
 }
 
 // takesCalls reports whether the upstream on this VM takes new calls.
-func takesCalls(upstream *board.Upstream) bool {
-	return upstream.Phase == member.PhaseUp && !upstream.Drained
+func (p *Proxy) takesCalls(upstream *board.Upstream) bool {
+	return upstream.Phase == member.PhaseUp && !upstream.Drained && !p.evacuated()
+}
+
+// evacuated reports whether operators evacuate the data centre of this VM. It reads the
+// configuration itself: upstream.Drained follows the configuration with a delay.
+func (p *Proxy) evacuated() bool {
+	evacuations := p.opt.Board.Config.Read().State.Evacuations
+	return len(evacuations) > 0 && evacuations[p.opt.Config().Daemon.DataCentre]
 }
 
 // acceptFor returns how long a call with the given limit may run, or a refusal if this
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -149,7 +149,7 @@
 func (p *Proxy) Start() (stop func()) {
 	const admissionInterval = 10 * time.Millisecond
 	stopAdmission := p.opt.Clock.Every(admissionInterval, func(now time.Time) {
-		p.admission.tick(now, !takesCalls(p.opt.Board.Upstream.Read()))
+		p.admission.tick(now, !p.takesCalls(p.opt.Board.Upstream.Read()))
 	})
 	stopSuspects := p.opt.Clock.Every(time.Second, p.suspects.expire)
 	reporter := &overloadReporter{p: p}
--- a/io/proxy/router.go
+++ b/io/proxy/router.go
@@ -204,10 +204,10 @@
 }
 
 // undrainedCandidates returns the entries as candidates, without VMs that
-// operators drain.
+// operators drain and without those in data centres that they evacuate.
 func undrainedCandidates(entries []member.Entry, config *board.Config) (candidates []route.Candidate) {
 	for _, e := range entries {
-		if config.State.Drains[e.VM] {
+		if !config.State.TakesCalls(e.VM, e.DataCentre) {
 			continue
 		}
 		candidates = append(candidates, route.Candidate{
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -129,17 +129,23 @@
 	if q.Probe {
 		reply, c := r.confirmation()
 		reply.Config = smallDelta(c, q)
-		reply.Departures = departures
+		reply.Departures, reply.Evacuated = departures, r.evacuated(q)
 		return reply, nil
 	}
 	r.announce(q.Entry)
 	r.await(ctx, q, min(time.Duration(q.WaitMs)*time.Millisecond, maxWait))
 	held := r.opt.Clock.Now().Sub(received) // before the age is read, which goes on
 	reply := r.reply(ctx, q)
-	reply.Departures, reply.HeldMs = departures, held.Milliseconds()
+	reply.Departures, reply.Evacuated, reply.HeldMs = departures, r.evacuated(q), held.Milliseconds()
 	return reply, nil
 }
 
+// evacuated reports whether operators evacuate the data centre of a daemon that has no
+// configuration and so can't know it.
+func (r *Relay) evacuated(q wire.SyncRequest) bool {
+	return q.HaveRevision == 0 && r.opt.Board.Config.Read().State.Evacuations[q.Entry.DataCentre]
+}
+
 // departures returns what is known of upstreams that have left the VM of a daemon that
 // does not use this relay yet. The daemon may have restarted and know nothing of them.
 func (r *Relay) departures(q wire.SyncRequest) []tenure.Departure {
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -204,3 +204,31 @@
 		assert.Assert(t, reply.Full && len(reply.Members) == 201)
 	})
 }
+
+// Guards against a daemon that restarts in an evacuated data centre and lets calls through
+// while its first configuration, which may be large, is on its way or put off.
+func TestDaemonWithoutConfigurationLearnsOfItsEvacuation(t *testing.T) {
+	r, _ := newRelay(t, "relay", never)
+	st := state.New()
+	st.Apply(state.SetEvacuation{Metadata: state.Metadata{ChangeID: "e"}, DataCentre: "east", Evacuating: true})
+	r.opt.Board.Config.Write(board.NewConfig(st, nil))
+	for name, c := range map[string]struct {
+		dc   ident.DataCentre
+		have ident.Revision
+		want bool
+	}{
+		"without a configuration":  {"east", 0, true},
+		"in another data centre":   {"west", 0, false},
+		"by its own configuration": {"east", 1, false},
+	} {
+		for _, probe := range []bool{true, false} {
+			t.Run(name, func(t *testing.T) {
+				entry := up("vm")
+				entry.DataCentre = c.dc
+				reply, err := r.sync(t.Context(), wire.SyncRequest{Probe: probe, Entry: entry, HaveRevision: c.have, Small: true})
+				assert.NilError(t, err)
+				assert.Equal(t, reply.Evacuated, c.want)
+			})
+		}
+	}
+}
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -69,6 +69,9 @@
 	// Departures are those of the daemon's own VM that the relay knew before the request.
 	// They are returned to probes and to the first sync with a relay.
 	Departures []tenure.Departure `json:"departures,omitempty"`
+	// Evacuated is set if operators evacuate the data centre of a daemon that has no
+	// configuration yet. The configuration itself may be large and put off.
+	Evacuated bool `json:"evacuated,omitempty"`
 }
 
 // ConfigDelta leads to Revision from the revision of the request: by commands,
