admin, platform, commands: an order to evacuate a data centre

An operator gets a plan first: for each service the upstreams and slots that remain, and a warning where none does. chicorymast evacuate DATA_CENTRE shows it, asks, and names the plan's base in its order, so a confirmation in between refuses it.

Each daemon logs when an evacuation begins (1206) or ends (1207) there, and shows the number of evacuated data centres in a gauge.

--- a/commands/show.go
+++ b/commands/show.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 
 	"chicorymast/io/admin"
 )
@@ -22,6 +24,9 @@
 	}
 	return c.print(conf, func(w io.Writer) {
 		fmt.Fprintf(w, "revision %d, digest %s\n", conf.Revision, conf.Digest)
+		for _, dc := range slices.Sorted(maps.Keys(conf.Evacuations)) {
+			fmt.Fprintf(w, "data centre %s is evacuated\n", dc)
+		}
 		text, err := json.MarshalIndent(conf.Intent, "", "  ")
 		if err == nil {
 			fmt.Fprintln(w, string(text))
--- a/core/board/daemon.go
+++ b/core/board/daemon.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math"
 	"reflect"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,6 +61,16 @@
 	return confirmed && b.Lifecycle.Read().Phase == PhaseRunning
 }
 
+// KnowsDataCentre reports whether a data centre is in the configuration, is evacuated, or
+// has a daemon that is known here.
+func (b *Board) KnowsDataCentre(dc ident.DataCentre) bool {
+	st := b.Config.Read().State
+	if _, configured := st.Intent.DataCentres[dc]; configured || st.Evacuations[dc] {
+		return true
+	}
+	return slices.ContainsFunc(b.Members.Read().Entries, func(e member.Entry) bool { return e.DataCentre == dc })
+}
+
 // Config is the configuration in force, indexed for use on the hot path.
 type Config struct {
 	State *state.State
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -82,6 +82,8 @@
 		{"GET /v1/control", config.OperatorView, (*api).listControl},
 		{"POST /v1/control", config.OperatorAdminister, (*api).changeControl},
 		{"POST /v1/drains", config.OperatorConfirm, (*api).drain},
+		{"POST " + evacuationPlanPath, config.OperatorPlan, (*api).planEvacuation},
+		{"POST /v1/evacuations", config.OperatorConfirm, (*api).evacuate},
 	}
 	for _, route := range routes {
 		mux.HandleFunc(route.pattern, a.authorize(route.role, route.handle))
@@ -155,7 +157,7 @@
 // must also be based on everything accepted before it, or its confirmation would
 // be refused.
 func (a *api) notReady(r *http.Request) *Problem {
-	isPlan := r.URL.Path == "/v1/plans"
+	isPlan := r.URL.Path == "/v1/plans" || r.URL.Path == evacuationPlanPath
 	if r.Method != http.MethodGet && !isPlan || r.URL.Path == "/v1/status" {
 		return nil
 	}
--- a/io/admin/resources.go
+++ b/io/admin/resources.go
@@ -23,6 +23,8 @@
 	Digest   string            `json:"digest"`
 	Intent   intent.Intent     `json:"intent"`
 	Drains   map[ident.VM]bool `json:"drains"`
+	// Evacuations are the data centres whose upstreams get no new calls.
+	Evacuations map[ident.DataCentre]bool `json:"evacuations"`
 }
 
 // PlanRequest asks what an intent would change. Text is in INI form.
@@ -93,7 +95,9 @@
 
 func (a *api) showConfiguration(*http.Request, ident.Actor) (any, *Problem) {
 	c := a.opt.Board.Config.Read()
-	return Configuration{Revision: c.State.Revision, Digest: c.Digest(), Intent: c.State.Intent, Drains: c.State.Drains}, nil
+	return Configuration{
+		Revision: c.State.Revision, Digest: c.Digest(), Intent: c.State.Intent, Drains: c.State.Drains, Evacuations: c.State.Evacuations,
+	}, nil
 }
 
 func (a *api) status(r *http.Request, _ ident.Actor) (any, *Problem) {
--- a/io/change/change.go
+++ b/io/change/change.go
@@ -7,6 +7,7 @@
 //	result, err := c.Propose(ctx, command) // any command
 //	result, err = c.PutDocument(ctx, doc, actor) // an intent that needs no confirmation
 //	doc, err := c.GetDocument(ctx) // the latest document
+//	result, err = c.SetEvacuation(ctx, dc, true, actor) // without a plan
 //
 // Reads are linearizable: they return at least what was acknowledged before they
 // began, or they fail. Errors: ErrOutcomeUnknown.
@@ -23,6 +24,8 @@
 	"chicorymast/core/state"
 	"chicorymast/io/timer"
 	"chicorymast/io/wire"
+
+	"github.com/google/uuid"
 )
 
 // Options are the dependencies of a client.
@@ -131,6 +134,13 @@
 	return state.Result{}, ErrOutcomeUnknown
 }
 
+// SetEvacuation starts or ends the evacuation of a data centre, without a plan. Each call
+// is a change of its own, which is accepted also if it is in force already.
+func (c *Client) SetEvacuation(ctx context.Context, dc ident.DataCentre, evacuating bool, actor ident.Actor) (state.Result, error) {
+	m := state.Metadata{ChangeID: ident.ChangeID(uuid.NewString()), Actor: actor, AtMillis: c.opt.Clock.Now().UnixMilli()}
+	return c.Propose(ctx, state.SetEvacuation{Metadata: m, DataCentre: dc, Evacuating: evacuating})
+}
+
 // overtaken reports whether a conflict came from a confirmation without a document,
 // so that the document can be submitted again on top of that change.
 func (c *Client) overtaken(ctx context.Context, d Document, planned *state.State) bool {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -133,6 +133,7 @@
 		return nil, err
 	}
 	d.registerBulkMetrics()
+	d.registerEvacuationMetrics()
 	d.buildProxy()
 	return d, d.listen()
 }
@@ -321,7 +322,8 @@
 		go func() { d.reportServeError(d.callers.Serve()) }()
 		d.stops = append(d.stops, d.clock.Every(tickInterval, func(time.Time) { d.callers.Apply(d.callerLimits()) }))
 	}
-	d.stops = append(d.stops, d.relay.Start(), d.limiter.Start(), d.records.Start(), d.proxy.Start(), d.trail.Start(), d.clock.Every(tickInterval, d.upstreams.tick))
+	d.stops = append(d.stops, d.relay.Start(), d.limiter.Start(), d.records.Start(), d.proxy.Start(), d.trail.Start(), d.clock.Every(tickInterval, d.upstreams.tick),
+		d.clock.Every(tickInterval, (&evacuationWatch{board: d.board, log: d.log}).tick))
 	if d.control != nil {
 		d.control.Start()
 		d.stops = append(d.stops, d.control.Stop)
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -36,6 +36,8 @@
 	ConfigFresh          ID = 1203
 	RelayChanged         ID = 1204
 	DigestMismatch       ID = 1205
+	EvacuationBegun      ID = 1206
+	EvacuationEnded      ID = 1207
 	ChangeAccepted       ID = 1301
 	ChangeRefused        ID = 1302
 	LogTailTruncated     ID = 1401
@@ -93,6 +95,8 @@
 	{ConfigFresh, zapcore.InfoLevel, "The configuration is confirmed as current again."},
 	{RelayChanged, zapcore.InfoLevel, "The daemon receives its configuration from another relay."},
 	{DigestMismatch, zapcore.ErrorLevel, "The configuration's digest differs from the relay's; the whole configuration is fetched."},
+	{EvacuationBegun, zapcore.WarnLevel, "A data centre is evacuated; the upstreams there get no new calls."},
+	{EvacuationEnded, zapcore.InfoLevel, "The evacuation of a data centre has ended; the upstreams there get calls again."},
 	{ChangeAccepted, zapcore.InfoLevel, "A change was accepted."},
 	{ChangeRefused, zapcore.WarnLevel, "A change was refused."},
 	{UpstreamLeaving, zapcore.InfoLevel, "The upstream on this VM said in a response that it leaves; it gets no new calls."},
