--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -129,13 +129,14 @@
 	if d.tracer, err = trace.Open(cfg.Trace, cfg.Daemon.VM); err != nil {
 		return nil, err
 	}
-	d.upstreams = newUpstreamRegistry(cfg.Daemon.VM, d.clock, d.board, d.log, upstreamLease(cfg.Platform))
+	d.upstreams = newUpstreamRegistry(cfg.Daemon.VM, cfg.Daemon.DataCentre, d.clock, d.board, d.log, upstreamLease(cfg.Platform))
 	d.upstreams.recalling = true // until the agent has reached a relay
 	d.changes = change.New(change.Options{Board: d.board, Clock: d.clock, Pool: d.pool, ControlAddresses: d.controls})
 	if err := d.buildPeerServices(); err != nil {
 		return nil, err
 	}
 	d.registerBulkMetrics()
+	d.registerEvacuationMetrics()
 	d.buildProxy()
 	return d, d.listen()
 }
@@ -325,7 +326,8 @@
 		go func() { d.reportServeError(d.callers.Serve()) }()
 		d.stops = append(d.stops, d.clock.Every(tickInterval, func(time.Time) { d.callers.Apply(d.callerLimits()) }))
 	}
-	d.stops = append(d.stops, d.relay.Start(), d.limiter.Start(), d.records.Start(), d.proxy.Start(), d.trail.Start(), d.clock.Every(tickInterval, d.upstreams.tick))
+	d.stops = append(d.stops, d.relay.Start(), d.limiter.Start(), d.records.Start(), d.proxy.Start(), d.trail.Start(), d.clock.Every(tickInterval, d.upstreams.tick),
+		d.clock.Every(tickInterval, (&evacuationWatch{board: d.board, log: d.log}).tick))
 	if d.control != nil {
 		d.control.Start()
 		d.stops = append(d.stops, d.control.Stop)
