retry: a window of first sends and repeats for each service

An upstream that rejects 55% of its calls got 2,386 repeats for 27,446 rejected arrivals, because repeats are earned by successes only and at a quarter of the ratio.

Window earns them by first sends. Repeats in any period up to the length of the window stay below ratio x first sends of the same period + the daemon's share of the slack. A comparison with the counts of the last window alone is not enough: if first sends stop, the repeats that they allowed come into windows without them. The slack is not usable in the first window after a start, so restarts add none.

A slack below one for each daemon can't be divided. Daemons then earn repeats from a random point on, and save few, so the sum keeps the bound.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -12,6 +12,11 @@
 //	throttle.RecordSuccess()
 //	if throttle.Spend() { ... }
 //
+//	window := retry.NewWindow(0.2, 10*time.Second, started, rng) // instead of a throttle
+//	window.SetSlack(97.0 / daemons)
+//	window.RecordFirst(now)
+//	if window.Spend(now, progress) { ... }
+//
 // Lent retries are subtracted from the lender's budget, so the sum over a call
 // tree of any depth and fan-out never exceeds the initial budget. A Budget and a
 // Throttle are not safe for concurrent use.
