proxy: retries by first sends, and rejections that cost no run

With [calls] retry_window above zero, the window of a service replaces its throttle: the first attempt of each call earns retries, and a retry is used only if an earlier attempt may have reached an upstream or as before. The calls of a run that was itself a repeat count as repeats; the field repeat of the call header tells the daemon that dispatches them.

A response that proves that nothing has run no longer uses the retries of the action, which bound runs, unless another attempt may have run.

--- a/config/calls.go
+++ b/config/calls.go
@@ -29,6 +29,10 @@
 	// RetrySlack unused retries are saved. Each daemon enforces its share.
 	RetryRatio float64 `ini:"retry_ratio"`
 	RetrySlack float64 `ini:"retry_slack"`
+	// RetryWindow is the period in which RetryRatio and RetrySlack hold. If it is above
+	// zero, retries are earned by calls that are sent for the first time, not by successes,
+	// and each daemon has the whole ratio.
+	RetryWindow time.Duration `ini:"retry_window"`
 	// Connections is the maximum number of open connections on the caller listener.
 	Connections int `ini:"connections"`
 }
@@ -65,6 +69,8 @@
 		return "retry_ratio", "must be between 0 and 1"
 	case !(c.RetrySlack >= 0) || math.IsInf(c.RetrySlack, 1):
 		return "retry_slack", "must be a number of at least zero"
+	case c.RetryWindow < 0:
+		return "retry_window", "can't be below zero"
 	case c.Connections < 1:
 		return "connections", "must be at least 1"
 	}
--- a/core/inflow/profile.go
+++ b/core/inflow/profile.go
@@ -60,6 +60,19 @@
 	return false
 }
 
+// CallsPerRun returns the mean number of nested calls of a run of a route.
+func (p *Profiles) CallsPerRun(now time.Time, r ident.Route) (n float64) {
+	prof := p.routes[r]
+	if prof == nil {
+		return 0
+	}
+	runs := max(1, prof.runs.Sum(now))
+	for _, calls := range prof.calls {
+		n += calls.Sum(now) / runs
+	}
+	return n
+}
+
 // Costs returns what one call of a route costs at the upstream's own service,
 // where share is the share to refuse, and at the services of its nested calls,
 // whose costs children holds. Services with nothing to refuse are left out.
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -45,7 +45,7 @@
 	earned float64
 	// wantedAt is when a repeat was last wanted, and repeatedAt when one was last made.
 	wantedAt, repeatedAt time.Time
-	counts   WindowCounts
+	counts               WindowCounts
 }
 
 // WindowCounts are numbers since the window was created, for metrics.
--- a/io/header/header.go
+++ b/io/header/header.go
@@ -87,7 +87,10 @@
 	// nested call whose parent the trace context names.
 	Depth int `json:"depth"`
 	// Retries is the retry budget of the call and all its nested calls.
-	Retries   int   `json:"retries"`
+	Retries int `json:"retries"`
+	// Repeat is set if an earlier attempt of the call may have reached an upstream, and on
+	// the calls of a run that was itself such a repeat.
+	Repeat    bool  `json:"repeat,omitempty"`
 	TimeoutMs int64 `json:"timeout_ms"`
 	// UpstreamNotice is what the dispatching daemon knows of a limited upstream that the
 	// call goes to, for a daemon beside it that has restarted.
--- a/io/proxy/calls.go
+++ b/io/proxy/calls.go
@@ -18,7 +18,9 @@
 	mu              sync.Mutex
 	budget          retry.Budget
 	runningChildren int
-	nestedSince     time.Time
+	// finishedChildren is the number of nested calls that have ended.
+	finishedChildren int
+	nestedSince      time.Time
 	// nestedTime is the time during which at least one nested call was running.
 	nestedTime time.Duration
 	// nestedFailure is set if a nested call failed.
@@ -45,11 +47,19 @@
 	s.budget.Settle(lent, unspentRetries)
 	s.nestedFailure = s.nestedFailure || failed
 	s.runningChildren--
+	s.finishedChildren++
 	if s.runningChildren == 0 {
 		s.nestedTime += now.Sub(s.nestedSince)
 	}
 }
 
+// finishedCalls returns the number of nested calls that have ended.
+func (s *servedCall) finishedCalls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.finishedChildren
+}
+
 func (s *servedCall) summary(now time.Time) (unspentRetries int, nestedTime time.Duration, nestedFailure bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"time"
 
 	"chicorymast/core/admit"
@@ -22,12 +23,18 @@
 	call header.Call
 	// parent is the action id of the call that an upstream makes this one for.
 	parent ident.ActionID
-	// attempts counts how often the call was sent.
+	// attempts counts how often the call was sent; arrived is set if one of them may have
+	// reached an upstream.
 	attempts int
-	method   string
-	url      *url.URL
-	header   http.Header
-	body     *payload
+	arrived  bool
+	// progress is the part of the call tree that was done before the call.
+	progress float64
+	// vmLimit is the largest number of VMs that the call may reach, zero for any.
+	vmLimit int
+	method  string
+	url     *url.URL
+	header  http.Header
+	body    *payload
 	// fingerprint identifies the content, to recognise requests that crash upstreams.
 	fingerprint poison.Fingerprint
 }
@@ -71,6 +78,12 @@
 	suspectRefusalDelay = 800 * time.Millisecond
 )
 
+// isRepeat reports whether the next attempt is an arrival beyond the first one of its
+// request.
+func (o *outboundCall) isRepeat() bool {
+	return o.call.Repeat || o.arrived
+}
+
 // dispatchState is the state of a dispatch over all of its attempts.
 type dispatchState struct {
 	budget retry.Budget
@@ -78,6 +91,13 @@
 	// maybeRan is set if the call may have run in an earlier attempt.
 	maybeRan    bool
 	lastRefusal *fault.Refusal
+	// reached holds the VMs at which an attempt may have reached an upstream.
+	reached []ident.VM
+	lastVM  ident.VM
+	// rejections counts the attempts that upstreams have rejected without running the call,
+	// and rejectedBy holds their VMs, which may be tried again.
+	rejections int
+	rejectedBy []ident.VM
 }
 
 func newDispatchState(o *outboundCall) *dispatchState {
@@ -92,6 +112,10 @@
 func (d *dispatchState) addAttempt(vm ident.VM, lent int, a attempt) {
 	d.budget.Settle(lent, a.unspentRetries)
 	d.tried[vm] = true
+	d.lastVM = vm
+	if (a.refusal == nil || !a.refusal.NotRun) && !slices.Contains(d.reached, vm) {
+		d.reached = append(d.reached, vm)
+	}
 	if a.refusal != nil {
 		d.lastRefusal = a.refusal
 		d.maybeRan = d.maybeRan || !a.refusal.NotRun
@@ -117,22 +141,26 @@
 		return nil, retryOutcome{unspentRetries: d.budget.Remaining()}, r
 	}
 	for n := 0; ; n++ {
-		vm, spill, ok := p.pick(o.call, d.tried)
+		vm, spill, ok := p.pickNext(o, d)
 		if !ok {
 			return d.finalRefusal(false)
 		}
 		p.noteSpill(o, vm, spill)
+		if n == 0 && !p.passThrough() {
+			p.router.recordSend(o.call)
+		}
 		o.attempts++
 		lent := d.budget.Lend()
 		sent := p.opt.Clock.Now()
 		a := p.sendOnce(ctx, o, vm, lent)
 		d.addAttempt(vm.VM, lent, a)
+		o.arrived = p.router.limitsByWindow(o.call.Service) && len(d.reached) > 0
 		decision := retryFinalResponse
 		if a.response == nil || retryableResponse(o, a) {
-			decision = p.decideRetry(ctx, o, a, &d.budget, n)
+			decision = p.decideRetry(ctx, o, a, d, n)
 		}
 		p.noteAttempt(ctx, o, vm, a, sent, d.budget.Remaining(), decision)
-		if decision == retryAgain && p.waitBeforeRetry(ctx, a, n) {
+		if decision == retryAgain && p.waitBeforeRetry(ctx, a, d, n) {
 			a.discard()
 			p.opt.Metrics.retries.Inc()
 			continue
@@ -144,6 +172,23 @@
 	}
 }
 
+// pickNext chooses the VM for the next attempt. Once all have been tried, or as many as the
+// call may reach, those that have rejected it without running it are tried again.
+func (p *Proxy) pickNext(o *outboundCall, d *dispatchState) (route.Candidate, route.Spill, bool) {
+	if len(d.rejectedBy) > 0 && o.vmLimit > 0 && len(d.reached) >= o.vmLimit {
+		return p.pick(o.call, p.router.allBut(o.call.Service, d.rejectedBy))
+	}
+	vm, spill, ok := p.pick(o.call, d.tried)
+	if ok || len(d.rejectedBy) == 0 {
+		return vm, spill, ok
+	}
+	for _, vm := range d.rejectedBy {
+		delete(d.tried, vm)
+	}
+	d.rejectedBy = nil
+	return p.pick(o.call, d.tried)
+}
+
 // pick chooses a VM that has not been tried, or any VM in pass-through mode once
 // all have been tried.
 func (p *Proxy) pick(c header.Call, tried map[ident.VM]bool) (route.Candidate, route.Spill, bool) {
@@ -191,7 +236,7 @@
 
 // decideRetry decides whether to retry after attempt n and takes the retry from the
 // budgets.
-func (p *Proxy) decideRetry(ctx context.Context, o *outboundCall, a attempt, budget *retry.Budget, n int) retryDecision {
+func (p *Proxy) decideRetry(ctx context.Context, o *outboundCall, a attempt, d *dispatchState, n int) retryDecision {
 	switch {
 	case ctx.Err() != nil:
 		return contextRetryDecision(ctx)
@@ -204,8 +249,8 @@
 	case a.nestedFailure:
 		return retryNestedFailure
 	}
-	if d := refusalRetryDecision(o, a.refusal); d != retryAgain {
-		return d
+	if decision := refusalRetryDecision(o, a.refusal); decision != retryAgain {
+		return decision
 	}
 	if r := p.suspects.refuse(p.opt.Clock.Now(), o.fingerprint); r != nil {
 		timer.Sleep(ctx, suspectRefusalDelay)
@@ -214,9 +259,31 @@
 	switch {
 	case a.refusedByAdmission() && n < freeRetries:
 		return retryAgain // the call did not reach an upstream, so the retry needs no budget
-	case !budget.Spend():
+	case p.provedNotRun(o, a, d):
+		return p.decideRejected(o, d)
+	case !d.budget.Spend():
 		return retryActionBudget
-	case !p.router.spendRetry(o.call.Service):
+	case !p.router.spendRetry(o.call.Service, o.progress):
+		return retryServiceBudget
+	}
+	return retryAgain
+}
+
+// provedNotRun reports whether an upstream has proved that it has not run the call, and no
+// other attempt may have run either, where the window of the service limits retries.
+func (p *Proxy) provedNotRun(o *outboundCall, a attempt, d *dispatchState) bool {
+	return a.response != nil && a.response.header.Get(header.NotRun) == "true" && !d.maybeRan && p.router.limitsByWindow(o.call.Service)
+}
+
+// decideRejected decides whether a call that has not run is sent again. The retries of its
+// action bound runs, so it uses none of them.
+func (p *Proxy) decideRejected(o *outboundCall, d *dispatchState) retryDecision {
+	d.rejections++
+	d.rejectedBy = append(d.rejectedBy, d.lastVM)
+	switch {
+	case d.rejections > p.router.rejectionLimit(o.call.Service):
+		return retryAttempts
+	case !p.router.spendRetry(o.call.Service, o.progress):
 		return retryServiceBudget
 	}
 	return retryAgain
@@ -224,10 +291,13 @@
 
 // waitBeforeRetry waits for the backoff after attempt n, unless the attempt put no
 // load on an upstream. It reports false if ctx ended first.
-func (p *Proxy) waitBeforeRetry(ctx context.Context, a attempt, n int) bool {
+func (p *Proxy) waitBeforeRetry(ctx context.Context, a attempt, d *dispatchState, n int) bool {
 	if p.passThrough() || (a.refusedByAdmission() && n < freeRetries) {
 		return true
 	}
+	if d.rejections > 0 {
+		return p.backoff(ctx, min(d.rejections-1, maxRejectionBackoff))
+	}
 	return p.backoff(ctx, n)
 }
 
--- a/io/proxy/entryadmission.go
+++ b/io/proxy/entryadmission.go
@@ -77,6 +77,13 @@
 	e.profiles.RecordCall(e.opt.Clock.Now(), r, child)
 }
 
+// callsPerRun returns the mean number of nested calls of a run of a route on this VM.
+func (e *entryAdmission) callsPerRun(r ident.Route) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.profiles.CallsPerRun(e.opt.Clock.Now(), r)
+}
+
 // selfTimeKnown reports whether the self time of a route's calls can be measured.
 // Without a trace context, nested calls may be attributed to the wrong run.
 func (e *entryAdmission) selfTimeKnown(r ident.Route) bool {
--- a/io/proxy/local.go
+++ b/io/proxy/local.go
@@ -170,6 +170,7 @@
 		resp, _, refusal := p.dispatch(ctx, o)
 		return resp, refusal
 	}
+	o.progress = p.progress(parent)
 	lent := parent.lendRetries(p.opt.Clock.Now())
 	o.call.Retries = min(o.call.Retries, lent)
 	reserved := lent - o.call.Retries
@@ -216,6 +217,6 @@
 	h.Set("Host", r.Host)
 	p.entryAdmission.recordNestedCall(parent.call.Route, name)
 	return &outboundCall{
-		call: call, parent: parent.call.Action, method: r.Method, url: r.URL, header: h, body: body, fingerprint: contentFingerprint(r, body),
+		call: call, parent: parent.call.Action, vmLimit: spec.Attempts, method: r.Method, url: r.URL, header: h, body: body, fingerprint: contentFingerprint(r, body),
 	}, nil
 }
--- a/io/proxy/metrics.go
+++ b/io/proxy/metrics.go
@@ -15,6 +15,7 @@
 	refusals *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
 	retries  prometheus.Counter
+	repeats  *prometheus.CounterVec
 	replays  prometheus.Counter
 	// The gauges below are set by overloadReporter.
 	limit            prometheus.Gauge
@@ -41,6 +42,9 @@
 		retries: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "chicorymast_retries_total", Help: "Calls sent again by this daemon.",
 		}),
+		repeats: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chicorymast_service_retries_total", Help: "Retries that the window of a service allowed or denied at this daemon.",
+		}, []string{"service", "verdict"}),
 		replays: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "chicorymast_replays_total", Help: "Answers given again from an action's record.",
 		}),
@@ -63,7 +67,7 @@
 			Name: "chicorymast_entry_refuse_share", Help: "Share of the demand for a service to refuse, as known at this entry.",
 		}, []string{"route", "service"}),
 	}
-	reg.MustRegister(m.calls, m.refusals, m.seconds, m.retries, m.replays,
+	reg.MustRegister(m.calls, m.refusals, m.seconds, m.retries, m.repeats, m.replays,
 		m.limit, m.upstreamLimit, m.startedRate, m.arrivingSlots, m.refuseShare, m.entryRefuseShare)
 	return m
 }
@@ -73,6 +77,14 @@
 	m.seconds.WithLabelValues(hop).Observe(duration.Seconds())
 }
 
+func (m *Metrics) repeat(service ident.Service, allowed bool) {
+	verdict := "denied"
+	if allowed {
+		verdict = "allowed"
+	}
+	m.repeats.WithLabelValues(string(service), verdict).Inc()
+}
+
 func (m *Metrics) refused(hop string, reason fault.Reason) {
 	m.refusals.WithLabelValues(hop, string(reason)).Inc()
 }
--- a/io/proxy/router.go
+++ b/io/proxy/router.go
@@ -34,6 +34,7 @@
 	mu       sync.Mutex
 	rng      *rand.Rand
 	services map[ident.Service]*serviceState
+	started  time.Time
 	splits   map[ident.Route]*route.Split
 
 	reachMu sync.Mutex
@@ -46,8 +47,10 @@
 	mu       sync.Mutex
 	balancer *route.Balancer
 	throttle retry.Throttle
-	members  *board.Members
-	config   *board.Config
+	// window replaces the throttle if it is not nil.
+	window  *retry.Window
+	members *board.Members
+	config  *board.Config
 	// leaving is the number of processes that were known to leave.
 	leaving uint64
 }
@@ -55,7 +58,7 @@
 func newRouter(opt Options, n *notices, rng *rand.Rand) *router {
 	return &router{
 		opt: opt, notices: n, rng: rng, services: map[ident.Service]*serviceState{}, splits: map[ident.Route]*route.Split{},
-		reach: route.NewReach(opt.Config().Daemon.DataCentre),
+		reach: route.NewReach(opt.Config().Daemon.DataCentre), started: opt.Clock.Now(),
 	}
 }
 
@@ -88,6 +91,7 @@
 		s = &serviceState{
 			balancer: route.New(rt.opt.Config().Daemon.DataCentre, rng),
 			throttle: rt.newThrottle(),
+			window:   rt.newWindow(rng),
 		}
 		rt.services[name] = s
 	}
@@ -173,14 +177,6 @@
 	return s.balancer.Status(now)
 }
 
-// retryCredit returns the retries to a service that this daemon may make now.
-func (rt *router) retryCredit(name ident.Service) float64 {
-	s := rt.service(name)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.throttle.Credit()
-}
-
 // refresh updates the balancer if the members or the configuration on the board have
 // changed, or another process is known to leave. VMs whose daemons are stopping are used
 // if there are no others.
@@ -229,10 +225,3 @@
 	}
 	return s.balancer.Done(now, vm, r)
 }
-
-func (rt *router) spendRetry(name ident.Service) bool {
-	s := rt.service(name)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.throttle.Spend()
-}
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -80,6 +80,7 @@
 	req := &http.Request{Method: o.method, URL: &target, Header: o.header.Clone(), Host: o.header.Get("Host")}
 	call := o.call
 	call.Retries = lent
+	call.Repeat = o.isRepeat()
 	call.ServiceRefuseShare = p.entryAdmission.serviceRefuseShare(call.Route, call.Service)
 	call.TimeoutMs = remaining(ctx, p.opt.Clock.Now()).Milliseconds()
 	call.RoomElsewhere = p.router.roomElsewhere(call.Service, admissionLevel(call), vm.VM)
