retry, proxy: scarce repeats go to the calls that are worth most

What a tree has spent is lost if one of its calls fails, so a repeat is worth more at a late call than at a first one, and nothing in a run of which another call has failed. A price in the window rises with each repeat that is denied for lack of credit and falls while repeats that were earned can't be saved; a repeat of less worth is denied. At the same position, the rank of the action decides, so few trees are completed. The last tenth of what is saved is left to late calls.

A slack of less than 1.5 for each daemon is no longer divided, since the repeats that were earned could not be saved until one is wanted.

--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -9,11 +9,19 @@
 const (
 	// windowParts is the number of parts of a window; a part is forgotten as a whole.
 	windowParts = 20
-	// earlyReserve is the part of the repeats saved beyond the next one that is kept for
-	// late calls: a tree that fails at its first call has spent nothing.
-	earlyReserve = 0.9
-	// savedTime is how long a daemon with a slack below one saves repeats after one was
-	// last wanted, for each unit of its slack.
+	// earlyReserve is the part of the saved repeats that is kept for late calls: a tree that
+	// fails at its first call has spent nothing.
+	earlyReserve = 0.1
+	// priceRise is the change of the price with each repeat that is denied for lack of
+	// credit, priceFall that with each first send while no more repeats can be saved. The
+	// price falls faster, so that few repeats are lost.
+	priceRise = 0.02
+	priceFall = 0.1
+	// minDivided is the smallest slack of a daemon that limits its repeats by itself. Below
+	// it, too many repeats that were earned could not be saved until one is wanted.
+	minDivided = 1.5
+	// savedTime is how long a daemon with a slack below minDivided saves repeats after one
+	// was last wanted, for each unit of its slack.
 	savedTime = time.Second
 	// minSaved is the smallest slack for which repeats are saved. Below it, nothing would
 	// be left of what was earned when a call fails.
@@ -28,11 +36,15 @@
 // therefore keeps the bound in each window, also if first sends stop while repeats are
 // still wanted: a budget that counts the first sends of the last window would exceed it.
 //
-// The slack of a large fleet is less than one repeat for each daemon. A daemon then earns
+// The slack of a large fleet is about one repeat for each daemon, or less. A daemon then earns
 // one repeat for each 1/ratio of its first sends, beginning at a random point, and saves
 // none while none are wanted. So the repeats of all daemons exceed ratio x first sends
 // only by the variance of these random points and by the few that are saved, which the
-// slack covers. A Window is not safe for concurrent use.
+// slack covers.
+//
+// While fewer repeats are allowed than wanted, those of the highest worth are made: a price
+// rises with each denied repeat, and falls while repeats that were earned can't be saved.
+// A Window is not safe for concurrent use.
 type Window struct {
 	ratio float64
 	slack float64
@@ -41,16 +53,13 @@
 	started    time.Time
 	partLength time.Duration
 	parts      [windowParts + 1]windowPart
-	// earned is the number of repeats that may be made if the slack is below one.
+	// earned is the number of repeats that may be made if the slack is not divided.
 	earned float64
+	// price is the worth from which repeats are allowed. It is above zero while more are
+	// wanted than allowed, so that those of the highest worth are made.
+	price float64
 	// wantedAt is when a repeat was last wanted, and repeatedAt when one was last made.
 	wantedAt, repeatedAt time.Time
-	counts               WindowCounts
-}
-
-// WindowCounts are numbers since the window was created, for metrics.
-type WindowCounts struct {
-	First, Allowed, Denied uint64
 }
 
 // windowPart sums up repeats - ratio x first sends in one part of the window.
@@ -74,7 +83,9 @@
 
 // RecordFirst records the first sending of a call.
 func (w *Window) RecordFirst(now time.Time) {
-	w.counts.First++
+	if w.Credit(now)+w.ratio > w.limit() {
+		w.price = max(0, w.price-priceFall)
+	}
 	w.add(now, -w.ratio)
 	w.earned += w.ratio
 	if w.earned >= w.limit() {
@@ -83,10 +94,15 @@
 	w.forgetUnwanted(now)
 }
 
+// divided reports whether the slack is divided among the daemons.
+func (w *Window) divided() bool {
+	return w.slack >= minDivided
+}
+
 // limit returns the largest number of repeats that may be saved.
 func (w *Window) limit() float64 {
-	if w.slack < 1 {
-		return 1 + max(w.slack, minSaved)
+	if !w.divided() {
+		return 1 + min(max(w.slack, minSaved), 1)
 	}
 	return w.slack
 }
@@ -114,35 +130,32 @@
 	w.repeatedAt = now
 }
 
-// Spend uses one repeat and reports false if none is allowed. Progress is the part of the
-// call tree that is done, from 0 to 1: the later a call, the more of what is saved it may
-// use.
-func (w *Window) Spend(now time.Time, progress float64) bool {
+// Spend uses one repeat and reports false if none is allowed. Worth is what the repeat may
+// save, from 0 to 1: a late call of a tree is worth more than its first one.
+func (w *Window) Spend(now time.Time, worth float64) bool {
 	w.forgetUnwanted(now)
 	w.wantedAt = now
-	reserve := earlyReserve * (1 - min(max(progress, 0), 1)) * (w.limit() - 1)
+	worth = min(max(worth, 0), 1)
+	if worth < w.price {
+		return false
+	}
+	reserve := (1 - worth) * min(earlyReserve*w.limit(), w.limit()-1)
 	if w.Credit(now)+rounding < 1+reserve {
-		w.counts.Denied++
+		w.price = min(1, w.price+priceRise)
 		return false
 	}
-	w.counts.Allowed++
 	w.repeat(now)
 	return true
 }
 
 // Credit returns the repeats that are allowed now.
 func (w *Window) Credit(now time.Time) float64 {
-	if w.slack < 1 {
+	if !w.divided() {
 		return w.earned
 	}
 	return w.slack - w.excess(now)
 }
 
-// Counts returns the numbers of calls since the window was created.
-func (w *Window) Counts() WindowCounts {
-	return w.counts
-}
-
 // number returns the number of the part that contains a time.
 func (w *Window) number(t time.Time) int64 {
 	return int64(t.Sub(w.started) / w.partLength)
--- a/io/proxy/calls.go
+++ b/io/proxy/calls.go
@@ -53,11 +53,11 @@
 	}
 }
 
-// finishedCalls returns the number of nested calls that have ended.
-func (s *servedCall) finishedCalls() int {
+// nestedCalls returns the number of nested calls that have ended, and whether one failed.
+func (s *servedCall) nestedCalls() (finished int, failed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.finishedChildren
+	return s.finishedChildren, s.nestedFailure
 }
 
 func (s *servedCall) summary(now time.Time) (unspentRetries int, nestedTime time.Duration, nestedFailure bool) {
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -27,8 +27,8 @@
 	// reached an upstream.
 	attempts int
 	arrived  bool
-	// progress is the part of the call tree that was done before the call.
-	progress float64
+	// served is the call for whose run the upstream on this VM makes this one, if known.
+	served *servedCall
 	// vmLimit is the largest number of VMs that the call may reach, zero for any.
 	vmLimit int
 	method  string
@@ -263,7 +263,7 @@
 		return p.decideRejected(o, d)
 	case !d.budget.Spend():
 		return retryActionBudget
-	case !p.router.spendRetry(o.call.Service, o.progress):
+	case !p.router.spendRetry(o.call.Service, p.retryWorth(o)):
 		return retryServiceBudget
 	}
 	return retryAgain
@@ -283,7 +283,7 @@
 	switch {
 	case d.rejections > p.router.rejectionLimit(o.call.Service):
 		return retryAttempts
-	case !p.router.spendRetry(o.call.Service, o.progress):
+	case !p.router.spendRetry(o.call.Service, p.retryWorth(o)):
 		return retryServiceBudget
 	}
 	return retryAgain
--- a/io/proxy/local.go
+++ b/io/proxy/local.go
@@ -170,7 +170,7 @@
 		resp, _, refusal := p.dispatch(ctx, o)
 		return resp, refusal
 	}
-	o.progress = p.progress(parent)
+	o.served = parent
 	lent := parent.lendRetries(p.opt.Clock.Now())
 	o.call.Retries = min(o.call.Retries, lent)
 	reserved := lent - o.call.Retries
--- a/io/proxy/repeats.go
+++ b/io/proxy/repeats.go
@@ -69,9 +69,9 @@
 	s.window.RecordFirst(rt.opt.Clock.Now())
 }
 
-// spendRetry uses one retry to a service and reports false if none is allowed. Progress is
-// the part of the call tree that is done.
-func (rt *router) spendRetry(name ident.Service, progress float64) bool {
+// spendRetry uses one retry to a service and reports false if none is allowed. Worth is what
+// it may save; see retry.Window.
+func (rt *router) spendRetry(name ident.Service, worth float64) bool {
 	s := rt.service(name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -79,7 +79,7 @@
 		return s.throttle.Spend()
 	}
 	s.window.SetSlack(rt.ownSlack())
-	ok := s.window.Spend(rt.opt.Clock.Now(), progress)
+	ok := s.window.Spend(rt.opt.Clock.Now(), worth)
 	rt.opt.Metrics.repeat(name, ok)
 	return ok
 }
@@ -102,14 +102,26 @@
 	return min(max(attemptsPerVM*vms, minRejections), maxRejections)
 }
 
-// progress returns the part of the call tree that is done before a call: what the calls
-// above it have spent, and the nested calls that its run has already made.
-func (p *Proxy) progress(parent *servedCall) float64 {
-	if parent == nil {
-		return 0
+const (
+	// positionShare is the part of the worth that the position of a call in its tree makes
+	// up; the rest orders the calls at the same position by the rank of their action, so
+	// that the retries go to few trees and complete them.
+	positionShare = 0.9
+	maxRank       = 255
+)
+
+// retryWorth returns what a retry of a call may save, from 0 to 1: the later the call, the
+// more its tree has spent. A run of which another call has failed can't be saved.
+func (p *Proxy) retryWorth(o *outboundCall) float64 {
+	position := 0.0
+	if parent := o.served; parent != nil {
+		finished, failed := parent.nestedCalls()
+		if failed {
+			return 0
+		}
+		above := 1 - 1/float64(max(1, parent.call.Depth)+1)
+		expected := p.entryAdmission.callsPerRun(parent.call.Route)
+		position = above + (1-above)*float64(finished)/max(expected, float64(finished+1))
 	}
-	above := 1 - 1/float64(max(1, parent.call.Depth)+1)
-	expected := p.entryAdmission.callsPerRun(parent.call.Route)
-	done := float64(parent.finishedCalls())
-	return above + (1-above)*done/max(expected, done+1)
+	return positionShare*position + (1-positionShare)*float64(maxRank-o.call.Rank)/maxRank
 }
