--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -344,7 +344,7 @@
 	if p.opt.Dialect.ForwardedFor {
 		setForwardedFor(h, r)
 	}
-	o := &outboundCall{
+	return &outboundCall{
 		call: header.Call{
 			Action:             action,
 			Workspace:          in.workspace,
@@ -360,8 +360,10 @@
 			Idempotent:         in.spec.Idempotent,
 			Depth:              1,
 			Retries:            in.retryBudget(),
+			Repeat:             in.parent != nil && in.parent.call.Repeat,
 		},
 		parent:      in.subject().parent,
+		vmLimit:     in.spec.Attempts,
 		method:      r.Method,
 		url:         r.URL,
 		host:        r.Host,
@@ -369,10 +371,6 @@
 		body:        in.body,
 		fingerprint: contentFingerprint(r, in.body),
 	}
-	if in.parent != nil {
-		o.parentRoute = in.parent.call.Route
-	}
-	return o
 }
 
 // contentFingerprint returns the fingerprint of a request's content, which is
--- a/io/proxy/local.go
+++ b/io/proxy/local.go
@@ -170,6 +170,7 @@
 		resp, _, refusal := p.dispatch(ctx, o)
 		return resp, refusal
 	}
+	o.served = parent
 	lent := parent.lendRetries(p.opt.Clock.Now())
 	o.call.Retries = min(o.call.Retries, lent)
 	reserved := lent - o.call.Retries
@@ -213,7 +214,7 @@
 	}
 	p.entryAdmission.recordNestedCall(parent.call.Route, name)
 	return &outboundCall{
-		call: call, parent: parent.call.Action, parentRoute: parent.call.Route, method: r.Method, url: r.URL, host: r.Host, header: header.FromCaller(r.Header),
-		body: body, fingerprint: contentFingerprint(r, body),
+		call: call, parent: parent.call.Action, vmLimit: spec.Attempts, method: r.Method, url: r.URL, host: r.Host,
+		header: header.FromCaller(r.Header), body: body, fingerprint: contentFingerprint(r, body),
 	}, nil
 }
--- a/io/proxy/placement.go
+++ b/io/proxy/placement.go
@@ -72,8 +72,8 @@
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	pl.planner.Observe(now, o.call.Route, vm.DataCentre, report)
-	if o.parentRoute != "" {
-		pl.meter.RecordCall(now, o.parentRoute, o.call.Route, vm.DataCentre != pl.opt.Config().Daemon.DataCentre, report)
+	if o.served != nil {
+		pl.meter.RecordCall(now, o.served.call.Route, o.call.Route, vm.DataCentre != pl.opt.Config().Daemon.DataCentre, report)
 	}
 }
 
--- a/io/proxy/placement_test.go
+++ b/io/proxy/placement_test.go
@@ -85,7 +85,7 @@
 func TestCrossingsTravelWithResponses(t *testing.T) {
 	p, clock := placementFixture(t, true)
 	assert.Assert(t, p.placement.report("browse") == nil)
-	nested := &outboundCall{call: header.Call{Route: "lookup", Service: "deep"}, parentRoute: "browse"}
+	nested := &outboundCall{call: header.Call{Route: "lookup", Service: "deep"}, served: &servedCall{call: header.Call{Route: "browse"}}}
 	for range 10 {
 		clock.Advance(10 * time.Millisecond)
 		p.placement.recordRun("browse")
