intent, config: warm-up of the upstreams of a service

A service may specify how long its upstreams are cold after a start and the rate that they bear meanwhile; the settings hold the bound that a daemon keeps.

--- a/config/admission.go
+++ b/config/admission.go
@@ -1,5 +1,10 @@
 package config
 
+import "math"
+
+// maxWarmupOverrun is the largest overrun; a larger one would not protect any upstream.
+const maxWarmupOverrun = 100
+
 // Admission is the section [admission].
 type Admission struct {
 	// QueuePerSlot is the queue length per slot of the upstream.
@@ -8,6 +13,11 @@
 	// 1 it keeps an upstream that slows down when it is nearly full at its best
 	// speed, and leaves slots for health checks and new connections.
 	SlotShare float64 `ini:"slot_share"`
+	// WarmupOverrun and WarmupSlack bound the calls that a cold upstream gets in any
+	// second: WarmupOverrun times the warm-up rate of its service and WarmupSlack calls
+	// more. An overrun of zero means that cold upstreams are treated like others.
+	WarmupOverrun float64 `ini:"warmup_overrun"`
+	WarmupSlack   float64 `ini:"warmup_slack"`
 }
 
 func defaultAdmission() Admission {
@@ -33,5 +43,11 @@
 	if !(a.SlotShare > 0 && a.SlotShare <= 1) {
 		return "slot_share", "must be above 0 and at most 1"
 	}
+	if !(a.WarmupOverrun >= 0 && a.WarmupOverrun <= maxWarmupOverrun) {
+		return "warmup_overrun", "must be between 0 and 100"
+	}
+	if !(a.WarmupSlack >= 0) || math.IsInf(a.WarmupSlack, 1) {
+		return "warmup_slack", "must be a number of at least zero"
+	}
 	return "", ""
 }
--- a/core/intent/check.go
+++ b/core/intent/check.go
@@ -23,6 +23,8 @@
 	MaxTimeout = 10 * time.Minute
 	// MaxTargetExcess bounds by how much a target latency may exceed the timeout.
 	MaxTargetExcess = time.Minute
+	// MaxWarmup is the longest warm-up time of an upstream.
+	MaxWarmup = time.Hour
 )
 
 var methods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
@@ -127,6 +129,25 @@
 		if s.Slots < 0 || s.Servers < 0 || s.Connections < 0 {
 			return c.fail("service", string(name), "", "slots, servers and connections can't be below zero")
 		}
+		if err := c.warmup(string(name), s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c checker) warmup(name string, s ServiceSpec) error {
+	if s.Warmup < 0 || s.Warmup > MaxWarmup {
+		return c.fail("service", name, "warmup", "%s is not between 0 and %s", s.Warmup, MaxWarmup)
+	}
+	if !(s.WarmupRate >= 0 && s.WarmupRate <= MaxRate) {
+		return c.fail("service", name, "warmup_rate", "%v is not between 0 and %d calls per second", s.WarmupRate, MaxRate)
+	}
+	if (s.Warmup > 0) != (s.WarmupRate > 0) {
+		return c.fail("service", name, "warmup", "warmup and warmup_rate are set together")
+	}
+	if s.HealthPath != "" && !strings.HasPrefix(s.HealthPath, "/") {
+		return c.fail("service", name, "health_path", "%q does not begin with /", s.HealthPath)
 	}
 	return nil
 }
--- a/core/intent/intent.go
+++ b/core/intent/intent.go
@@ -79,12 +79,20 @@
 }
 
 // ServiceSpec is one service. Slots (per server), Servers and ServiceTime are the
-// operator's estimates; they are used to review a plan, not to handle calls.
+// operator's estimates; they are used to review a plan, not to handle calls. The
+// other fields describe how daemons treat the upstreams.
 type ServiceSpec struct {
 	Slots       int           `ini:"slots" json:"slots"`
 	Servers     int           `ini:"servers" json:"servers"`
 	Connections int           `ini:"connections" json:"connections"`
 	ServiceTime time.Duration `ini:"service_time" json:"service_time"`
+	// Warmup is how long an upstream is cold after it has started, and WarmupRate the
+	// rate of calls that it bears meanwhile from all daemons together. Zero means that
+	// upstreams of the service bear all calls at once.
+	Warmup     time.Duration `ini:"warmup" json:"warmup,omitempty"`
+	WarmupRate ident.Rate    `ini:"warmup_rate" json:"warmup_rate,omitempty"`
+	// HealthPath is the path of the upstreams' health check.
+	HealthPath string `ini:"health_path" json:"health_path,omitempty"`
 }
 
 // RouteSpec is one route. Path (a pattern) or Prefix selects the paths that it
--- a/core/intent/intent_test.go
+++ b/core/intent/intent_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"chicorymast/core/ident"
 	"chicorymast/core/schema"
@@ -109,6 +110,32 @@
 	assert.Equal(t, in.Share("elsewhere"), 0.0)
 }
 
+// A warm-up without a rate, or with one out of range, would stop the upstreams of a service.
+func TestWarmupOfServices(t *testing.T) {
+	const text = "[service s]\nwarmup = 3s\nwarmup_rate = 7.2\nhealth_path = /health\n"
+	in := mustParse(t, text)
+	assert.DeepEqual(t, in.Services["s"], ServiceSpec{Warmup: 3 * time.Second, WarmupRate: 7.2, HealthPath: "/health"})
+	t.Run("a plan shows it", func(t *testing.T) {
+		changes := Compare(mustParse(t, "[service s]\n"), in)
+		assert.Equal(t, len(changes), 1)
+		assert.Equal(t, changes[0].Detail, "warmup 3s, warmup_rate 7.2, health_path /health")
+	})
+	for name, c := range map[string]struct{ from, to, want string }{
+		"rate missing":       {"warmup_rate = 7.2\n", "", "set together"},
+		"duration missing":   {"warmup = 3s\n", "", "set together"},
+		"negative duration":  {"= 3s", "= -3s", "warmup"},
+		"duration too long":  {"= 3s", "= 61m", "warmup"},
+		"negative rate":      {"7.2", "-7.2", "warmup_rate"},
+		"rate not a number":  {"7.2", "NaN", "warmup_rate"},
+		"path without slash": {"/health", "health", "health_path"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := Parse("intent.ini", []byte(strings.Replace(text, c.from, c.to, 1)))
+			assert.ErrorContains(t, err, c.want)
+		})
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add(example(f))
 	f.Fuzz(func(t *testing.T, text string) {
--- a/io/daemon/template_test.go
+++ b/io/daemon/template_test.go
@@ -16,6 +16,8 @@
 const (
 	quotaSlack  = "{{#bounds.quota_slack}}slack = {{.}}{{/bounds.quota_slack}}"
 	quotaWindow = "{{#bounds.quota_window}}slack_window = {{.}}{{/bounds.quota_window}}"
+	coldOverrun = "{{#bounds.cold_overrun}}warmup_overrun = {{.}}{{/bounds.cold_overrun}}"
+	coldSlack   = "{{#bounds.cold_slack}}warmup_slack = {{.}}{{/bounds.cold_slack}}"
 )
 
 // templateValues are usual values of the placeholders of the templates in deploy/.
@@ -29,6 +31,7 @@
 		"{{internal_ports.0}}": fmt.Sprint(portControl), "{{seeds}}": "127.0.0.1:8540,127.0.0.2:8540,127.0.0.3:8540",
 		"{{#zones}}{{@}}{{,}}{{/zones}}": "east,west",
 		quotaSlack:                       "slack = 20", quotaWindow: "slack_window = 5s",
+		coldOverrun: "", coldSlack: "",
 	}
 }
 
@@ -62,6 +65,8 @@
 		"{{bootstrap}}":                  {"true", "false"},
 		"{{seeds}}":                      {"127.0.0.1:8540", "127.0.0.1:8540,127.0.0.2:8540"},
 		"{{#zones}}{{@}}{{,}}{{/zones}}": {"east", "east,west,north,south,middle"},
+		coldOverrun:                      {"", "warmup_overrun = 1.5", "warmup_overrun = 2"},
+		coldSlack:                        {"", "warmup_slack = 0", "warmup_slack = 8", "warmup_slack = 8.5"},
 	} {
 		for _, value := range values {
 			for _, file := range []string{"daemon.ini", "control.ini"} {
