warm, proxy: bound the calls to upstreams that are or may be cold

An upstream that came back cold got the calls of all entries at once and crashed again. The daemon beside it carries all of its calls, so it alone keeps the bound: a pace with a small burst, and a count of the calls sent in the last 1.1 s, health checks included. After a start of either process, a connection that the upstream ended, silence, idleness or an undone evacuation the upstream counts as cold until it says otherwise.

Enabled by [admission] warmup_overrun and the warm-up of a service; without them nothing changes.

--- a/core/admit/limit.go
+++ b/core/admit/limit.go
@@ -29,6 +29,8 @@
 	// ignoreShedUntil ends the time after an undone reduction in which shed calls
 	// do not lower the limit.
 	ignoreShedUntil time.Time
+	// slowWindows counts the windows in which latency had doubled.
+	slowWindows uint64
 }
 
 // reduction is a reduction of the limit for shed calls that has not been judged.
@@ -162,6 +164,9 @@
 	w := l.window
 	l.window = newWindow()
 	slow := l.latencyRatio(w) > slowRatio
+	if slow {
+		l.slowWindows++
+	}
 	if w.shed == 0 {
 		l.reduction = reduction{}
 	}
--- a/core/admit/pace.go
+++ b/core/admit/pace.go
@@ -11,7 +11,10 @@
 // that name a limit in calls, whatever time a call takes there.
 type pacer struct {
 	// rate is in calls per second; zero stands for any rate.
-	rate    float64
+	rate float64
+	// burst is the least number of tokens that are saved; zero stands for a part of the
+	// rate.
+	burst   float64
 	tokens  float64
 	updated time.Time
 }
@@ -26,16 +29,16 @@
 )
 
 // set changes the rate. A pacer that had none starts without tokens, since calls have
-// just started without it.
-func (p *pacer) set(now time.Time, rate ident.Rate) {
-	if p.rate == float64(rate) {
+// just started without it, except for those of a burst.
+func (p *pacer) set(now time.Time, rate ident.Rate, burst float64) {
+	if p.rate == float64(rate) && p.burst == burst {
 		return
 	}
 	p.refill(now)
 	if p.rate == 0 {
-		p.tokens = 0
+		p.tokens = burst
 	}
-	p.rate = float64(rate)
+	p.rate, p.burst = float64(rate), burst
 	p.tokens = min(p.tokens, p.capacity())
 }
 
@@ -43,7 +46,7 @@
 
 // capacity returns the number of tokens that are saved, at least the one that a call needs.
 func (p *pacer) capacity() float64 {
-	return max(1, p.rate*paceBurst.Seconds())
+	return max(1, p.burst, p.rate*paceBurst.Seconds())
 }
 
 func (p *pacer) refill(now time.Time) {
@@ -89,11 +92,16 @@
 
 // SetRate sets the rate at which calls may start, zero for any, and starts waiting calls.
 func (c *Controller) SetRate(now time.Time, rate ident.Rate) []Effect {
-	if float64(rate) == c.pace.rate {
+	return c.SetPace(now, rate, 0)
+}
+
+// SetPace is SetRate with the number of calls that may start at once.
+func (c *Controller) SetPace(now time.Time, rate ident.Rate, burst float64) []Effect {
+	if float64(rate) == c.pace.rate && burst == c.pace.burst {
 		return nil
 	}
 	before := c.slotTime(c.meanHold)
-	c.pace.set(now, rate)
+	c.pace.set(now, rate, burst)
 	if before > 0 {
 		c.feedback.rescale(float64(c.slotTime(c.meanHold)) / float64(before))
 	}
@@ -102,6 +110,21 @@
 	return effects
 }
 
+// Short reports whether calls wait for the rate, or nearly: less than half of the burst is
+// left.
+func (c *Controller) Short(now time.Time) bool {
+	if !c.pace.limited() {
+		return false
+	}
+	c.pace.refill(now)
+	return c.pace.tokens < max(1, c.pace.capacity()/2)
+}
+
+// SlowWindows returns how often the calls of a window took twice as long as usual.
+func (c *Controller) SlowWindows() uint64 {
+	return c.limit.slowWindows
+}
+
 // mayStart reports whether the upstream takes another call now.
 func (c *Controller) mayStart(now time.Time) bool {
 	return len(c.running) < c.limit.current() && c.pace.ready(now)
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -228,6 +228,7 @@
 
 		UpstreamLeaves: d.upstreams.Leave,
 	})
+	d.upstreams.onAnnounced = d.proxy.UpstreamAnnounced
 }
 
 func (d *Daemon) listen() (err error) {
--- a/io/daemon/upstreams.go
+++ b/io/daemon/upstreams.go
@@ -37,6 +37,10 @@
 	board *board.Board
 	log   *event.Log
 
+	// onAnnounced is called for each announcement that counts, with the time for which
+	// the process stays cold.
+	onAnnounced func(p notice.Process, cold time.Duration)
+
 	mu     sync.Mutex
 	lease  time.Duration
 	tenure *tenure.Tenure
@@ -47,7 +51,10 @@
 }
 
 func newUpstreamRegistry(vm ident.VM, c timer.Clock, b *board.Board, log *event.Log, lease time.Duration) *upstreamRegistry {
-	return &upstreamRegistry{vm: vm, clock: c, board: b, log: log, lease: lease, tenure: tenure.New(c.Now(), lease)}
+	return &upstreamRegistry{
+		vm: vm, clock: c, board: b, log: log, lease: lease, tenure: tenure.New(c.Now(), lease),
+		onAnnounced: func(notice.Process, time.Duration) {},
+	}
 }
 
 // Announce records or renews the announcement of the upstream and returns how long
@@ -157,6 +164,7 @@
 		next.Phase = member.PhaseDraining
 		departed = r.depart(p, tenure.Draining)
 	}
+	defer r.onAnnounced(p, time.Duration(a.WarmupMs)*time.Millisecond) // once it is on the board
 	if *current == next {
 		return departed
 	}
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -67,6 +67,8 @@
 	DataCentreSilent     ID = 1910
 	LimitChanged         ID = 1911
 	LimitUnreadable      ID = 1912
+	UpstreamCold         ID = 1921
+	UpstreamWarm         ID = 1922
 )
 
 var catalogue = byID([]Definition{
@@ -127,6 +129,8 @@
 	{DataCentreSilent, zapcore.InfoLevel, "Several VMs of a data centre sent nothing; calls avoid it until one gets an answer."},
 	{LimitChanged, zapcore.InfoLevel, "The upstream on this VM takes another rate of calls than before."},
 	{LimitUnreadable, zapcore.WarnLevel, "The upstream on this VM named a rate that can't be read; the one before stays in force."},
+	{UpstreamCold, zapcore.InfoLevel, "The upstream on this VM is cold, or may be; it gets only as many calls as it bears meanwhile."},
+	{UpstreamWarm, zapcore.InfoLevel, "The upstream on this VM is warm; its calls are no longer slowed."},
 })
 
 func byID(definitions []Definition) map[ID]Definition {
--- a/io/header/dialect.go
+++ b/io/header/dialect.go
@@ -42,6 +42,9 @@
 	// a second from all daemons together, Leaving with the value 1 while it leaves.
 	Limit   string
 	Leaving string
+	// Warmup is set by an upstream on its response to a health check: the milliseconds for
+	// which it stays cold, 0 for none.
+	Warmup string
 	// PropagateTrace passes the W3C trace context on to upstreams.
 	PropagateTrace bool
 	// ForwardedFor passes the caller's address on in X-Forwarded-For.
@@ -54,7 +57,7 @@
 func DefaultDialect() Dialect {
 	return Dialect{
 		KeyScheme: "Bearer", Action: IdempotencyKey, Timeout: RequestTimeout, TimeoutUnit: time.Second,
-		NotRun: NotRun, Limit: UpstreamLimit, Leaving: UpstreamLeaving, PropagateTrace: true, ForwardedFor: true,
+		NotRun: NotRun, Limit: UpstreamLimit, Leaving: UpstreamLeaving, Warmup: UpstreamWarmup, PropagateTrace: true, ForwardedFor: true,
 	}
 }
 
@@ -132,6 +135,24 @@
 	return s
 }
 
+// WarmupLeft returns for how long the upstream stays cold according to its response to a
+// health check. Of several values the largest counts. It reports false if the response does
+// not say, or another server has sent it.
+func (d Dialect) WarmupLeft(resp *http.Response) (left time.Duration, ok bool) {
+	if d.Warmup == "" || resp.StatusCode == http.StatusMisdirectedRequest {
+		return 0, false
+	}
+	const bits = 32 // milliseconds of weeks
+	for _, text := range resp.Header.Values(d.Warmup) {
+		ms, err := strconv.ParseUint(strings.TrimSpace(text), 10, bits)
+		if err != nil {
+			return 0, false
+		}
+		left, ok = max(left, time.Duration(ms)*time.Millisecond), true
+	}
+	return left, ok
+}
+
 // parseRate parses a decimal number that is not negative.
 func parseRate(text string) (rate ident.Rate, ok bool) {
 	if strings.Trim(text, "0123456789.") != "" {
--- a/io/header/header.go
+++ b/io/header/header.go
@@ -40,6 +40,9 @@
 	// Dialect.Leaving.
 	UpstreamLimit   = "Chicorymast-Limit"
 	UpstreamLeaving = "Chicorymast-Leaving"
+	// UpstreamWarmup is set by an upstream on the response to a health check; see
+	// Dialect.Warmup.
+	UpstreamWarmup = "Chicorymast-Warmup-Ms"
 	// IdempotencyKey carries the caller's action id. Requests are sent with the
 	// lower-case name (LowerRetryHeaders): net/http retries a request on its own if it has
 	// the canonical name, and would run an action twice.
--- a/io/proxy/admission.go
+++ b/io/proxy/admission.go
@@ -21,11 +21,14 @@
 	waiters    map[admit.Ticket]chan admit.Effect
 	// closesAt is when the queue of an upstream that leaves closes; zero if it doesn't leave.
 	closesAt time.Time
+	warmup   warmup
 }
 
 func newAdmission(opt Options) *admission {
 	cfg := admit.Config{Slots: 1, QueueLimit: 1}
-	return &admission{opt: opt, controller: admit.New(cfg), cfg: cfg, waiters: map[admit.Ticket]chan admit.Effect{}}
+	return &admission{
+		opt: opt, controller: admit.New(cfg), cfg: cfg, waiters: map[admit.Ticket]chan admit.Effect{}, warmup: newWarmup(),
+	}
 }
 
 // upstreamCapacity is what the upstream on this VM says that it takes.
@@ -54,7 +57,10 @@
 	a.resize(capacity.slots)
 	a.closesAt = time.Time{} // the upstream takes calls; tick notices if it has just begun to leave
 	a.controller.CloseAt(a.closesAt)
-	a.apply(a.controller.SetRate(now, capacity.rate))
+	a.warmup.stated = capacity.rate
+	a.warmup.tracker.Arriving(now)
+	a.setPace(now)
+	defer a.checkIfWanted(now)
 	a.lastTicket++
 	decision := make(chan admit.Effect, 1)
 	a.waiters[a.lastTicket] = decision
@@ -90,7 +96,8 @@
 func (a *admission) setRate(rate ident.Rate) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.apply(a.controller.SetRate(a.opt.Clock.Now(), rate))
+	a.warmup.stated = rate
+	a.setPace(a.opt.Clock.Now())
 }
 
 // abandon removes a call from the queue when its context has ended. A call that
@@ -126,6 +133,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.apply(a.controller.Finish(now, t, s))
+	a.suspectIfSlow(now, s)
 }
 
 // leavingQueueTime is how long calls that wait when their upstream begins to leave may
@@ -143,7 +151,9 @@
 		a.closesAt = now.Add(leavingQueueTime)
 	}
 	a.controller.CloseAt(a.closesAt)
+	a.setPace(now)
 	a.apply(a.controller.Tick(now))
+	a.checkIfWanted(now)
 }
 
 // apply delivers effects to the waiting calls. The mutex must be held. Sending
@@ -178,7 +188,11 @@
 	now := a.opt.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.controller.Load(now)
+	l := a.controller.Load(now)
+	if a.warmup.tracker.Provisional(now) {
+		l.RateLimit, l.RateUse = a.warmup.stated, 0
+	}
+	return l
 }
 
 func (a *admission) status(now time.Time) admit.Status {
--- a/io/proxy/metrics.go
+++ b/io/proxy/metrics.go
@@ -19,6 +19,7 @@
 	// The gauges below are set by overloadReporter.
 	limit            prometheus.Gauge
 	upstreamLimit    prometheus.Gauge
+	warmupRate       prometheus.Gauge
 	startedRate      prometheus.Gauge
 	arrivingSlots    prometheus.Gauge
 	refuseShare      prometheus.Gauge
@@ -50,6 +51,9 @@
 		upstreamLimit: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "chicorymast_upstream_limit_per_second", Help: "Rate of calls that the upstream on this VM says it takes; 0 for any.",
 		}),
+		warmupRate: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "chicorymast_upstream_warmup_rate_per_second", Help: "Rate to which calls are slowed while the upstream on this VM is cold or may be; 0 if it is warm.",
+		}),
 		startedRate: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "chicorymast_admission_started_per_second", Help: "Rate of calls that this daemon starts at the upstream on this VM.",
 		}),
@@ -64,7 +68,7 @@
 		}, []string{"route", "service"}),
 	}
 	reg.MustRegister(m.calls, m.refusals, m.seconds, m.retries, m.replays,
-		m.limit, m.upstreamLimit, m.startedRate, m.arrivingSlots, m.refuseShare, m.entryRefuseShare)
+		m.limit, m.upstreamLimit, m.warmupRate, m.startedRate, m.arrivingSlots, m.refuseShare, m.entryRefuseShare)
 	return m
 }
 
--- a/io/proxy/overload.go
+++ b/io/proxy/overload.go
@@ -27,6 +27,7 @@
 
 func (o *overloadReporter) report(now time.Time) {
 	o.reportUpstream(o.p.admission.status(now))
+	o.p.opt.Metrics.warmupRate.Set(float64(o.p.admission.warmupRate(now)))
 	o.reportEntry(o.p.entryAdmission.status(now))
 }
 
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -67,6 +67,7 @@
 	interim := startInterimSender(w)
 	defer interim.stop()
 	arrived := p.opt.Clock.Now()
+	p.followUpstream(upstream)
 	ticket, refusal := p.admission.enter(ctx, call, p.upstreamCapacity(upstream, call))
 	p.noteQueued(call, p.opt.Clock.Now().Sub(arrived))
 	if refusal != nil {
@@ -139,7 +140,7 @@
 		leave(p.measureRun(sc, start, sample))
 	}()
 	req, exchange := p.upstreamRequest(ctx, r, call, upstream, token)
-	resp, err := p.transportFor(req).RoundTrip(req)
+	resp, err := p.sendToUpstream(req)
 	interim.stop()
 	unspentRetries, _, nestedFailure := sc.summary(p.opt.Clock.Now())
 	if err != nil {
@@ -267,6 +268,8 @@
 func (p *Proxy) upstreamRefusal(ctx context.Context, err error, wroteHeaders bool) *fault.Refusal {
 	r := fault.Failed(fault.ReasonUpstreamFailed, "the upstream did not answer: %v", err)
 	switch {
+	case errors.Is(err, errUpstreamCold):
+		return fault.Refuse(fault.ReasonOverload, "refused beside the upstream before it ran: %v", err)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		r = fault.Failed(fault.ReasonDeadline, "the upstream did not answer in time")
 	case ctx.Err() != nil:
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -123,6 +123,11 @@
 	p.notices = newNotices()
 	p.router = newRouter(opt, p.notices, rand.New(rand.NewPCG(opt.Seed+1, opt.Seed)))
 	p.admission = newAdmission(opt)
+	p.admission.warmup.check = p.checkHealth
+	if opt.Config().Admission.WarmupOverrun > 0 {
+		p.watchConnections(p.upstreamTransport)
+		p.watchConnections(p.freshTransport)
+	}
 	p.entryAdmission = newEntryAdmission(opt)
 	p.suspects = newSuspects(opt)
 	return p
@@ -149,7 +154,9 @@
 func (p *Proxy) Start() (stop func()) {
 	const admissionInterval = 10 * time.Millisecond
 	stopAdmission := p.opt.Clock.Every(admissionInterval, func(now time.Time) {
-		p.admission.tick(now, !takesCalls(p.opt.Board.Upstream.Read()))
+		upstream := p.opt.Board.Upstream.Read()
+		p.followUpstream(upstream)
+		p.admission.tick(now, !takesCalls(upstream))
 	})
 	stopSuspects := p.opt.Clock.Every(time.Second, p.suspects.expire)
 	reporter := &overloadReporter{p: p}
--- /dev/null
+++ b/io/proxy/warmup.go
@@ -0,0 +1,257 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"chicorymast/core/admit"
+	"chicorymast/core/board"
+	"chicorymast/core/fault"
+	"chicorymast/core/ident"
+	"chicorymast/core/notice"
+	"chicorymast/core/sample"
+	"chicorymast/core/warm"
+	"chicorymast/io/event"
+	"chicorymast/io/header"
+
+	"go.uber.org/zap"
+)
+
+// errUpstreamCold is returned for a call that an upstream would not bear while it is cold.
+var errUpstreamCold = errors.New("the upstream is cold")
+
+// healthTimeout limits the time of a health check. A later answer may describe a process
+// that has ended since.
+const healthTimeout = 500 * time.Millisecond
+
+// warmup is the part of admission that bounds the calls to a cold upstream.
+type warmup struct {
+	tracker *warm.Tracker
+	// stated is the rate that the upstream names in its responses, zero for any.
+	stated ident.Rate
+	// check starts a health check that has been noted at a time.
+	check func(noted time.Time)
+	// slowWindows and phase are those at the last look.
+	slowWindows uint64
+	phase       warm.Phase
+}
+
+func newWarmup() warmup {
+	return warmup{tracker: warm.New(), check: func(time.Time) {}, phase: warm.PhaseWarm}
+}
+
+// followed is what the admission needs to know of the upstream on this VM.
+type followed struct {
+	process    notice.Process
+	takesCalls bool
+	checkable  bool
+	spec       warm.Spec
+}
+
+// followUpstream passes the state of the upstream on this VM to the admission.
+func (p *Proxy) followUpstream(upstream *board.Upstream) {
+	settings := p.opt.Config().Admission
+	if settings.WarmupOverrun == 0 || p.passThrough() {
+		return
+	}
+	service := p.opt.Board.Config.Read().State.Intent.Services[upstream.Service]
+	p.admission.follow(followed{
+		process: upstream.Process(), takesCalls: upstream.Present() && takesCalls(upstream), checkable: p.healthPath(upstream) != "",
+		spec: warm.Spec{
+			Time: service.Warmup, Rate: service.WarmupRate, Overrun: settings.WarmupOverrun, Slack: settings.WarmupSlack,
+		},
+	})
+}
+
+// healthPath returns the path of the health check of the upstream, empty for none.
+func (p *Proxy) healthPath(upstream *board.Upstream) string {
+	if path := p.opt.Board.Config.Read().State.Intent.Services[upstream.Service].HealthPath; path != "" {
+		return path
+	}
+	return upstream.HealthPath
+}
+
+func (a *admission) follow(f followed) {
+	now := a.opt.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.warmup.tracker.SetSpec(now, f.spec)
+	a.warmup.tracker.SetCheckable(f.checkable)
+	a.warmup.tracker.Serve(now, f.process, f.takesCalls)
+	a.setPace(now)
+}
+
+// UpstreamAnnounced notes that a process has announced for how long it stays cold.
+func (p *Proxy) UpstreamAnnounced(process notice.Process, left time.Duration) {
+	p.followUpstream(p.opt.Board.Upstream.Read())
+	p.admission.announced(process, left)
+}
+
+func (a *admission) announced(process notice.Process, left time.Duration) {
+	now := a.opt.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.warmup.tracker.Announced(now, process, left)
+	a.setPace(now)
+}
+
+// setPace applies the lower of the rate that the upstream names and the one that it bears
+// while it is cold. The mutex must be held.
+func (a *admission) setPace(now time.Time) {
+	pace := a.warmup.tracker.Pace(now)
+	if a.warmup.stated > 0 && (pace.Rate == 0 || a.warmup.stated <= pace.Rate) {
+		pace = warm.Pace{Rate: a.warmup.stated}
+	}
+	a.apply(a.controller.SetPace(now, pace.Rate, pace.Burst))
+	a.notePhase()
+}
+
+// notePhase logs that the upstream has become cold, or warm again.
+func (a *admission) notePhase() {
+	before, phase := a.warmup.phase, a.warmup.tracker.Phase()
+	if a.warmup.phase = phase; phase == before {
+		return
+	}
+	id := event.UpstreamCold
+	if phase == warm.PhaseWarm {
+		id = event.UpstreamWarm
+	}
+	a.opt.Trail.Note(id, sample.Key{Reason: string(phase)}, func() []zap.Field {
+		return []zap.Field{zap.String("phase", string(phase)), zap.String("before", string(before))}
+	})
+}
+
+// suspectIfSlow notes calls that were rejected or slow. The mutex must be held.
+func (a *admission) suspectIfSlow(now time.Time, s admit.Sample) {
+	slow := a.controller.SlowWindows()
+	if s.Shed || slow > a.warmup.slowWindows {
+		a.warmup.tracker.Suspect(now)
+	}
+	a.warmup.slowWindows = slow
+}
+
+// checkIfWanted starts a health check if it is worth its cost. The mutex must be held.
+func (a *admission) checkIfWanted(now time.Time) {
+	if a.warmup.tracker.WantsCheck(now, a.controller.Short(now)) {
+		a.warmup.tracker.StartCheck(now)
+		go a.warmup.check(now)
+	}
+}
+
+// checked applies the result of a health check that was started at a time.
+func (a *admission) checked(noted time.Time, r warm.Result) {
+	now := a.opt.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.warmup.tracker.Checked(now, noted, r)
+	a.setPace(now)
+}
+
+// doubt notes that the process of the upstream may have ended.
+func (a *admission) doubt() {
+	now := a.opt.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.warmup.tracker.Doubt(now)
+	a.setPace(now)
+}
+
+// send reports whether a call that was admitted may be sent now.
+func (a *admission) send(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.warmup.tracker.Send(now)
+}
+
+// sent notes how a call ended that was sent at a time; resp is nil without an answer.
+func (a *admission) sent(at time.Time, resp *http.Response) {
+	now := a.opt.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if resp == nil || resp.StatusCode == http.StatusMisdirectedRequest {
+		a.warmup.tracker.Ended()
+		return
+	}
+	a.warmup.tracker.Answered(now, at)
+}
+
+// warmupRate returns the rate to which calls are slowed, zero while the upstream is warm.
+func (a *admission) warmupRate(now time.Time) ident.Rate {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.warmup.tracker.Pace(now).Rate
+}
+
+// sendToUpstream sends a request to the upstream, unless that is cold and has got as many
+// as it bears. Errors: errUpstreamCold, and those of the transport.
+func (p *Proxy) sendToUpstream(req *http.Request) (resp *http.Response, err error) {
+	at := p.opt.Clock.Now()
+	if !p.admission.send(at) {
+		return nil, errUpstreamCold
+	}
+	resp, err = p.transportFor(req).RoundTrip(req)
+	p.admission.sent(at, resp)
+	return resp, err
+}
+
+// checkHealth asks the upstream for how long it stays cold.
+func (p *Proxy) checkHealth(noted time.Time) {
+	result := warm.Result(warm.Unanswered{})
+	defer func() { p.admission.checked(noted, result) }()
+	ctx, cancel := context.WithTimeout(context.Background(), healthTimeout)
+	defer cancel()
+	upstream := p.opt.Board.Upstream.Read()
+	req := &http.Request{
+		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: upstream.Address, Path: p.healthPath(upstream)},
+		Header: http.Header{}, Host: upstream.Address,
+	}
+	p.opt.Dialect.SetUpstream(req.Header, header.UpstreamHeaders{TimeLeft: healthTimeout, Target: upstream.ID})
+	// A connection that is kept may bring an earlier answer once more.
+	resp, err := p.freshTransport.RoundTrip(req.WithContext(ctx))
+	if err != nil {
+		return
+	}
+	discardBody(resp)
+	if left, ok := p.opt.Dialect.WarmupLeft(resp); ok {
+		result = warm.Stated{Left: left}
+	}
+}
+
+// watchConnections lets a transport to the upstream note connections that the upstream
+// refuses, resets or closes: its process may have ended. The transport sends a request again
+// on its own if a kept connection is found closed, so the errors of requests don't show it.
+func (p *Proxy) watchConnections(t *http.Transport) {
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			if ctx.Err() == nil && !fault.TooManyFiles(err) {
+				p.admission.doubt()
+			}
+			return nil, err
+		}
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			return &watchedConn{TCPConn: tcp, onEnd: p.admission.doubt}, nil
+		}
+		return conn, nil
+	}
+}
+
+// watchedConn is a connection to the upstream that notes its end by the upstream.
+type watchedConn struct {
+	*net.TCPConn
+	onEnd func()
+}
+
+// Read reads and notes an end that is not this daemon's own.
+func (c *watchedConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		c.onEnd()
+	}
+	return n, err
+}
