--- a/config/admission.go
+++ b/config/admission.go
@@ -1,6 +1,12 @@
 package config
 
-import "time"
+import (
+	"math"
+	"time"
+)
+
+// maxWarmupOverrun is the largest overrun; a larger one would not protect any upstream.
+const maxWarmupOverrun = 100
 
 // Admission is the section [admission].
 type Admission struct {
@@ -13,6 +19,11 @@
 	// RunQueueTarget is the delay of the daemon's own run queue up to which its processor
 	// time counts as no bottleneck. Zero turns the measurement off.
 	RunQueueTarget time.Duration `ini:"run_queue_target"`
+	// WarmupOverrun and WarmupSlack bound the calls that a cold upstream gets in any
+	// second: WarmupOverrun times the warm-up rate of its service and WarmupSlack calls
+	// more. An overrun of zero means that cold upstreams are treated like others.
+	WarmupOverrun float64 `ini:"warmup_overrun"`
+	WarmupSlack   float64 `ini:"warmup_slack"`
 }
 
 func defaultAdmission() Admission {
@@ -41,5 +52,11 @@
 	if a.RunQueueTarget < 0 || a.RunQueueTarget > time.Second {
 		return "run_queue_target", "must be between 0 and 1s"
 	}
+	if !(a.WarmupOverrun >= 0 && a.WarmupOverrun <= maxWarmupOverrun) {
+		return "warmup_overrun", "must be between 0 and 100"
+	}
+	if !(a.WarmupSlack >= 0) || math.IsInf(a.WarmupSlack, 1) {
+		return "warmup_slack", "must be a number of at least zero"
+	}
 	return "", ""
 }
--- a/io/proxy/overload.go
+++ b/io/proxy/overload.go
@@ -30,6 +30,7 @@
 	o.p.opt.Metrics.processorLimit.Set(limit)
 	o.p.opt.Metrics.runQueueDelay.Set(delay.Seconds())
 	o.reportUpstream(o.p.admission.status(now))
+	o.p.opt.Metrics.warmupRate.Set(float64(o.p.admission.warmupRate(now)))
 	o.reportEntry(o.p.entryAdmission.status(now))
 }
 
