--- a/io/crowd/heads_test.go
+++ b/io/crowd/heads_test.go
@@ -51,8 +51,13 @@
 		listener string
 		line     func(int) string
 	}{
-		{"caller", shortLine}, {"caller", sameName}, {"caller", oddLine},
-		{"peer", shortLine}, {"local", shortLine}, {"admin", shortLine}, {"ready", shortLine},
+		{"caller", shortLine},
+		{"caller", sameName},
+		{"caller", oddLine},
+		{"peer", shortLine},
+		{"local", shortLine},
+		{"admin", shortLine},
+		{"ready", shortLine},
 	} {
 		t.Run(fmt.Sprintf("%s, %q", c.listener, c.line(0)), func(t *testing.T) {
 			v := startVictim(t)
