proxy: make what a call seldom needs only when it is needed

A call that succeeds at its first attempt no longer makes: the map of tried VMs and the text of the refusal for want of a VM; the fingerprint of its content, while no daemon knows of a crash; a channel for the decision of the admission controller, which mostly decides at once; the grant, looked up twice; wrappers for a body that it has not. A body of known length is read into a buffer of its size, and passed on without the ReadFrom of net/http, which sent head and first 512 bytes in a write of their own. The timer of interim responses is set once instead of three times. Decisions and what is sent stay the same.

--- a/io/proxy/admission.go
+++ b/io/proxy/admission.go
@@ -39,15 +39,24 @@
 // called with the ticket when the call has ended.
 func (a *admission) enter(ctx context.Context, c header.Call, capacity upstreamCapacity) (admit.Ticket, *fault.Refusal) {
 	ticket, decision := a.arrive(c, capacity)
+	if decision.made != nil {
+		return ticket, refusalOf(decision.made)
+	}
 	select {
-	case e := <-decision:
+	case e := <-decision.later:
 		return ticket, refusalOf(e)
 	case <-ctx.Done():
-		return ticket, a.abandon(ctx, ticket, decision)
+		return ticket, a.abandon(ctx, ticket, decision.later)
 	}
 }
 
-func (a *admission) arrive(c header.Call, capacity upstreamCapacity) (admit.Ticket, <-chan admit.Effect) {
+// decision is the effect that an arriving call has at once, or the channel that will get it.
+type decision struct {
+	made  admit.Effect
+	later <-chan admit.Effect
+}
+
+func (a *admission) arrive(c header.Call, capacity upstreamCapacity) (admit.Ticket, decision) {
 	now := a.opt.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -56,8 +65,6 @@
 	a.controller.CloseAt(a.closesAt)
 	a.apply(a.controller.SetRate(now, capacity.rate))
 	a.lastTicket++
-	decision := make(chan admit.Effect, 1)
-	a.waiters[a.lastTicket] = decision
 	effects := a.controller.Arrive(now, admit.Request{
 		Ticket:          a.lastTicket,
 		Workspace:       c.FairShareWorkspace,
@@ -72,8 +79,23 @@
 		ServiceRefuseShare: c.ServiceRefuseShare,
 		RoomElsewhere:      c.RoomElsewhere,
 	})
+	if len(effects) == 1 && ticketOf(effects[0]) == a.lastTicket {
+		return a.lastTicket, decision{made: effects[0]}
+	}
+	later := make(chan admit.Effect, 1)
+	a.waiters[a.lastTicket] = later
 	a.apply(effects)
-	return a.lastTicket, decision
+	return a.lastTicket, decision{later: later}
+}
+
+func ticketOf(e admit.Effect) admit.Ticket {
+	switch e := e.(type) {
+	case admit.Start:
+		return e.Ticket
+	case admit.Refuse:
+		return e.Ticket
+	}
+	return 0
 }
 
 func (a *admission) resize(slots int) {
@@ -150,12 +172,7 @@
 // does not block: each channel has a buffer of one and gets one effect.
 func (a *admission) apply(effects []admit.Effect) {
 	for _, e := range effects {
-		switch e := e.(type) {
-		case admit.Start:
-			a.deliver(e.Ticket, e)
-		case admit.Refuse:
-			a.deliver(e.Ticket, e)
-		}
+		a.deliver(ticketOf(e), e)
 	}
 }
 
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"chicorymast/core/admit"
@@ -15,6 +16,8 @@
 	"chicorymast/core/route"
 	"chicorymast/io/header"
 	"chicorymast/io/timer"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // outboundCall is a call to be dispatched to the daemon on the VM of an upstream.
@@ -31,10 +34,22 @@
 	// still be reading it.
 	header http.Header
 	body   *payload
-	// fingerprint identifies the content, to recognise requests that crash upstreams.
+	// fingerprint is that of contentFingerprint, empty until it is needed.
 	fingerprint poison.Fingerprint
 }
 
+// contentFingerprint returns the fingerprint of the content, which is independent of the
+// sender, to recognise requests that crash upstreams.
+func (o *outboundCall) contentFingerprint() poison.Fingerprint {
+	if o.fingerprint == "" {
+		d := xxhash.New()
+		_, _ = d.WriteString(o.method + " " + o.url.RequestURI() + "\n")
+		_, _ = d.Write(o.body.buffered)
+		o.fingerprint = poison.Fingerprint(strconv.FormatUint(d.Sum64(), 36))
+	}
+	return o.fingerprint
+}
+
 // response is the response of an upstream, with any status.
 type response struct {
 	status int
@@ -76,25 +91,29 @@
 
 // dispatchState is the state of a dispatch over all of its attempts.
 type dispatchState struct {
-	budget retry.Budget
-	tried  map[ident.VM]bool
+	service ident.Service
+	budget  retry.Budget
+	// tried holds the VMs at which the call has failed; nil for none.
+	tried map[ident.VM]bool
 	// maybeRan is set if the call may have run in an earlier attempt.
-	maybeRan    bool
+	maybeRan bool
+	// lastRefusal is nil until an attempt was refused.
 	lastRefusal *fault.Refusal
 }
 
 func newDispatchState(o *outboundCall) *dispatchState {
-	return &dispatchState{
-		budget:      retry.NewBudget(o.call.Retries),
-		tried:       map[ident.VM]bool{},
-		lastRefusal: fault.Refuse(fault.ReasonNoUpstream, "no upstream of service %s takes the call", o.call.Service),
-	}
+	return &dispatchState{service: o.call.Service, budget: retry.NewBudget(o.call.Retries)}
 }
 
 // addAttempt records the result of an attempt at a VM.
 func (d *dispatchState) addAttempt(vm ident.VM, lent int, a attempt) {
 	d.budget.Settle(lent, a.unspentRetries)
-	d.tried[vm] = true
+	if attemptReason(a) != "" {
+		if d.tried == nil {
+			d.tried = map[ident.VM]bool{}
+		}
+		d.tried[vm] = true
+	}
 	if a.refusal != nil {
 		d.lastRefusal = a.refusal
 		d.maybeRan = d.maybeRan || !a.refusal.NotRun
@@ -107,6 +126,9 @@
 // finalRefusal returns the last refusal. Its NotRun is set only if the call is
 // known not to have run in any attempt.
 func (d *dispatchState) finalRefusal(nestedFailure bool) (*response, retryOutcome, *fault.Refusal) {
+	if d.lastRefusal == nil {
+		d.lastRefusal = fault.Refuse(fault.ReasonNoUpstream, "no upstream of service %s takes the call", d.service)
+	}
 	r := *d.lastRefusal
 	r.NotRun = !d.maybeRan
 	return nil, retryOutcome{d.budget.Remaining(), nestedFailure}, &r
@@ -116,7 +138,7 @@
 // far as that is safe and the retry budget allows.
 func (p *Proxy) dispatch(ctx context.Context, o *outboundCall) (*response, retryOutcome, *fault.Refusal) {
 	d := newDispatchState(o)
-	if r := p.suspects.refuse(p.opt.Clock.Now(), o.fingerprint); r != nil && !p.passThrough() {
+	if r := p.refuseSuspect(o); r != nil && !p.passThrough() {
 		return nil, retryOutcome{unspentRetries: d.budget.Remaining()}, r
 	}
 	for n := 0; ; n++ {
@@ -210,7 +232,7 @@
 	if d := refusalRetryDecision(o, a.refusal); d != retryAgain {
 		return d
 	}
-	if r := p.suspects.refuse(p.opt.Clock.Now(), o.fingerprint); r != nil {
+	if r := p.refuseSuspect(o); r != nil {
 		timer.Sleep(ctx, suspectRefusalDelay)
 		return retryCrashSuspect
 	}
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -15,7 +15,6 @@
 	"chicorymast/core/fault"
 	"chicorymast/core/ident"
 	"chicorymast/core/intent"
-	"chicorymast/core/poison"
 	"chicorymast/io/event"
 	"chicorymast/io/header"
 	"chicorymast/io/record"
@@ -135,7 +134,7 @@
 		return fault.Refuse(fault.ReasonKeyUnknown, "the key is unknown, withdrawn or expired")
 	}
 	in.workspace = workspace
-	if _, _, granted := in.config.Grant(workspace, in.route); !granted {
+	if in.grant, in.grantSpec, in.granted = in.config.Grant(workspace, in.route); !in.granted {
 		return fault.Refuse(fault.ReasonNoGrant, "workspace %s may not call route %s", workspace, in.route)
 	}
 	return nil
@@ -194,8 +193,8 @@
 	if in.workspace == "" {
 		return nil, 0, noInputs // no workspaces are configured, so there are no keys or grants
 	}
-	name, grant, ok := in.config.Grant(in.workspace, in.route)
-	if !ok {
+	name, grant := in.grant, in.grantSpec
+	if !in.granted {
 		return fault.Refuse(fault.ReasonNoGrant, "workspace %s may not call route %s", in.workspace, in.route), 0, noInputs
 	}
 	if grant.Rate == 0 {
@@ -361,25 +360,15 @@
 			Depth:              1,
 			Retries:            in.retryBudget(),
 		},
-		parent:      in.subject().parent,
-		method:      r.Method,
-		url:         r.URL,
-		host:        r.Host,
-		header:      h,
-		body:        in.body,
-		fingerprint: contentFingerprint(r, in.body),
+		parent: in.subject().parent,
+		method: r.Method,
+		url:    r.URL,
+		host:   r.Host,
+		header: h,
+		body:   in.body,
 	}
 }
 
-// contentFingerprint returns the fingerprint of a request's content, which is
-// independent of the sender.
-func contentFingerprint(r *http.Request, body *payload) poison.Fingerprint {
-	d := xxhash.New()
-	_, _ = d.WriteString(r.Method + " " + r.URL.RequestURI() + "\n")
-	_, _ = d.Write(body.buffered)
-	return poison.Fingerprint(strconv.FormatUint(d.Sum64(), 36))
-}
-
 // rankOf returns the rank of an action, a hash that is the same on all daemons.
 func rankOf(w ident.Workspace, a ident.ActionID) admit.Rank {
 	return admit.Rank(xxhash.Sum64String(string(w) + "\x00" + string(a)))
--- a/io/proxy/incoming.go
+++ b/io/proxy/incoming.go
@@ -28,6 +28,10 @@
 	// entryShare is the share of calls of this route and priority that this
 	// entry admits at present.
 	entryShare float64
+	// grant is the grant under which the workspace calls the route, if granted is set.
+	grant     ident.Grant
+	grantSpec intent.GrantSpec
+	granted   bool
 	// chargedGrant is the grant that the call was charged to, empty for none.
 	chargedGrant ident.Grant
 }
--- a/io/proxy/linger.go
+++ b/io/proxy/linger.go
@@ -26,15 +26,13 @@
 	readToEnd atomic.Bool
 }
 
-// trackBody wraps the body of a request.
+// trackBody wraps the body of a request. It returns nil if there is none to be read: a
+// caller that waits for 100 Continue does not send the body after a final response.
 func trackBody(r *http.Request) *lingeringBody {
-	l := &lingeringBody{ReadCloser: r.Body}
-	noBody := r.Body == nil || r.Body == http.NoBody
-	// A caller that waits for 100 Continue does not send the body after a final response.
-	if noBody || r.Header.Get("Expect") != "" {
-		l.readToEnd.Store(true)
-		return l
+	if r.Body == nil || r.Body == http.NoBody || r.Header.Get("Expect") != "" {
+		return nil
 	}
+	l := &lingeringBody{ReadCloser: r.Body}
 	r.Body = l
 	return l
 }
@@ -51,7 +49,7 @@
 // flushAndDiscard flushes the response and discards the rest of the body, up to
 // the limits. Errors are ignored, since the response has been sent.
 func (l *lingeringBody) flushAndDiscard(w http.ResponseWriter) {
-	if l.readToEnd.Load() {
+	if l == nil || l.readToEnd.Load() {
 		return
 	}
 	rc := http.NewResponseController(w)
--- a/io/proxy/local.go
+++ b/io/proxy/local.go
@@ -214,6 +214,6 @@
 	p.entryAdmission.recordNestedCall(parent.call.Route, name)
 	return &outboundCall{
 		call: call, parent: parent.call.Action, method: r.Method, url: r.URL, host: r.Host, header: header.FromCaller(r.Header),
-		body: body, fingerprint: contentFingerprint(r, body),
+		body: body,
 	}, nil
 }
--- a/io/proxy/notices.go
+++ b/io/proxy/notices.go
@@ -49,7 +49,8 @@
 	if known.Limit == 0 {
 		return nil
 	}
-	return &known
+	limited := known // on the heap, which known is not
+	return &limited
 }
 
 // learn records what the daemon on a VM says of the upstream there, with its response to
@@ -100,7 +101,8 @@
 	if n.IsEmpty() {
 		return nil
 	}
-	return &n
+	said := n // on the heap, which n is not
+	return &said
 }
 
 // upstreamCapacity returns what the upstream on this VM says that it takes, as far as
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -231,36 +232,52 @@
 
 // exchange records the progress of a request to the upstream.
 type exchange struct {
+	clock        timer.Clock
+	trace        httptrace.ClientTrace
 	wroteHeaders atomic.Bool
-	received     atomic.Pointer[time.Time]
-	conn         atomic.Pointer[net.Conn]
+
+	mu       sync.Mutex
+	received time.Time
+	conn     net.Conn
 }
 
 // closeConnection closes the connection of the request, on which the answers may be out of
 // step with the requests. The transport would keep it if the last answer had no body.
 func (e *exchange) closeConnection() {
-	if conn := e.conn.Load(); conn != nil {
-		_ = (*conn).Close() // the connection is given up
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.conn != nil {
+		_ = e.conn.Close() // the connection is given up
 	}
 }
 
 // traceExchange returns a context whose request is recorded.
 func traceExchange(ctx context.Context, clock timer.Clock) (context.Context, *exchange) {
-	e := &exchange{}
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:      func(info httptrace.GotConnInfo) { e.conn.Store(&info.Conn) },
-		WroteHeaders: func() { e.wroteHeaders.Store(true) },
-		GotFirstResponseByte: func() {
-			now := clock.Now()
-			e.received.Store(&now)
-		},
-	}), e
+	e := &exchange{clock: clock}
+	e.trace.GotConn, e.trace.GotFirstResponseByte = e.gotConn, e.gotFirstResponseByte
+	e.trace.WroteHeaders = func() { e.wroteHeaders.Store(true) }
+	return httptrace.WithClientTrace(ctx, &e.trace), e
+}
+
+func (e *exchange) gotConn(info httptrace.GotConnInfo) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.conn = info.Conn
+}
+
+func (e *exchange) gotFirstResponseByte() {
+	now := e.clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.received = now
 }
 
 // receivedAt returns when the response was received, or the time now if that is unknown.
 func (e *exchange) receivedAt(now time.Time) time.Time {
-	if at := e.received.Load(); at != nil {
-		return *at
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.received.IsZero() {
+		return e.received
 	}
 	return now
 }
@@ -329,10 +346,23 @@
 	}
 }
 
+const copyBufferSize = 16 << 10
+
+var copyBuffers = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
+
+// plainWriter hides the ReadFrom of a response writer, which would send the head and the
+// first 512 bytes of a body in a write of their own.
+type plainWriter struct{ io.Writer }
+
 // stream copies a body. If its length is unknown, each chunk is flushed.
 func stream(w http.ResponseWriter, body io.Reader, length int64) error {
-	if length >= 0 {
-		_, err := io.Copy(w, body)
+	if length == 0 {
+		return nil
+	}
+	if length > 0 {
+		buf := copyBuffers.Get().(*[copyBufferSize]byte)
+		defer copyBuffers.Put(buf)
+		_, err := io.CopyBuffer(plainWriter{w}, body, buf[:])
 		return err
 	}
 	const chunkSize = 32 << 10
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -188,9 +188,9 @@
 	p.rngMu.Lock()
 	n := p.rng.Uint64()
 	p.rngMu.Unlock()
-	text := make([]byte, 16)
+	var text [16]byte
 	for i := range text {
 		text[i] = digits[n>>(4*i)&15]
 	}
-	return string(text)
+	return string(text[:])
 }
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -47,13 +47,13 @@
 		discardBody(resp)
 		if result.Reason == fault.ReasonUpstreamCrashed {
 			// A nested call may have failed by the crash itself, so it excuses nothing.
-			p.suspects.recordCrash(p.opt.Clock.Now(), o.fingerprint)
+			p.suspects.recordCrash(p.opt.Clock.Now(), o.contentFingerprint())
 		}
 		r := &fault.Refusal{Reason: result.Reason, Detail: result.Detail, NotRun: result.NotRun}
 		p.reportOutcome(o, vm, r, &result.Load)
 		return attempt{refusal: r, nestedFailure: result.NestedFailure, unspentRetries: result.UnspentRetries}
 	}
-	p.suspects.recordResponse(p.opt.Clock.Now(), o.fingerprint)
+	p.clearSuspect(o)
 	return p.receive(ctx, o, vm, resp, result, stop)
 }
 
@@ -135,7 +135,7 @@
 		received.header.Set(header.NotRun, "true")
 	}
 	limit := p.bufferLimit(o, resp.ContentLength)
-	prefix, err := io.ReadAll(io.LimitReader(resp.Body, int64(limit)+1))
+	prefix, err := readPrefix(resp, limit)
 	if err != nil {
 		defer stop()
 		_ = resp.Body.Close()
@@ -167,6 +167,19 @@
 	return success
 }
 
+// readPrefix reads the body of a response up to a byte beyond the limit.
+func readPrefix(resp *http.Response, limit int) ([]byte, error) {
+	if resp.ContentLength < 0 || resp.ContentLength > int64(limit) || resp.Body == http.NoBody {
+		return io.ReadAll(io.LimitReader(resp.Body, int64(limit)+1))
+	}
+	data := make([]byte, resp.ContentLength)
+	n, err := io.ReadFull(resp.Body, data)
+	if errors.Is(err, io.EOF) {
+		err = nil // a body without bytes; one that ends early returns io.ErrUnexpectedEOF
+	}
+	return data[:n], err
+}
+
 // bufferLimit returns the number of bytes of a response body to buffer before it
 // is streamed: as many as the record of an action may store, or the whole body
 // if its declared length is small.
--- a/io/proxy/suspects.go
+++ b/io/proxy/suspects.go
@@ -39,6 +39,22 @@
 	return fault.Refuse(fault.ReasonCrashSuspect, "this request met %d crashes of upstreams and is not run for a while", crashes)
 }
 
+// refuseSuspect returns the refusal of a call whose content has crashed upstreams. The
+// content is looked at only while any daemon knows of crashes.
+func (p *Proxy) refuseSuspect(o *outboundCall) *fault.Refusal {
+	if len(*p.opt.Board.Crashes.Read()) == 0 && len(p.opt.Board.Members.Read().Crashes) == 0 {
+		return nil
+	}
+	return p.suspects.refuse(p.opt.Clock.Now(), o.contentFingerprint())
+}
+
+// clearSuspect deletes the count of a call that got a response.
+func (p *Proxy) clearSuspect(o *outboundCall) {
+	if len(*p.opt.Board.Crashes.Read()) > 0 {
+		p.suspects.recordResponse(p.opt.Clock.Now(), o.contentFingerprint())
+	}
+}
+
 // recordCrash counts a crash and publishes the counts.
 func (s *suspects) recordCrash(now time.Time, fp poison.Fingerprint) {
 	s.mu.Lock()
--- a/io/proxy/watch.go
+++ b/io/proxy/watch.go
@@ -130,8 +130,9 @@
 
 func startInterimSender(w http.ResponseWriter) *interimSender {
 	s := &interimSender{w: w}
-	s.timer = newStoppedTimer(s.send)
-	s.timer.Reset(interimInterval)
+	s.mu.Lock()
+	defer s.mu.Unlock() // send waits until the timer is set
+	s.timer = time.AfterFunc(interimInterval, s.send)
 	return s
 }
 
