--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -11,6 +11,7 @@
 	"chicorymast/config"
 	"chicorymast/io/daemon"
 	"chicorymast/io/event"
+	"chicorymast/io/heap"
 )
 
 // megabytes is a size in MB; an empty one is zero.
@@ -49,6 +50,10 @@
 	if limit := cfg.Daemon.RuntimeLimit(); limit > 0 {
 		debug.SetMemoryLimit(limit)
 	}
+	if headroom := cfg.Daemon.HeapHeadroom(); headroom > 0 {
+		reset := heap.KeepHeadroom(headroom)
+		defer reset()
+	}
 	log, err := event.Open(os.Stdout, cfg.Log.Level, cfg.Log.Format)
 	if err != nil {
 		return err
--- a/config/daemon.go
+++ b/config/daemon.go
@@ -44,6 +44,9 @@
 	// MemoryLimitMB is the memory that the process may take, in MB; zero means that no limit
 	// is known. A change takes a restart.
 	MemoryLimitMB float64 `ini:"memory_limit_mb"`
+	// HeapHeadroomMB is how much is allocated at least before garbage is collected, in MB;
+	// zero stands for as much as is in use. A change takes a restart.
+	HeapHeadroomMB float64 `ini:"heap_headroom_mb"`
 }
 
 // heapShare is the part of the memory limit that the Go runtime may use before it collects
@@ -59,6 +62,11 @@
 	return int64(d.MemoryLimitMB * heapShare * (1 << 20))
 }
 
+// HeapHeadroom returns the headroom in bytes.
+func (d Daemon) HeapHeadroom() uint64 {
+	return uint64(d.HeapHeadroomMB * (1 << 20))
+}
+
 func defaultDaemon() Daemon {
 	return Daemon{Role: RoleUpstream, Mode: ModeManaged, ShutdownTimeout: 10 * time.Second}
 }
@@ -77,10 +85,18 @@
 		return "data_folder", "is missing: a control daemon stores the configuration there"
 	case d.ShutdownDelay < 0 || d.ShutdownDelay >= d.ShutdownTimeout:
 		return "shutdown_delay", "must be at least zero and less than shutdown_timeout"
-	case !(d.MemoryLimitMB >= 0 && d.MemoryLimitMB <= maxMemoryLimitMB):
-		return "memory_limit_mb", "must be 0 or the memory in MB"
 	case d.ShutdownTimeout <= 0:
 		return "shutdown_timeout", "must be above zero"
 	}
+	return d.checkMemory()
+}
+
+func (d *Daemon) checkMemory() (key, problem string) {
+	switch {
+	case !(d.MemoryLimitMB >= 0 && d.MemoryLimitMB <= maxMemoryLimitMB):
+		return "memory_limit_mb", "must be 0 or the memory in MB"
+	case !(d.HeapHeadroomMB >= 0 && d.HeapHeadroomMB <= maxMemoryLimitMB):
+		return "heap_headroom_mb", "must be 0 or the memory in MB"
+	}
 	return "", ""
 }
--- a/io/daemon/cost_test.go
+++ b/io/daemon/cost_test.go
@@ -21,6 +21,7 @@
 	"chicorymast/core/state"
 	"chicorymast/io/event"
 	"chicorymast/io/header"
+	"chicorymast/io/heap"
 
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
@@ -40,6 +41,7 @@
 	tb.Helper()
 	f := &costFleet{key: "key-of-the-benchmark"}
 	f.entry = newCostDaemon(tb, "entry", "back")
+	tb.Cleanup(heap.KeepHeadroom(f.entry.Config().Daemon.HeapHeadroom()))
 	f.peer = newCostDaemon(tb, "peer", "shop")
 	f.shop = startScripted(tb, f.peer.callers.ln.Addr().String())
 	back := startScripted(tb, "")
