proxy, daemon: fewer locks, timers and header lines for each call

The servers took a lock at the begin and the end of each request to count connections, which these do not change. The headers that the daemon beside the upstream sets anyway are no longer sent to it. The timer of the watchdog is set once instead of three times.

--- a/io/daemon/drain.go
+++ b/io/daemon/drain.go
@@ -30,6 +30,9 @@
 }
 
 func (s *drainingServer) countConnection(_ net.Conn, state http.ConnState) {
+	if state == http.StateActive || state == http.StateIdle {
+		return // at the begin and the end of each request
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
--- a/io/header/dialect.go
+++ b/io/header/dialect.go
@@ -91,6 +91,13 @@
 	setOrDelete(h, d.TargetUpstream, string(u.Target), values[3:4:4])
 }
 
+// DeleteUpstream deletes the headers that SetUpstream sets, which are of no use until then.
+func (d Dialect) DeleteUpstream(h http.Header) {
+	for _, name := range []string{d.Timeout, d.Workspace, d.Caller, d.TargetUpstream} {
+		delete(h, http.CanonicalHeaderKey(name))
+	}
+}
+
 func (d Dialect) formatTimeLeft(left time.Duration) string {
 	if d.TimeoutUnit == time.Millisecond {
 		return strconv.FormatInt(left.Milliseconds(), 10)
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -340,6 +340,7 @@
 		action = ident.ActionID(p.newToken())
 	}
 	h := header.FromCaller(r.Header)
+	p.opt.Dialect.DeleteUpstream(h)
 	if p.opt.Dialect.ForwardedFor {
 		setForwardedFor(h, r)
 	}
@@ -385,7 +386,7 @@
 // connection is aborted, so that the caller does not take it for complete.
 func (p *Proxy) writeResponse(w http.ResponseWriter, name ident.Route, resp *response, start time.Time) {
 	header.CopyResponse(w.Header(), resp.header)
-	p.opt.Metrics.call("entry", name, strconv.Itoa(resp.status), p.opt.Clock.Now().Sub(start))
+	p.opt.Metrics.call("entry", name, resp.status, p.opt.Clock.Now().Sub(start))
 	if resp.stream == nil {
 		if resp.length >= 0 && w.Header().Get("Content-Length") == "" && len(resp.body) > 0 {
 			w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
@@ -409,6 +410,6 @@
 func (p *Proxy) refuseCaller(w http.ResponseWriter, s subject, r *fault.Refusal, wait time.Duration, start time.Time, inputs func() []zap.Field) {
 	p.noteRefused(s, r, wait, start, inputs)
 	p.opt.Metrics.refused("entry", r.Reason)
-	p.opt.Metrics.call("entry", s.route, strconv.Itoa(HTTPStatus(r)), p.opt.Clock.Now().Sub(start))
+	p.opt.Metrics.call("entry", s.route, HTTPStatus(r), p.opt.Clock.Now().Sub(start))
 	WriteProblem(w, p.opt.Dialect, r, wait)
 }
--- a/io/proxy/local.go
+++ b/io/proxy/local.go
@@ -211,9 +211,11 @@
 	if spec.Class.Above(call.Class) {
 		call.Class = spec.Class
 	}
+	h := header.FromCaller(r.Header)
+	p.opt.Dialect.DeleteUpstream(h)
 	p.entryAdmission.recordNestedCall(parent.call.Route, name)
 	return &outboundCall{
-		call: call, parent: parent.call.Action, method: r.Method, url: r.URL, host: r.Host, header: header.FromCaller(r.Header),
+		call: call, parent: parent.call.Action, method: r.Method, url: r.URL, host: r.Host, header: h,
 		body: body,
 	}, nil
 }
--- a/io/proxy/metrics.go
+++ b/io/proxy/metrics.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"net/http"
+	"strconv"
 	"time"
 
 	"chicorymast/core/fault"
@@ -68,8 +70,12 @@
 	return m
 }
 
-func (m *Metrics) call(hop string, route ident.Route, status string, duration time.Duration) {
-	m.calls.WithLabelValues(hop, string(route), status).Inc()
+func (m *Metrics) call(hop string, route ident.Route, status int, duration time.Duration) {
+	label := "200" // of most calls
+	if status != http.StatusOK {
+		label = strconv.Itoa(status)
+	}
+	m.calls.WithLabelValues(hop, string(route), label).Inc()
 	m.seconds.WithLabelValues(hop).Observe(duration.Seconds())
 }
 
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,7 +55,7 @@
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	status := p.serve(ctx, w, r, call)
-	p.opt.Metrics.call("serve", call.Route, strconv.Itoa(status), p.opt.Clock.Now().Sub(start))
+	p.opt.Metrics.call("serve", call.Route, status, p.opt.Clock.Now().Sub(start))
 }
 
 func (p *Proxy) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, call header.Call) (status int) {
--- a/io/proxy/watch.go
+++ b/io/proxy/watch.go
@@ -32,6 +32,9 @@
 
 // watchdog cancels an attempt if the peer sends nothing for too long.
 type watchdog struct {
+	trace httptrace.ClientTrace
+	// starting is held until timer is set.
+	starting     sync.Mutex
 	timer        *time.Timer
 	wroteHeaders atomic.Bool
 	disarmed     atomic.Bool
@@ -47,33 +50,27 @@
 func withWatchdog(ctx context.Context, onSilent, onAlive func()) (context.Context, *watchdog, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &watchdog{onSilent: onSilent, onAlive: onAlive, cancel: cancel}
-	w.timer = newStoppedTimer(w.expire)
-	w.timer.Reset(suspectTime)
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteHeaders: func() { w.wroteHeaders.Store(true) },
-		WroteRequest: func(httptrace.WroteRequestInfo) { w.reset() },
-		Got1xxResponse: func(int, textproto.MIMEHeader) error {
-			w.onAlive()
-			w.reset()
-			return nil
-		},
-	})
-	return ctx, w, func() {
+	w.starting.Lock()
+	w.timer = time.AfterFunc(suspectTime, w.expire)
+	w.starting.Unlock()
+	w.trace.WroteHeaders = func() { w.wroteHeaders.Store(true) }
+	w.trace.WroteRequest = func(httptrace.WroteRequestInfo) { w.reset() }
+	w.trace.Got1xxResponse = func(int, textproto.MIMEHeader) error {
+		w.onAlive()
+		w.reset()
+		return nil
+	}
+	return httptrace.WithClientTrace(ctx, &w.trace), w, func() {
 		w.disarm()
 		cancel(nil)
 	}
 }
 
-// newStoppedTimer returns a timer that calls f after its first Reset, when the variable is
-// set through which f resets it. A process may be suspended at any point before that.
-func newStoppedTimer(f func()) *time.Timer {
-	t := time.AfterFunc(time.Hour, f)
-	t.Stop()
-	return t
-}
-
-// expire suspects a silent peer and, when it stays silent, cancels the attempt.
+// expire suspects a silent peer and, when it stays silent, cancels the attempt. A process
+// may be suspended between the start of the timer and its being set.
 func (w *watchdog) expire() {
+	w.starting.Lock()
+	defer w.starting.Unlock()
 	if w.disarmed.Load() {
 		return
 	}
