--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -15,7 +15,6 @@
 	"chicorymast/core/fault"
 	"chicorymast/core/ident"
 	"chicorymast/core/intent"
-	"chicorymast/core/poison"
 	"chicorymast/io/event"
 	"chicorymast/io/header"
 	"chicorymast/io/record"
@@ -135,7 +134,7 @@
 		return fault.Refuse(fault.ReasonKeyUnknown, "the key is unknown, withdrawn or expired")
 	}
 	in.workspace = workspace
-	if _, _, granted := in.config.Grant(workspace, in.route); !granted {
+	if in.grant, in.grantSpec, in.granted = in.config.Grant(workspace, in.route); !in.granted {
 		return fault.Refuse(fault.ReasonNoGrant, "workspace %s may not call route %s", workspace, in.route)
 	}
 	return nil
@@ -194,8 +193,8 @@
 	if in.workspace == "" {
 		return nil, 0, noInputs // no workspaces are configured, so there are no keys or grants
 	}
-	name, grant, ok := in.config.Grant(in.workspace, in.route)
-	if !ok {
+	name, grant := in.grant, in.grantSpec
+	if !in.granted {
 		return fault.Refuse(fault.ReasonNoGrant, "workspace %s may not call route %s", in.workspace, in.route), 0, noInputs
 	}
 	if grant.Rate == 0 {
@@ -341,6 +340,7 @@
 		action = ident.ActionID(p.newToken())
 	}
 	h := header.FromCaller(r.Header)
+	p.opt.Dialect.DeleteUpstream(h)
 	if p.opt.Dialect.ForwardedFor {
 		setForwardedFor(h, r)
 	}
@@ -362,26 +362,16 @@
 			Retries:            in.retryBudget(),
 			Repeat:             in.parent != nil && in.parent.call.Repeat,
 		},
-		parent:      in.subject().parent,
-		vmLimit:     in.spec.Attempts,
-		method:      r.Method,
-		url:         r.URL,
-		host:        r.Host,
-		header:      h,
-		body:        in.body,
-		fingerprint: contentFingerprint(r, in.body),
+		parent:  in.subject().parent,
+		vmLimit: in.spec.Attempts,
+		method:  r.Method,
+		url:     r.URL,
+		host:    r.Host,
+		header:  h,
+		body:    in.body,
 	}
 }
 
-// contentFingerprint returns the fingerprint of a request's content, which is
-// independent of the sender.
-func contentFingerprint(r *http.Request, body *payload) poison.Fingerprint {
-	d := xxhash.New()
-	_, _ = d.WriteString(r.Method + " " + r.URL.RequestURI() + "\n")
-	_, _ = d.Write(body.buffered)
-	return poison.Fingerprint(strconv.FormatUint(d.Sum64(), 36))
-}
-
 // rankOf returns the rank of an action, a hash that is the same on all daemons.
 func rankOf(w ident.Workspace, a ident.ActionID) admit.Rank {
 	return admit.Rank(xxhash.Sum64String(string(w) + "\x00" + string(a)))
@@ -398,7 +388,7 @@
 // connection is aborted, so that the caller does not take it for complete.
 func (p *Proxy) writeResponse(w http.ResponseWriter, name ident.Route, resp *response, start time.Time) {
 	header.CopyResponse(w.Header(), resp.header)
-	p.opt.Metrics.call("entry", name, strconv.Itoa(resp.status), p.opt.Clock.Now().Sub(start))
+	p.opt.Metrics.call("entry", name, resp.status, p.opt.Clock.Now().Sub(start))
 	if resp.stream == nil {
 		if resp.length >= 0 && w.Header().Get("Content-Length") == "" && len(resp.body) > 0 {
 			w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
@@ -422,6 +412,6 @@
 func (p *Proxy) refuseCaller(w http.ResponseWriter, s subject, r *fault.Refusal, wait time.Duration, start time.Time, inputs func() []zap.Field) {
 	p.noteRefused(s, r, wait, start, inputs)
 	p.opt.Metrics.refused("entry", r.Reason)
-	p.opt.Metrics.call("entry", s.route, strconv.Itoa(HTTPStatus(r)), p.opt.Clock.Now().Sub(start))
+	p.opt.Metrics.call("entry", s.route, HTTPStatus(r), p.opt.Clock.Now().Sub(start))
 	WriteProblem(w, p.opt.Dialect, r, wait)
 }
