daemon: bound the memory that the heads of all messages take

Callers saw a process end: 200 connections that each held a legal head of 32 KiB in 5,700 lines brought a daemon from 19 to 120 MB, 1,000 to 650 MB, and a VM has 184 MB. The memory limit of the runtime can't help, since the bytes are in use.

All HTTP listeners and the connections to upstreams and peers now count heads on the connection. Beyond [calls] header_memory_mb (a quarter of the memory limit) the largest request that is not handled yet is refused with 431, headers_too_large, not run.

--- a/config/calls.go
+++ b/config/calls.go
@@ -24,6 +24,9 @@
 	HeaderLimit int `ini:"header_limit"`
 	// HeaderTimeout limits the time that a caller takes to send the request header.
 	HeaderTimeout time.Duration `ini:"header_timeout"`
+	// HeaderMemoryMB is the memory in MB that the headers of all requests and responses may
+	// take at once, parsed and with their copies; zero stands for a part of the memory limit.
+	HeaderMemoryMB float64 `ini:"header_memory_mb"`
 	// RetryRatio and RetrySlack set the retry budget of each service for the whole
 	// fleet: RetryRatio retries are added for each successful call, and up to
 	// RetrySlack unused retries are saved. Each daemon enforces its share.
@@ -59,6 +62,8 @@
 		return "connect_timeout", "must be above zero"
 	case c.HeaderLimit < 1024:
 		return "header_limit", "must be at least 1024 bytes"
+	case !(c.HeaderMemoryMB >= 0 && c.HeaderMemoryMB <= maxMemoryLimitMB):
+		return "header_memory_mb", "must be 0 or the memory in MB"
 	case c.HeaderTimeout <= 0:
 		return "header_timeout", "must be above zero"
 	case c.RetryRatio < 0 || c.RetryRatio > 1:
@@ -70,3 +75,23 @@
 	}
 	return "", ""
 }
+
+const (
+	// headerShare is the part of the memory limit that headers may take. Some 5,000 requests
+	// with ordinary headers at once take less of a limit of 184 MB.
+	headerShare = 0.25
+	// unlimitedHeaderMemoryMB is what headers may take if no memory limit is known.
+	unlimitedHeaderMemoryMB = 256
+)
+
+// HeaderMemory returns the memory in bytes that the headers of all messages may take.
+func (c *Config) HeaderMemory() int64 {
+	mb := c.Calls.HeaderMemoryMB
+	if mb == 0 {
+		mb = c.Daemon.MemoryLimitMB * headerShare
+	}
+	if mb == 0 {
+		mb = unlimitedHeaderMemoryMB
+	}
+	return int64(mb * (1 << 20))
+}
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -49,6 +49,7 @@
 		"duplicate key":               {"role = upstream", "role = upstream\nrole = control", "daemon", "role"},
 		"bad duration":                {"connect_timeout = 1s", "connect_timeout = soon", "calls", "connect_timeout"},
 		"bad number":                  {"connections = 4096", "connections = many", "calls", "connections"},
+		"negative header memory":      {"header_memory_mb = 0", "header_memory_mb = -1", "calls", "header_memory_mb"},
 		"bad flag":                    {"join = false", "join = perhaps", "control", "join"},
 		"missing VM":                  {"vm = katalog-1", "", "daemon", "vm"},
 		"control without data folder": {"role = upstream", "role = control", "daemon", "data_folder"},
@@ -88,6 +89,15 @@
 	}
 }
 
+// Guards against a budget for headers that a small VM doesn't have.
+func TestHeaderMemoryFollowsTheMemoryLimit(t *testing.T) {
+	for _, c := range []struct{ setting, limit, want float64 }{{0, 184, 46}, {0, 0, 256}, {7.5, 184, 7.5}, {7.5, 0, 7.5}} {
+		cfg := Default()
+		cfg.Calls.HeaderMemoryMB, cfg.Daemon.MemoryLimitMB = c.setting, c.limit
+		assert.Equal(t, cfg.HeaderMemory(), int64(c.want*(1<<20)))
+	}
+}
+
 func TestLoadErrorNamesUnreadableFile(t *testing.T) {
 	_, err := Load("no-such-file.ini")
 	var bad *schema.Error
--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -60,6 +60,7 @@
 	ReasonRecordUnreachable        Reason = "record_unreachable"
 	ReasonNotMember                Reason = "not_a_member"
 	ReasonCancelled                Reason = "cancelled"
+	ReasonHeadersTooLarge          Reason = "headers_too_large"
 )
 
 // RestsOnAbsence reports whether a refusal says that something is not in the
--- a/io/daemon/ahead.go
+++ b/io/daemon/ahead.go
@@ -7,6 +7,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"chicorymast/io/limit"
 )
 
 // aheadConn is a caller's connection that notices the caller's leaving also while
@@ -41,6 +43,10 @@
 
 // connContext is the http.Server.ConnContext that ends with an aheadConn.
 func connContext(ctx context.Context, c net.Conn) context.Context {
+	ctx = limit.ConnContext(ctx, c)
+	if counted, ok := c.(*limit.Conn); ok {
+		c = counted.Conn
+	}
 	ahead, ok := c.(*aheadConn)
 	if !ok {
 		return ctx
@@ -76,6 +82,13 @@
 	return n, nil
 }
 
+// Unread takes back bytes that the last Read returned.
+func (c *aheadConn) Unread(p []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.buffer = append(append(make([]byte, 0, len(p)+len(c.buffer)), p...), c.buffer...)
+}
+
 func (c *aheadConn) startReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/io/daemon/callers.go
+++ b/io/daemon/callers.go
@@ -45,6 +45,8 @@
 type callerServer struct {
 	ln      net.Listener
 	handler http.Handler
+	// accepted wraps each connection as the HTTP server sees it.
+	accepted func(net.Conn) net.Conn
 
 	mu      sync.Mutex
 	limits  connLimits
@@ -60,18 +62,23 @@
 	srv   *drainingServer
 	addr  net.Addr
 	conns chan net.Conn
+	// accepted is that of the callerServer.
+	accepted func(net.Conn) net.Conn
+
 	done  chan struct{}
 	close func()
 }
 
-func newCallerServer(ln net.Listener, h http.Handler, l connLimits) *callerServer {
-	s := &callerServer{ln: ln, handler: h, limits: l}
+func newCallerServer(ln net.Listener, h http.Handler, l connLimits, accepted func(net.Conn) net.Conn) *callerServer {
+	s := &callerServer{ln: ln, handler: h, limits: l, accepted: accepted}
 	s.current = s.newGeneration(l)
 	return s
 }
 
 func (s *callerServer) newGeneration(l connLimits) *generation {
-	g := &generation{srv: newServer(s.handler, l), addr: s.ln.Addr(), conns: make(chan net.Conn), done: make(chan struct{})}
+	g := &generation{
+		srv: newServer(s.handler, l), addr: s.ln.Addr(), conns: make(chan net.Conn), accepted: s.accepted, done: make(chan struct{}),
+	}
 	g.close = sync.OnceFunc(func() { close(g.done) })
 	go func() { _ = g.srv.Serve(g) }() // ends with ErrServerClosed
 	return g
@@ -81,7 +88,7 @@
 func (g *generation) Accept() (net.Conn, error) {
 	select {
 	case c := <-g.conns:
-		return &aheadConn{Conn: c}, nil
+		return g.accepted(&aheadConn{Conn: c}), nil
 	case <-g.done:
 		return nil, net.ErrClosed
 	}
--- a/io/daemon/callers_test.go
+++ b/io/daemon/callers_test.go
@@ -49,7 +49,7 @@
 			<-release
 		}
 	})
-	s := newCallerServer(ln, h, connLimits{headerBytes: 64 << 10, headerTimeout: time.Second, idleTimeout: time.Minute})
+	s := newCallerServer(ln, h, connLimits{headerBytes: 64 << 10, headerTimeout: time.Second, idleTimeout: time.Minute}, countHeads)
 	done := make(chan error, 1)
 	go func() { done <- s.Serve() }()
 	dial := func() net.Conn {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -32,6 +32,7 @@
 	"chicorymast/io/change"
 	"chicorymast/io/ctrl"
 	"chicorymast/io/event"
+	"chicorymast/io/limit"
 	"chicorymast/io/proxy"
 	"chicorymast/io/ration"
 	"chicorymast/io/record"
@@ -73,6 +74,7 @@
 	changes   *change.Client
 	upstreams *upstreamRegistry
 
+	heads     *limit.Guard
 	listeners []*listener
 	callers   *callerServer
 	stops     []func()
@@ -133,6 +135,7 @@
 		return nil, err
 	}
 	d.registerBulkMetrics()
+	d.limitHeads()
 	d.buildProxy()
 	return d, d.listen()
 }
@@ -224,6 +227,7 @@
 		Quota:   d.limiter,
 		Records: d.records,
 		Dial:    d.dial,
+		Heads:   d.heads,
 		Dialect: dialectFor(cfg.Platform),
 
 		UpstreamLeaves: d.upstreams.Leave,
@@ -283,12 +287,15 @@
 	ln = newPatientListener(ln, name, d.log)
 	limits := d.callerLimits()
 	if name == "caller" {
-		d.callers = newCallerServer(limitListener(ln, d.Config().Calls.Connections), handler, limits)
+		accepted := func(c net.Conn) net.Conn { return d.heads.Accepted(c, d.proxy.RefuseHead) }
+		d.callers = newCallerServer(limitListener(ln, d.Config().Calls.Connections), handler, limits, accepted)
 		return nil
 	}
+	refuse := d.proxy.RefuseHead
 	if name == "peer" {
-		ln = d.secure.Listen(ln)
+		ln, refuse = d.secure.Listen(ln), d.proxy.RefusePeerHead
 	}
+	ln = d.heads.Listen(ln, refuse)
 	d.listeners = append(d.listeners, &listener{name: name, ln: ln, srv: newServer(handler, limits)})
 	return nil
 }
--- a/io/daemon/drain.go
+++ b/io/daemon/drain.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"chicorymast/io/limit"
 )
 
 // drainingServer is an http.Server that can end without dropping a request.
@@ -23,7 +25,7 @@
 func newServer(h http.Handler, l connLimits) *drainingServer {
 	s := &drainingServer{}
 	s.Server = &http.Server{
-		Handler: h, MaxHeaderBytes: l.headerBytes, ReadHeaderTimeout: l.headerTimeout, IdleTimeout: l.idleTimeout,
+		Handler: limit.Handler(h), MaxHeaderBytes: l.headerBytes, ReadHeaderTimeout: l.headerTimeout, IdleTimeout: l.idleTimeout,
 		ErrorLog: discardLogger(), ConnContext: connContext, ConnState: s.countConnection,
 	}
 	return s
--- a/io/daemon/pipeline_test.go
+++ b/io/daemon/pipeline_test.go
@@ -42,7 +42,7 @@
 		}
 		fmt.Fprint(w, r.URL.Path)
 	})
-	s := newCallerServer(ln, h, connLimits{headerBytes: 64 << 10, headerTimeout: time.Minute, idleTimeout: time.Minute})
+	s := newCallerServer(ln, h, connLimits{headerBytes: 64 << 10, headerTimeout: time.Minute, idleTimeout: time.Minute}, countHeads)
 	go func() { _ = s.Serve() }() // ends with the listener
 	t.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -187,7 +187,7 @@
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
 		h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = fmt.Fprint(w, r.URL.Path) })
-		s := newCallerServer(ln, h, connLimits{headerBytes: 4 << 10, headerTimeout: time.Minute, idleTimeout: time.Minute})
+		s := newCallerServer(ln, h, connLimits{headerBytes: 4 << 10, headerTimeout: time.Minute, idleTimeout: time.Minute}, countHeads)
 		go func() { _ = s.Serve() }() // ends with the listener
 		defer func() { _ = s.Shutdown(context.Background()) }()
 		conn, err := net.Dial("tcp", ln.Addr().String())
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -17,6 +17,7 @@
 	SettingsInvalid      ID = 1011
 	ListenerFailed       ID = 1020
 	AcceptPaused         ID = 1021
+	HeadsRefused         ID = 1022
 	UpstreamAnnounced    ID = 1101
 	UpstreamDraining     ID = 1102
 	UpstreamDeregistered ID = 1103
@@ -78,6 +79,7 @@
 	{SettingsInvalid, zapcore.ErrorLevel, "The settings file is invalid; the settings in force were kept."},
 	{ListenerFailed, zapcore.ErrorLevel, "A listener stopped with an error."},
 	{AcceptPaused, zapcore.WarnLevel, "Connections can't be accepted for lack of resources; the listener waits and goes on."},
+	{HeadsRefused, zapcore.WarnLevel, "Messages were refused because the headers of all of them take too much memory."},
 	{UpstreamAnnounced, zapcore.InfoLevel, "The upstream on this VM announced itself."},
 	{UpstreamDraining, zapcore.InfoLevel, "The upstream on this VM is draining; it gets no new calls."},
 	{UpstreamDeregistered, zapcore.InfoLevel, "The upstream on this VM deregistered."},
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -255,7 +255,7 @@
 		return retryAgain
 	}
 	switch r.Reason {
-	case fault.ReasonCancelled, fault.ReasonDeadline, fault.ReasonBodyTooLarge, fault.ReasonBadRequest:
+	case fault.ReasonCancelled, fault.ReasonDeadline, fault.ReasonBodyTooLarge, fault.ReasonBadRequest, fault.ReasonHeadersTooLarge:
 		return retryFinalReason
 	}
 	if r.NotRun || o.call.Idempotent {
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -20,6 +20,7 @@
 	"chicorymast/core/retry"
 	"chicorymast/io/event"
 	"chicorymast/io/header"
+	"chicorymast/io/limit"
 	"chicorymast/io/timer"
 	"chicorymast/io/trace"
 
@@ -247,7 +248,10 @@
 func traceExchange(ctx context.Context, clock timer.Clock) (context.Context, *exchange) {
 	e := &exchange{}
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:      func(info httptrace.GotConnInfo) { e.conn.Store(&info.Conn) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			e.conn.Store(&info.Conn)
+			limit.Expect(ctx, info.Conn)
+		},
 		WroteHeaders: func() { e.wroteHeaders.Store(true) },
 		GotFirstResponseByte: func() {
 			now := clock.Now()
--- a/io/proxy/problem.go
+++ b/io/proxy/problem.go
@@ -24,6 +24,7 @@
 	fault.ReasonOutcomeUnknown:           http.StatusConflict,
 	fault.ReasonActionDone:               http.StatusConflict,
 	fault.ReasonBodyTooLarge:             http.StatusRequestEntityTooLarge,
+	fault.ReasonHeadersTooLarge:          http.StatusRequestHeaderFieldsTooLarge,
 	fault.ReasonOverRate:                 http.StatusTooManyRequests,
 	fault.ReasonOverload:                 http.StatusServiceUnavailable,
 	fault.ReasonNoUpstream:               http.StatusServiceUnavailable,
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -33,6 +33,7 @@
 	"chicorymast/core/quota"
 	"chicorymast/io/event"
 	"chicorymast/io/header"
+	"chicorymast/io/limit"
 	"chicorymast/io/record"
 	"chicorymast/io/timer"
 	"chicorymast/io/trace"
@@ -52,6 +53,8 @@
 	Trail *trail.Trail
 	// Dialect holds the names of the headers that callers and upstreams use.
 	Dialect header.Dialect
+	// Heads counts the heads of responses; nil counts none.
+	Heads *limit.Guard
 	// Dial connects to other daemons.
 	Dial wire.DialFunc
 	// Seed initialises the random number generators.
@@ -120,6 +123,9 @@
 	p.peerTransport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
 		return opt.Dial(ctx, address)
 	}
+	for _, t := range []*http.Transport{p.upstreamTransport, p.freshTransport, p.peerTransport} {
+		t.DialContext = counted(opt.Heads, t.DialContext)
+	}
 	p.notices = newNotices()
 	p.router = newRouter(opt, p.notices, rand.New(rand.NewPCG(opt.Seed+1, opt.Seed)))
 	p.admission = newAdmission(opt)
@@ -145,6 +151,22 @@
 	}
 }
 
+type dialContext func(ctx context.Context, network, address string) (net.Conn, error)
+
+// counted returns a function whose connections count the heads of responses.
+func counted(g *limit.Guard, dial dialContext) dialContext {
+	if g == nil {
+		return dial
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return g.Dialled(conn), nil
+	}
+}
+
 // Start starts the proxy's periodic tasks.
 func (p *Proxy) Start() (stop func()) {
 	const admissionInterval = 10 * time.Millisecond
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -14,6 +14,7 @@
 	"chicorymast/core/inflow"
 	"chicorymast/core/route"
 	"chicorymast/io/header"
+	"chicorymast/io/limit"
 	"chicorymast/io/trace"
 )
 
@@ -213,8 +214,8 @@
 	switch {
 	case w.silent.Load():
 		return route.OutcomeFailed
-	case fault.TooManyFiles(err):
-		return route.OutcomeRefused // this daemon's own fault
+	case fault.TooManyFiles(err), errors.Is(err, limit.ErrRefused):
+		return route.OutcomeRefused // this daemon's own shortage
 	}
 	return vmOutcome(r)
 }
--- a/io/proxy/watch.go
+++ b/io/proxy/watch.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"chicorymast/io/limit"
 )
 
 // While a call runs, the daemon of the upstream sends 102 Processing to the
@@ -49,7 +51,9 @@
 	w := &watchdog{onSilent: onSilent, onAlive: onAlive, cancel: cancel}
 	w.timer = newStoppedTimer(w.expire)
 	w.timer.Reset(suspectTime)
+	served := ctx
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:      func(info httptrace.GotConnInfo) { limit.Expect(served, info.Conn) },
 		WroteHeaders: func() { w.wroteHeaders.Store(true) },
 		WroteRequest: func(httptrace.WroteRequestInfo) { w.reset() },
 		Got1xxResponse: func(int, textproto.MIMEHeader) error {
