--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -20,6 +20,7 @@
 	"chicorymast/core/retry"
 	"chicorymast/io/event"
 	"chicorymast/io/header"
+	"chicorymast/io/limit"
 	"chicorymast/io/timer"
 	"chicorymast/io/trace"
 
@@ -246,6 +247,8 @@
 
 // exchange records the progress of a request to the upstream.
 type exchange struct {
+	// served is the context of the request that is being served.
+	served       context.Context
 	clock        timer.Clock
 	trace        httptrace.ClientTrace
 	wroteHeaders atomic.Bool
@@ -267,7 +270,7 @@
 
 // traceExchange returns a context whose request is recorded.
 func traceExchange(ctx context.Context, clock timer.Clock) (context.Context, *exchange) {
-	e := &exchange{clock: clock}
+	e := &exchange{served: ctx, clock: clock}
 	e.trace.GotConn, e.trace.GotFirstResponseByte = e.gotConn, e.gotFirstResponseByte
 	e.trace.WroteHeaders = func() { e.wroteHeaders.Store(true) }
 	return httptrace.WithClientTrace(ctx, &e.trace), e
@@ -277,6 +280,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.conn = info.Conn
+	limit.Expect(e.served, info.Conn)
 }
 
 func (e *exchange) gotFirstResponseByte() {
--- a/io/proxy/watch.go
+++ b/io/proxy/watch.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"chicorymast/io/limit"
 )
 
 // While a call runs, the daemon of the upstream sends 102 Processing to the
@@ -53,6 +55,8 @@
 	w.starting.Lock()
 	w.timer = time.AfterFunc(suspectTime, w.expire)
 	w.starting.Unlock()
+	served := ctx
+	w.trace.GotConn = func(info httptrace.GotConnInfo) { limit.Expect(served, info.Conn) }
 	w.trace.WroteHeaders = func() { w.wroteHeaders.Store(true) }
 	w.trace.WroteRequest = func(httptrace.WroteRequestInfo) { w.reset() }
 	w.trace.Got1xxResponse = func(int, textproto.MIMEHeader) error {
