daemon: tests of evacuations with whole fleets

One fleet is evacuated by the order of a platform's operator, with callers all the time: no call reaches a server there once the order is in force everywhere, entries there are served by servers elsewhere, the order and its undo outlive all control daemons, and a daemon that restarts sends its evacuated server nothing while an entry that lags behind calls it.

--- /dev/null
+++ b/io/daemon/evacuation_test.go
@@ -0,0 +1,351 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"chicorymast/core/fault"
+	"chicorymast/core/ident"
+	"chicorymast/io/header"
+	"chicorymast/io/stub"
+	"chicorymast/platform"
+
+	"gotest.tools/v3/assert"
+)
+
+// evacuate orders the evacuation of a data centre, or its end, until it is acknowledged.
+func (m *mesh) evacuate(vm string, dc ident.DataCentre, evacuating bool) {
+	m.t.Helper()
+	eventually(m.t, func() string {
+		status, err := m.daemons[vm].api.Evacuate(m.t.Context(), dc, evacuating)
+		if err != nil || status == http.StatusServiceUnavailable {
+			return fmt.Sprint(status, err)
+		}
+		assert.Equal(m.t, status, http.StatusOK)
+		return ""
+	})
+}
+
+// awaitEvacuated waits until all daemons know whether a data centre is evacuated.
+func (m *mesh) awaitEvacuated(dc ident.DataCentre, want bool) {
+	m.t.Helper()
+	eventually(m.t, func() string {
+		for name, vm := range m.daemons {
+			if vm.run.daemon.board.Config.Read().State.Evacuations[dc] != want {
+				return name + " does not know it yet"
+			}
+		}
+		return ""
+	})
+}
+
+// runsIn returns how many requests the servers of a data centre have run.
+func (m *mesh) runsIn(dc string) (total int) {
+	for _, vm := range m.daemons {
+		if vm.server != nil && vm.zone == dc {
+			_, n := vm.server.Runs("")
+			total += n
+		}
+	}
+	return total
+}
+
+// callUntilServed calls shop until a call succeeds. Others may fail, as the owner of the rate
+// may be restarting, but not for lack of a server.
+func (m *mesh) callUntilServed(t *testing.T, entry string) {
+	t.Helper()
+	eventually(t, func() string {
+		got := m.call(entry, "GET", "shop.example", "/shop/1", "key-mlyn", nil)
+		if got.status == http.StatusOK {
+			return ""
+		}
+		assert.Assert(t, !lacksServer(got.body), "%s: %s", entry, got.body)
+		return fmt.Sprintf("%s: %d %s", entry, got.status, got.body)
+	})
+}
+
+// lacksServer reports whether the body of a response says that no server takes the call.
+func lacksServer(body string) bool {
+	return strings.Contains(body, string(fault.ReasonDraining)) || strings.Contains(body, string(fault.ReasonNoUpstream))
+}
+
+// entries returns the VMs that are not control daemons.
+func (m *mesh) entries() (names []string) {
+	for name := range m.daemons {
+		if !strings.HasPrefix(name, "core") {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// mustServeWithout calls shop at all entries. They must find a server, and none of the calls,
+// nor any nested one, may reach a server in the evacuated data centre.
+func (m *mesh) mustServeWithout(t *testing.T, dc string) {
+	t.Helper()
+	before := m.runsIn(dc)
+	for _, name := range m.entries() {
+		for range 20 {
+			m.callUntilServed(t, name)
+		}
+	}
+	assert.Equal(t, m.runsIn(dc), before, "calls reached an evacuated server")
+}
+
+// TestEvacuation evacuates one of two data centres with the order of a platform's operator
+// and takes it back. Rate has its only server there.
+func TestEvacuation(t *testing.T) {
+	m := newMeshOf(t, "core-1", "core-2", "core-3", "shop-1", "shop-2", "stock-1", "stock-2", "rate-1")
+	const evacuated = "west" // shop-1, stock-1 and rate-1
+	for _, name := range []string{"shop-1", "shop-2"} {
+		m.serve(name, stub.ChildCall{Host: "stock.example", Path: "/stock/x"})
+	}
+	for _, name := range []string{"stock-1", "stock-2", "rate-1"} {
+		m.serve(name)
+	}
+	assert.Equal(t, m.put("core-1", document(3, 0, `"key-mlyn"`)), http.StatusOK)
+	m.waitReady()
+	m.awaitServers(t)
+	t.Run("orders that are refused change nothing", func(t *testing.T) { m.testRefusedEvacuations(t) })
+	stopCalls := m.callAlways("shop-1", "rate-1", "shop-2")
+	announced := m.announcedVersions(evacuated)
+	m.evacuate("core-2", evacuated, true)
+	m.awaitEvacuated(evacuated, true)
+	t.Run("callers notice nothing", func(t *testing.T) { assert.DeepEqual(t, stopCalls(), []string(nil)) })
+	t.Run("no call reaches the servers there", func(t *testing.T) { m.mustServeWithout(t, evacuated) })
+	t.Run("it takes no announcements", func(t *testing.T) {
+		assert.DeepEqual(t, m.announcedVersions(evacuated), announced)
+	})
+	t.Run("a service without a server elsewhere is refused", func(t *testing.T) { m.testNowhereToGo(t) })
+	t.Run("the order may be sent again", func(t *testing.T) {
+		for _, core := range []string{"core-1", "core-2", "core-3"} {
+			m.evacuate(core, evacuated, true)
+		}
+		m.mustServeWithout(t, evacuated)
+	})
+	t.Run("a daemon that restarts there sends its server nothing", func(t *testing.T) { m.testRestartBesideEvacuated(t) })
+	t.Run("the order outlives all control daemons", func(t *testing.T) {
+		m.restartControls(t)
+		m.awaitEvacuated(evacuated, true)
+		m.mustServeWithout(t, evacuated)
+	})
+	t.Run("a document in between does not end it", func(t *testing.T) {
+		m.putAndWait(t, "rate-1", document(4, 3, `"key-mlyn","key-new"`))
+		m.mustServeWithout(t, evacuated)
+	})
+	t.Run("the undo brings calls back", func(t *testing.T) {
+		stopCalls := m.callAlways("shop-1", "rate-1", "shop-2")
+		m.evacuate("core-3", evacuated, false)
+		m.evacuate("core-1", evacuated, false) // sent again
+		m.mustGetCallsAgain(t, "shop-1", "stock-1", "rate-1")
+		assert.DeepEqual(t, stopCalls(), []string(nil))
+	})
+	t.Run("the undo outlives all control daemons", func(t *testing.T) {
+		m.restartControls(t)
+		m.awaitEvacuated(evacuated, false)
+		m.mustGetCallsAgain(t, "shop-1", "stock-1", "rate-1")
+	})
+}
+
+// announcedVersions returns the versions of the announcements of a data centre's servers, as
+// an entry knows them.
+func (m *mesh) announcedVersions(dc ident.DataCentre) map[ident.VM]uint64 {
+	versions := map[ident.VM]uint64{}
+	for _, e := range m.daemons["shop-2"].run.daemon.board.Members.Read().Entries {
+		if e.DataCentre == dc && e.Upstream != nil {
+			versions[e.VM] = e.Version
+		}
+	}
+	return versions
+}
+
+// callAlways calls shop at some entries all the time. The returned function ends that, waits
+// for the last responses and returns those by which a daemon said that no server takes the
+// call.
+func (m *mesh) callAlways(names ...string) (stop func() (refused []string)) {
+	var ended atomic.Bool
+	var mu sync.Mutex
+	var refused []string
+	var callers sync.WaitGroup
+	for _, name := range names {
+		callers.Go(func() {
+			for n := 0; !ended.Load(); n++ {
+				body, err := m.callShopOnce(name, n)
+				if err == nil && lacksServer(body) {
+					mu.Lock()
+					refused = append(refused, name+": "+body)
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	return func() []string {
+		ended.Store(true)
+		callers.Wait()
+		return refused
+	}
+}
+
+// callShopOnce makes one call of callAlways and returns the body of the response.
+func (m *mesh) callShopOnce(name string, n int) (body string, err error) {
+	d := platform.Dialect()
+	req, err := http.NewRequest(http.MethodGet, "http://"+m.daemons[name].addr(portOutbound)+"/shop/always", nil)
+	if err != nil {
+		return "", err
+	}
+	req.Host = "shop.example"
+	req.Header.Set(d.Action, fmt.Sprintf("always-%s-%d-%d", name, time.Now().UnixNano(), n))
+	req.Header.Set(d.Timeout, "2000")
+	req.Header.Set("Authorization", d.KeyScheme+" key-mlyn")
+	resp, err := m.client.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return string(data), err
+}
+
+// awaitServers waits until all entries know all servers.
+func (m *mesh) awaitServers(t *testing.T) {
+	t.Helper()
+	eventually(t, func() string {
+		for name, vm := range m.daemons {
+			known := vm.run.daemon.board.Members.Read().ByService
+			if len(known["shop"]) != 2 || len(known["stock"]) != 2 || len(known["rate"]) != 1 {
+				return name + " does not know all servers"
+			}
+		}
+		return ""
+	})
+}
+
+func (m *mesh) testRefusedEvacuations(t *testing.T) {
+	revision := m.daemons["core-1"].run.daemon.board.Config.Read().State.Revision
+	for _, zone := range []ident.DataCentre{"nowhere", "east/west", "east ", "%"} {
+		for _, evacuating := range []bool{true, false} {
+			status, err := m.daemons["core-1"].api.Evacuate(t.Context(), zone, evacuating)
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusBadRequest, "zone %q", zone)
+		}
+	}
+	status, err := m.daemons["shop-1"].api.Evacuate(t.Context(), "west", true)
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusNotFound, "only control daemons take orders")
+	st := m.daemons["core-1"].run.daemon.board.Config.Read().State
+	assert.Equal(t, len(st.Evacuations), 0)
+	for id, r := range st.Results {
+		assert.Assert(t, r.Revision <= revision || r.Kind != "set_evacuation", "%s was proposed", id)
+	}
+}
+
+func (m *mesh) testNowhereToGo(t *testing.T) {
+	for _, name := range []string{"shop-1", "shop-2", "rate-1"} {
+		got := m.call(name, "GET", "rate.example", "/rate/1", "", nil)
+		assert.Equal(t, got.status, http.StatusServiceUnavailable, "%s", got.body)
+		assert.Assert(t, got.header.Get("Retry-After") != "")
+		assert.Equal(t, m.runs(got.id), 0)
+	}
+}
+
+// testRestartBesideEvacuated restarts a daemon beside an evacuated server, while an entry
+// that knows nothing of the evacuation sends calls to it all the time.
+func (m *mesh) testRestartBesideEvacuated(t *testing.T) {
+	vm := m.daemons["shop-1"]
+	_, before := vm.server.Runs("")
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var caller sync.WaitGroup
+	caller.Go(func() {
+		for ctx.Err() == nil {
+			_, _, _ = m.callPeer(ctx, vm, "shop") // the daemon is down for a while
+		}
+	})
+	vm.run.shutdown(t)
+	m.start(vm, false)
+	eventually(t, func() string {
+		m.announce(vm)
+		if !m.isReady(vm.name) || !vm.run.daemon.board.Upstream.Read().Present() {
+			return "shop-1 is not ready"
+		}
+		return ""
+	})
+	cancel()
+	caller.Wait()
+	status, result, err := m.callPeer(t.Context(), vm, "shop")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Assert(t, result.NotRun)
+	_, after := vm.server.Runs("")
+	assert.Equal(t, after, before, "calls reached an evacuated server through a daemon that restarted")
+	m.mustServeWithout(t, vm.zone)
+}
+
+// callPeer calls a daemon as another daemon does that lags behind.
+func (m *mesh) callPeer(ctx context.Context, vm *meshVM, service ident.Service) (status int, result header.Result, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+vm.addr(portInbound)+"/shop/1", nil)
+	if err != nil {
+		return 0, result, err
+	}
+	header.SetCall(req.Header, header.Call{
+		Action: "late", Route: "r-shop", Service: service, AdmittedShare: 1, TimeoutMs: 1000, Depth: 1, Idempotent: true,
+	})
+	resp, err := m.client.Do(req)
+	if err != nil {
+		return 0, result, err
+	}
+	result, _ = header.GetResult(resp.Header)
+	return resp.StatusCode, result, resp.Body.Close()
+}
+
+// restartControls stops all control daemons at once and starts them again.
+func (m *mesh) restartControls(t *testing.T) {
+	t.Helper()
+	cores := []*meshVM{m.daemons["core-1"], m.daemons["core-2"], m.daemons["core-3"]}
+	var stopped sync.WaitGroup
+	for _, vm := range cores {
+		stopped.Go(func() {
+			vm.run.stop()
+			assert.Check(t, <-vm.run.done)
+		})
+	}
+	stopped.Wait()
+	for _, vm := range cores {
+		m.start(vm, false)
+	}
+	eventually(t, func() string {
+		for _, vm := range cores {
+			if vm.run.daemon.board.Freshness.Read().AsOf.IsZero() {
+				return vm.name + " has no confirmed configuration"
+			}
+		}
+		return ""
+	})
+}
+
+// mustGetCallsAgain calls all services until the servers have run some of the calls.
+func (m *mesh) mustGetCallsAgain(t *testing.T, names ...string) {
+	t.Helper()
+	before := map[string]int{}
+	for _, name := range names {
+		_, before[name] = m.daemons[name].server.Runs("")
+	}
+	eventually(t, func() string {
+		for _, host := range []string{"shop", "stock", "rate"} {
+			m.call("rate-1", "GET", host+".example", "/"+host+"/1", "key-mlyn", nil)
+		}
+		for _, name := range names {
+			if _, after := m.daemons[name].server.Runs(""); after == before[name] {
+				return name + " gets no calls"
+			}
+		}
+		return ""
+	})
+}
