--- a/core/warm/check.go
+++ b/core/warm/check.go
@@ -77,6 +77,11 @@
 	t.sends.add(now)
 }
 
+// Checking reports whether a health check is being made.
+func (t *Tracker) Checking() bool {
+	return t.checks.running
+}
+
 // Checked applies the result of a health check that was sent at a time.
 func (t *Tracker) Checked(now, sent time.Time, r Result) {
 	t.checks.running = false
--- a/io/proxy/endless_test.go
+++ b/io/proxy/endless_test.go
@@ -71,9 +71,12 @@
 	return newUpstreamProxyAt(t, timer.NewClock(), address, member.Upstream{Service: "shop", ID: "i-1", Phase: member.PhaseUp, Slots: 4})
 }
 
-func newUpstreamProxyAt(t *testing.T, clock timer.Clock, address string, upstream member.Upstream) *Proxy {
+func newUpstreamProxyAt(t *testing.T, clock timer.Clock, address string, upstream member.Upstream, change ...func(*config.Config)) *Proxy {
 	t.Helper()
 	cfg := config.Default()
+	for _, f := range change {
+		f(&cfg)
+	}
 	tracer, err := trace.Open(cfg.Trace, "vm-1")
 	assert.NilError(t, err)
 	t.Cleanup(func() { tracer.Close(context.Background()) })
