ramp, admit, route: concurrency of a started upstream begins low

An upstream that had started, refused connections, been silent or been taken back into service got the calls of all its slots at once, or was left at a share by age for five seconds. Failures that do not depend on the limit do not keep it low.

Calls that were not sent, or whose callers left, are no evidence for a ramp.

--- a/config/admission.go
+++ b/config/admission.go
@@ -18,6 +18,9 @@
 	// more. An overrun of zero means that cold upstreams are treated like others.
 	WarmupOverrun float64 `ini:"warmup_overrun"`
 	WarmupSlack   float64 `ini:"warmup_slack"`
+	// Ramp lets the concurrency of an upstream that has started or recovered begin low and
+	// rise as its calls succeed.
+	Ramp bool `ini:"ramp"`
 }
 
 func defaultAdmission() Admission {
--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -29,6 +29,7 @@
 	"chicorymast/core/fault"
 	"chicorymast/core/ident"
 	"chicorymast/core/meter"
+	"chicorymast/core/ramp"
 )
 
 // Ticket identifies a call at one controller.
@@ -44,6 +45,8 @@
 	// QueueLimit is the number of calls that may wait in a standing queue.
 	// Until a queue counts as standing, burstQueueFactor times as many may wait.
 	QueueLimit int
+	// Ramp lets the concurrency of an upstream that has started or recovered begin low.
+	Ramp bool
 }
 
 // Request describes a call that asks for admission.
@@ -97,6 +100,12 @@
 	HoldTime time.Duration
 	// Shed is set when the upstream refused the call as overloaded.
 	Shed bool
+	// Failed is set when the upstream did not answer the call, or not completely.
+	Failed bool
+	// Abandoned is set when the caller left before the upstream had answered.
+	Abandoned bool
+	// NotSent is set for a call that was started and not sent: it shows nothing.
+	NotSent bool
 }
 
 // Load is a controller's state for routing and metrics.
@@ -112,6 +121,9 @@
 	// the rate of those that arrive, relative to it.
 	RateLimit ident.Rate `json:"rate,omitempty"`
 	RateUse   float64    `json:"rate_use,omitempty"`
+	// Ramp is set while Limit shows how far the upstream has started or recovered, and for
+	// some time after that.
+	Ramp bool `json:"ramp,omitempty"`
 }
 
 // Controller is the admission controller of one upstream.
@@ -136,6 +148,9 @@
 	// arrivals counts the calls that arrive, started those that start.
 	arrivals, started meter.Meter
 	pace              pacer
+	ramp              *ramp.Ramp
+	// rampAt is when the last ramp began or was still active.
+	rampAt time.Time
 	// counts holds the counters of Status; its other fields are unused.
 	counts Status
 }
@@ -194,6 +209,7 @@
 	return &Controller{
 		cfg:             cfg,
 		limit:           newLimiter(cfg.Slots),
+		ramp:            ramp.New(cfg.Slots),
 		running:         map[Ticket]ident.Route{},
 		meanHoldByRoute: map[ident.Route]time.Duration{},
 		heldAt:          map[ident.Route]time.Time{},
@@ -239,7 +255,7 @@
 // takenElsewhere reports whether another upstream serves the call if this one has too
 // many: the call then shows no lack of capacity of the service.
 func (c *Controller) takenElsewhere(r Request) bool {
-	return c.pace.limited() && r.RoomElsewhere
+	return (c.pace.limited() || c.RampActive()) && r.RoomElsewhere
 }
 
 // makeRoom sheds calls until one more may wait. It reports false when the
@@ -295,18 +311,27 @@
 	if !ran {
 		return nil
 	}
-	c.limit.observe(now, route, s, len(c.running))
+	running := len(c.running)
 	delete(c.running, t)
-	if s.Shed {
-		c.counts.ShedByUpstream++
-	} else {
-		c.recordHold(now, route, max(s.HoldTime, s.SelfTime))
+	if !s.NotSent {
+		c.observe(now, route, s, running)
 	}
 	effects := c.startWaiting(now)
 	c.countRefused(effects)
 	return effects
 }
 
+// observe records a call that was sent, one of those that were running until it ended.
+func (c *Controller) observe(now time.Time, route ident.Route, s Sample, running int) {
+	c.limit.observe(now, route, s, running)
+	c.observeRamp(now, route, s)
+	if s.Shed {
+		c.counts.ShedByUpstream++
+		return
+	}
+	c.recordHold(now, route, max(s.HoldTime, s.SelfTime))
+}
+
 // recordHold updates the mean hold times with a call that ran.
 func (c *Controller) recordHold(now time.Time, route ident.Route, hold time.Duration) {
 	c.meanHold = movingMean(c.meanHold, hold)
@@ -348,6 +373,7 @@
 	}
 	c.cfg = cfg
 	c.limit = newLimiter(cfg.Slots)
+	c.ramp.Resize(cfg.Slots)
 }
 
 // Load returns the controller's state.
@@ -357,8 +383,8 @@
 		level = c.shed.level
 	}
 	return Load{
-		Running: len(c.running), Waiting: c.waiting, Limit: c.limit.current(), ShedLevel: level,
-		RateLimit: ident.Rate(c.pace.rate), RateUse: c.rateUse(now),
+		Running: len(c.running), Waiting: c.waiting, Limit: c.concurrency(), ShedLevel: level,
+		RateLimit: ident.Rate(c.pace.rate), RateUse: c.rateUse(now), Ramp: c.reportsRamp(now),
 	}
 }
 
@@ -419,7 +445,7 @@
 			ahead += c.queues[i].size
 		}
 	}
-	wait := c.meanHold * time.Duration(ahead) / time.Duration(max(1, c.limit.current()))
+	wait := c.meanHold * time.Duration(ahead) / time.Duration(max(1, c.concurrency()))
 	return c.tooLate(now.Add(max(wait, c.pace.wait(now, ahead))), r)
 }
 
--- a/core/admit/pace.go
+++ b/core/admit/pace.go
@@ -127,7 +127,7 @@
 
 // mayStart reports whether the upstream takes another call now.
 func (c *Controller) mayStart(now time.Time) bool {
-	return len(c.running) < c.limit.current() && c.pace.ready(now)
+	return len(c.running) < c.concurrency() && c.pace.ready(now)
 }
 
 // slotTime returns the time for which a call takes a slot from others: a rate below what
@@ -136,7 +136,7 @@
 	if !c.pace.limited() {
 		return hold
 	}
-	return max(hold, time.Duration(float64(c.limit.current())/c.pace.rate*float64(time.Second)))
+	return max(hold, time.Duration(float64(c.concurrency())/c.pace.rate*float64(time.Second)))
 }
 
 // rateUse returns the rate of arriving calls relative to the limit, zero without one.
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -12,7 +12,8 @@
 // outstanding calls to it. An upstream that takes a limited rate of calls is loaded by
 // the part of the rate that is in use, and gets few calls beyond it while another has
 // room. VMs of the own data centre are preferred until they are nearly full. A newly
-// announced VM starts slowly, with a rising share of the calls. A failing VM is ejected
+// announced VM starts slowly, with a rising share of the calls, unless its daemon reports a
+// ramp: its limit then shows how many calls the upstream bears. A failing VM is ejected
 // for a while, but never more than half of all VMs at once. A Balancer is not safe for
 // concurrent use.
 package route
@@ -312,9 +313,10 @@
 }
 
 // RoomElsewhere reports whether calls of a priority level that are too many for a VM can go
-// to another: its upstream takes a limited rate, and another VM is known to have room.
+// to another: its upstream takes a limited rate or has just started, and another VM is known
+// to have room.
 func (b *Balancer) RoomElsewhere(now time.Time, level int, vm ident.VM) bool {
-	if p := b.peers[vm]; p == nil || !p.rate.limited {
+	if p := b.peers[vm]; p == nil || !(p.rate.limited || p.reported.Ramp) {
 		return false
 	}
 	for _, p := range b.order {
@@ -361,6 +363,9 @@
 	capacity := float64(max(1, p.Slots))
 	inFlight := float64(p.outstanding)
 	rateUse := 0.0
+	if p.reported.Ramp {
+		capacity = float64(max(1, p.reported.Limit))
+	}
 	if now.Sub(p.reportedAt) < loadTTL {
 		rateUse = p.reported.RateUse
 		capacity = float64(max(1, p.reported.Limit))
@@ -370,10 +375,10 @@
 }
 
 // slowStartFactor returns the part of its capacity that a VM is used at, which
-// rises to 1 during the slow start.
+// rises to 1 during the slow start. A VM whose daemon reports a ramp needs none.
 func (p *peer) slowStartFactor(now time.Time) float64 {
 	age := now.Sub(p.addedAt)
-	if age >= slowStartTime {
+	if age >= slowStartTime || p.reported.Ramp {
 		return 1
 	}
 	return max(slowStartFloor, age.Seconds()/slowStartTime.Seconds())
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -111,6 +111,28 @@
 	assert.Assert(t, picksLater >= 6, "%d", picksLater)
 }
 
+// Guards against a VM that is left idle by its age although its daemon knows what it bears,
+// and against one that gets more than that.
+func TestReportedRampReplacesTheSlowStart(t *testing.T) {
+	now := epoch.Add(time.Minute)
+	newRamping := func(limit int) *Balancer {
+		b := newBalancer(3, 0)
+		b.Update(now, candidates(4, 0))
+		b.Done(now, "near-3", Report{Outcome: OutcomeAnswered, Load: &admit.Load{Limit: limit, ShedLevel: admit.ShedLevelNone, Ramp: true}})
+		return b
+	}
+	picks := pickMany(t, newRamping(10), now, 24)["near-3"]
+	assert.Assert(t, picks >= 6, "%d calls, it bears all", picks)
+	picks = pickMany(t, newRamping(2), now, 24)["near-3"]
+	assert.Assert(t, picks >= 1 && picks <= 3, "%d calls of 24", picks)
+	picks = pickMany(t, newRamping(2), now.Add(2*loadTTL), 24)["near-3"]
+	assert.Assert(t, picks <= 3, "%d calls of 24 after an old report", picks)
+	t.Run("and calls that are too many have room elsewhere", func(t *testing.T) {
+		assert.Assert(t, newRamping(2).RoomElsewhere(now, 0, "near-3"))
+		assert.Assert(t, !newBalancer(3, 0).RoomElsewhere(now, 0, "near-1"))
+	})
+}
+
 func TestTriedAndRemovedVMsAreNotPicked(t *testing.T) {
 	b := newBalancer(2, 0)
 	tried := map[ident.VM]bool{"near-0": true}
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -69,6 +69,8 @@
 	LimitUnreadable      ID = 1912
 	UpstreamCold         ID = 1921
 	UpstreamWarm         ID = 1922
+	RampBegun            ID = 1923
+	RampEnded            ID = 1924
 )
 
 var catalogue = byID([]Definition{
@@ -131,6 +133,8 @@
 	{LimitUnreadable, zapcore.WarnLevel, "The upstream on this VM named a rate that can't be read; the one before stays in force."},
 	{UpstreamCold, zapcore.InfoLevel, "The upstream on this VM is cold, or may be; it gets only as many calls as it bears meanwhile."},
 	{UpstreamWarm, zapcore.InfoLevel, "The upstream on this VM is warm; its calls are no longer slowed."},
+	{RampBegun, zapcore.InfoLevel, "The upstream on this VM has started or recovered; its concurrency begins low."},
+	{RampEnded, zapcore.InfoLevel, "The upstream on this VM bears all of its slots again."},
 })
 
 func byID(definitions []Definition) map[ID]Definition {
--- a/io/proxy/admission.go
+++ b/io/proxy/admission.go
@@ -84,7 +84,7 @@
 
 func (a *admission) resize(slots int) {
 	settings := a.opt.Config().Admission
-	cfg := admit.Config{Slots: settings.UsableSlots(slots), QueueLimit: settings.QueueLength(slots)}
+	cfg := admit.Config{Slots: settings.UsableSlots(slots), QueueLimit: settings.QueueLength(slots), Ramp: settings.Ramp}
 	if cfg == a.cfg {
 		return
 	}
@@ -109,7 +109,7 @@
 	a.mu.Unlock()
 	if !waiting {
 		if e := <-decision; refusalOf(e) == nil {
-			a.leave(t, admit.Sample{})
+			a.leave(t, admit.Sample{Abandoned: true})
 		}
 	}
 	if ctx.Err() == context.DeadlineExceeded {
@@ -151,6 +151,7 @@
 		a.closesAt = now.Add(leavingQueueTime)
 	}
 	a.controller.CloseAt(a.closesAt)
+	a.beginRampIfSilent(now)
 	a.setPace(now)
 	a.apply(a.controller.Tick(now))
 	a.checkIfWanted(now)
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -18,6 +18,7 @@
 	"chicorymast/core/halt"
 	"chicorymast/core/member"
 	"chicorymast/core/retry"
+	"chicorymast/core/route"
 	"chicorymast/io/event"
 	"chicorymast/io/header"
 	"chicorymast/io/timer"
@@ -76,7 +77,7 @@
 	}
 	// The upstream may have been replaced while the call waited.
 	if upstream = p.opt.Board.Upstream.Read(); upstream.Service != call.Service {
-		p.admission.leave(ticket, admit.Sample{})
+		p.admission.leave(ticket, admit.Sample{Abandoned: true})
 		interim.stop()
 		return p.refusePeer(w, r.RemoteAddr, call, retryOutcome{unspentRetries: call.Retries},
 			fault.Refuse(fault.ReasonDraining, "service %s has left this VM", call.Service))
@@ -145,6 +146,8 @@
 	unspentRetries, _, nestedFailure := sc.summary(p.opt.Clock.Now())
 	if err != nil {
 		refusal := p.upstreamRefusal(ctx, err, exchange.wroteHeaders.Load())
+		sample.Failed, sample.NotSent = vmOutcome(refusal) == route.OutcomeFailed, errors.Is(err, errUpstreamCold)
+		sample.Abandoned = refusal.Reason == fault.ReasonCancelled
 		return p.refusePeer(w, r.RemoteAddr, call, retryOutcome{unspentRetries, nestedFailure}, refusal)
 	}
 	defer resp.Body.Close()
@@ -187,7 +190,7 @@
 	_, nestedTime, _ := sc.summary(now)
 	sample.SelfTime, sample.HoldTime = now.Sub(start)-nestedTime, now.Sub(start)
 	sample.SelfTimeUnknown = !p.entryAdmission.selfTimeKnown(sc.call.Route)
-	if !sample.Shed {
+	if !sample.Shed && !sample.NotSent {
 		p.entryAdmission.recordRun(sc.call.Route, sample.HoldTime)
 	}
 	return sample
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -124,7 +124,7 @@
 	p.router = newRouter(opt, p.notices, rand.New(rand.NewPCG(opt.Seed+1, opt.Seed)))
 	p.admission = newAdmission(opt)
 	p.admission.warmup.check = p.checkHealth
-	if opt.Config().Admission.WarmupOverrun > 0 {
+	if settings := opt.Config().Admission; settings.WarmupOverrun > 0 || settings.Ramp {
 		p.watchConnections(p.upstreamTransport)
 		p.watchConnections(p.freshTransport)
 	}
--- /dev/null
+++ b/io/proxy/ramp_test.go
@@ -0,0 +1,78 @@
+package proxy
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"chicorymast/config"
+	"chicorymast/core/board"
+	"chicorymast/core/member"
+	"chicorymast/io/header"
+	"chicorymast/io/timer"
+
+	"gotest.tools/v3/assert"
+)
+
+// newRampCalls returns calls to a daemon beside an upstream that is at full pace.
+func newRampCalls(t *testing.T) (*peerCalls, *httptest.Server) {
+	t.Helper()
+	clock := timer.NewManual(time.Unix(1000, 0))
+	u := newColdUpstream(t, clock)
+	p := newUpstreamProxyAt(t, clock, u.Listener.Addr().String(),
+		member.Upstream{Service: "shop", ID: "i-1", StartedMs: 1000, Phase: member.PhaseUp, Slots: 100},
+		func(c *config.Config) { c.Admission.Ramp = true })
+	c := &peerCalls{t: t, p: p, clock: clock, call: header.Call{Service: "shop", Route: "shop", AdmittedShare: 1, TimeoutMs: 600_000}}
+	c.send(1)
+	assert.Assert(t, p.admission.load().Limit < 100, "the process has just started")
+	c.recover()
+	return c, u.Server
+}
+
+// recover lets calls succeed one after the other.
+func (c *peerCalls) recover() {
+	const enough = 200
+	for range enough {
+		c.send(1)
+		c.clock.Advance(time.Millisecond)
+	}
+	assert.Equal(c.t, c.p.admission.load().Limit, 100)
+}
+
+// change writes another state of the upstream.
+func (c *peerCalls) change(f func(u *board.Upstream)) {
+	next := *c.p.opt.Board.Upstream.Read()
+	f(&next)
+	c.p.opt.Board.Upstream.Write(&next)
+	c.clock.Advance(20 * time.Millisecond)
+}
+
+// Guards against an upstream that gets the calls of all its slots in the moment in which it
+// is back.
+func TestRampBeginsWhenAnUpstreamComesBack(t *testing.T) {
+	t.Run("as another process", func(t *testing.T) {
+		c, _ := newRampCalls(t)
+		c.change(func(u *board.Upstream) { u.StartedMs++ })
+		assert.Equal(t, c.p.admission.load().Limit, 10)
+		c.recover()
+	})
+	t.Run("into service", func(t *testing.T) {
+		c, _ := newRampCalls(t)
+		c.change(func(u *board.Upstream) { u.Drained = true })
+		assert.Equal(t, c.p.admission.load().Limit, 100)
+		c.change(func(u *board.Upstream) { u.Drained = false })
+		assert.Equal(t, c.p.admission.load().Limit, 10)
+		c.recover()
+	})
+	t.Run("after it refused connections", func(t *testing.T) {
+		c, u := newRampCalls(t)
+		u.Close()
+		c.send(1)
+		assert.Equal(t, c.p.admission.load().Limit, 10)
+	})
+	t.Run("but not at every renewal", func(t *testing.T) {
+		c, _ := newRampCalls(t)
+		c.change(func(u *board.Upstream) { u.LoadPath = "/load" })
+		assert.Equal(t, c.p.admission.load().Limit, 100)
+	})
+}
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -59,7 +59,7 @@
 // serviceCosts returns the costs of a result that count at this daemon: what a limited
 // upstream asks to refuse does not while another one has room.
 func (p *Proxy) serviceCosts(c header.Call, vm ident.VM, result header.Result) []inflow.ServiceCost {
-	if result.Load.RateLimit > 0 && p.router.roomElsewhere(c.Service, admissionLevel(c), vm) {
+	if (result.Load.RateLimit > 0 || result.Load.Ramp) && p.router.roomElsewhere(c.Service, admissionLevel(c), vm) {
 		return inflow.WithoutService(result.ServiceCosts, c.Service)
 	}
 	return result.ServiceCosts
--- a/io/proxy/warmup.go
+++ b/io/proxy/warmup.go
@@ -38,6 +38,12 @@
 	// slowWindows and phase are those at the last look.
 	slowWindows uint64
 	phase       warm.Phase
+	ramping     bool
+	// process and takesCalls are those that were followed last.
+	process    notice.Process
+	takesCalls bool
+	// answeredAt is when the last call was answered.
+	answeredAt time.Time
 }
 
 func newWarmup() warmup {
@@ -47,6 +53,7 @@
 // followed is what the admission needs to know of the upstream on this VM.
 type followed struct {
 	process    notice.Process
+	slots      int
 	takesCalls bool
 	checkable  bool
 	spec       warm.Spec
@@ -55,12 +62,12 @@
 // followUpstream passes the state of the upstream on this VM to the admission.
 func (p *Proxy) followUpstream(upstream *board.Upstream) {
 	settings := p.opt.Config().Admission
-	if settings.WarmupOverrun == 0 || p.passThrough() {
+	if (settings.WarmupOverrun == 0 && !settings.Ramp) || p.passThrough() {
 		return
 	}
 	service := p.opt.Board.Config.Read().State.Intent.Services[upstream.Service]
 	p.admission.follow(followed{
-		process: upstream.Process(), takesCalls: upstream.Present() && takesCalls(upstream), checkable: p.healthPath(upstream) != "",
+		process: upstream.Process(), slots: upstream.Slots, takesCalls: upstream.Present() && takesCalls(upstream), checkable: p.healthPath(upstream) != "",
 		spec: warm.Spec{
 			Time: service.Warmup, Rate: service.WarmupRate, Overrun: settings.WarmupOverrun, Slack: settings.WarmupSlack,
 		},
@@ -79,9 +86,16 @@
 	now := a.opt.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if f.slots > 0 {
+		a.resize(f.slots)
+	}
 	a.warmup.tracker.SetSpec(now, f.spec)
 	a.warmup.tracker.SetCheckable(f.checkable)
 	a.warmup.tracker.Serve(now, f.process, f.takesCalls)
+	if w := &a.warmup; f.process != w.process || (f.takesCalls && !w.takesCalls) {
+		a.controller.BeginRamp(now)
+	}
+	a.warmup.process, a.warmup.takesCalls = f.process, f.takesCalls
 	a.setPace(now)
 }
 
@@ -108,6 +122,20 @@
 	}
 	a.apply(a.controller.SetPace(now, pace.Rate, pace.Burst))
 	a.notePhase()
+	a.noteRamp()
+}
+
+// noteRamp logs that a ramp has begun or ended. The mutex must be held.
+func (a *admission) noteRamp() {
+	before, ramping := a.warmup.ramping, a.controller.RampActive()
+	if a.warmup.ramping = ramping; ramping == before {
+		return
+	}
+	id := event.RampEnded
+	if ramping {
+		id = event.RampBegun
+	}
+	a.opt.Trail.Note(id, sample.Key{}, func() []zap.Field { return nil })
 }
 
 // notePhase logs that the upstream has become cold, or warm again.
@@ -160,6 +188,26 @@
 	a.setPace(now)
 }
 
+// unreachable notes that the upstream refuses connections.
+func (a *admission) unreachable() {
+	a.mu.Lock()
+	a.controller.BeginRamp(a.opt.Clock.Now())
+	a.mu.Unlock()
+	a.doubt()
+}
+
+// beginRampIfSilent begins a ramp if the upstream has answered none of several calls for
+// much longer than calls take. The mutex must be held.
+func (a *admission) beginRampIfSilent(now time.Time) {
+	const minRunning, holds = 3, 4
+	running, hold := a.controller.RunningHold()
+	if running < minRunning || a.warmup.answeredAt.IsZero() || now.Sub(a.warmup.answeredAt) < max(time.Second, holds*hold) {
+		return
+	}
+	a.warmup.answeredAt = now
+	a.controller.BeginRamp(now)
+}
+
 // send reports whether a call that was admitted may be sent now.
 func (a *admission) send(now time.Time) bool {
 	a.mu.Lock()
@@ -176,6 +224,7 @@
 		a.warmup.tracker.Ended()
 		return
 	}
+	a.warmup.answeredAt = now
 	a.warmup.tracker.Answered(now, at)
 }
 
@@ -230,7 +279,7 @@
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			if ctx.Err() == nil && !fault.TooManyFiles(err) {
-				p.admission.doubt()
+				p.admission.unreachable()
 			}
 			return nil, err
 		}
