admit: the accepted share of the calls sent to an upstream

An upstream that rejects 55% of its calls while it is healthy is not helped by fewer calls, so the share to refuse does not show it. The controller measures the share of the calls that the upstream accepts over 500 ms, unknown below eight calls: calls with the not-run proof count as rejected. It is in event 1801, which is also written while the share is below one, and in the gauge chicorymast_admission_accepted_share.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -97,6 +97,8 @@
 	HoldTime time.Duration
 	// Shed is set when the upstream refused the call as overloaded.
 	Shed bool
+	// Rejected is set when the upstream has proved that it did not run the call.
+	Rejected bool
 }
 
 // Load is a controller's state for routing and metrics.
@@ -136,6 +138,7 @@
 	// arrivals counts the calls that arrive, started those that start.
 	arrivals, started meter.Meter
 	pace              pacer
+	accepted          acceptanceMeter
 	// counts holds the counters of Status; its other fields are unused.
 	counts Status
 }
@@ -200,6 +203,7 @@
 		shed:            shedLevel{level: ShedLevelNone},
 		arrivals:        meter.New(rateWindow),
 		started:         meter.New(rateWindow),
+		accepted:        newAcceptanceMeter(),
 	}
 }
 
@@ -296,6 +300,7 @@
 		return nil
 	}
 	c.limit.observe(now, route, s, len(c.running))
+	c.accepted.observe(now, s)
 	delete(c.running, t)
 	if s.Shed {
 		c.counts.ShedByUpstream++
--- a/core/admit/feedback.go
+++ b/core/admit/feedback.go
@@ -176,6 +176,8 @@
 	StartedPerSecond float64
 	MeanHold         time.Duration
 	RefuseShare      float64
+	// AcceptedShare is the share of the calls sent to the upstream that it accepts.
+	AcceptedShare float64
 	// Arrived, Refused and ShedByUpstream count calls since the controller was
 	// created.
 	Arrived, Refused, ShedByUpstream uint64
@@ -188,6 +190,7 @@
 	s.Slots = c.cfg.Slots
 	s.MeanHold = c.meanHold
 	s.RefuseShare = c.RefuseShare(now)
+	s.AcceptedShare = c.AcceptedShare(now)
 	s.StartedPerSecond = c.started.Rate(now)
 	s.ArrivingSlots = c.feedback.arrivedWork.Rate(now)
 	return s
--- a/io/proxy/metrics.go
+++ b/io/proxy/metrics.go
@@ -23,6 +23,7 @@
 	startedRate      prometheus.Gauge
 	arrivingSlots    prometheus.Gauge
 	refuseShare      prometheus.Gauge
+	acceptedShare    prometheus.Gauge
 	entryRefuseShare *prometheus.GaugeVec
 }
 
@@ -63,12 +64,15 @@
 		refuseShare: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "chicorymast_admission_refuse_share", Help: "Share of the demand that entries are asked to refuse.",
 		}),
+		acceptedShare: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "chicorymast_admission_accepted_share", Help: "Share of the calls sent to the upstream on this VM that it accepts.",
+		}),
 		entryRefuseShare: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "chicorymast_entry_refuse_share", Help: "Share of the demand for a service to refuse, as known at this entry.",
 		}, []string{"route", "service"}),
 	}
 	reg.MustRegister(m.calls, m.refusals, m.seconds, m.retries, m.repeats, m.replays,
-		m.limit, m.upstreamLimit, m.startedRate, m.arrivingSlots, m.refuseShare, m.entryRefuseShare)
+		m.limit, m.upstreamLimit, m.startedRate, m.arrivingSlots, m.refuseShare, m.acceptedShare, m.entryRefuseShare)
 	return m
 }
 
--- a/io/proxy/overload.go
+++ b/io/proxy/overload.go
@@ -37,15 +37,17 @@
 	m.startedRate.Set(s.StartedPerSecond)
 	m.arrivingSlots.Set(s.ArrivingSlots)
 	m.refuseShare.Set(s.RefuseShare)
+	m.acceptedShare.Set(s.AcceptedShare)
 	last := o.last
 	o.last = s
-	if s.RefuseShare == 0 && s.Limit == s.Slots && s.Refused == last.Refused && s.RateLimit == 0 {
+	if s.RefuseShare == 0 && s.Limit == s.Slots && s.Refused == last.Refused && s.RateLimit == 0 && s.AcceptedShare == 1 {
 		return
 	}
 	o.p.opt.Log.Emit(event.UpstreamOverloaded,
 		zap.Int("slots", s.Slots), zap.Int("limit", s.Limit), zap.Int("running", s.Running), zap.Int("waiting", s.Waiting),
 		zap.Float64("limit_per_second", float64(s.RateLimit)), zap.Float64("started_per_second", s.StartedPerSecond),
 		zap.Float64("arriving_slots", s.ArrivingSlots), zap.Float64("refuse_share", s.RefuseShare), zap.Duration("mean_hold", s.MeanHold),
+		zap.Float64("accepted_share", s.AcceptedShare),
 		zap.Uint64("arrived", s.Arrived-last.Arrived), zap.Uint64("refused", s.Refused-last.Refused),
 		zap.Uint64("shed_by_upstream", s.ShedByUpstream-last.ShedByUpstream))
 }
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -158,6 +158,7 @@
 		p.noteNestedFailure(call, resp.StatusCode, p.opt.Clock.Now().Sub(start))
 	}
 	sample.Shed = resp.StatusCode == http.StatusServiceUnavailable && !nestedFailure
+	sample.Rejected = p.opt.Dialect.ProvesNotRun(resp) && !nestedFailure
 	if !call.Idempotent && promisesNotRun(resp.StatusCode) && !p.opt.Dialect.ProvesNotRun(resp) {
 		refusal := fault.Failed(fault.ReasonUpstreamFailed, "the upstream answered %d, but not that the call has not run", resp.StatusCode)
 		return p.refusePeer(w, r.RemoteAddr, call, retryOutcome{unspentRetries, nestedFailure}, refusal)
