inflow, proxy: entries learn which trees can end well

Callers of trees that need a rejecting service learned of it only in mid-tree. Responses now carry the services of the tree that reject a share of their calls (field accepted), how many calls the tree needs there and the share that is accepted. From these and the retry ratio, an entry knows the share of the trees that end well, and refuses a quarter of the others at once with 503 and Retry-After. Routes without such a service are not affected, reports older than 1 s decay, and at least 3% are admitted.

Only a quarter: the service is not helped by fewer calls, and retries are earned by calls, so refusing a tree refuses the part of it that would end well and the retries that it would earn.

--- a/config/admission.go
+++ b/config/admission.go
@@ -8,6 +8,9 @@
 	// 1 it keeps an upstream that slows down when it is nearly full at its best
 	// speed, and leaves slots for health checks and new connections.
 	SlotShare float64 `ini:"slot_share"`
+	// LearnAcceptance lets entries refuse a part of the calls whose trees can't end well,
+	// as upstreams reject a share of their calls without running them.
+	LearnAcceptance bool `ini:"learn_acceptance"`
 }
 
 func defaultAdmission() Admission {
--- a/core/inflow/inflow.go
+++ b/core/inflow/inflow.go
@@ -15,6 +15,10 @@
 //	s.RecordOffered(now, route, priority)
 //	share := s.RefuseShare(now, route, priority)     // of new calls to refuse
 //
+//	c := inflow.NewCompletion()                      // trees through services that reject calls
+//	c.Observe(now, route, acceptances)               // from a response
+//	share = c.RefuseShare(now, route, retryRatio)    // of trees that can't end well
+//
 // The admission controller of each upstream computes the share of its demand
 // that should not have entered (admit.Controller.RefuseShare). Responses carry
 // this share back along the call tree, with the cost of one call of the route
--- a/core/inflow/profile.go
+++ b/core/inflow/profile.go
@@ -98,6 +98,39 @@
 	return out
 }
 
+// Acceptances returns how many calls a call of a route needs at the upstream's own service,
+// which accepts a share of its calls, and at the services of its nested calls, of which
+// children knows. Services that accept all calls are left out.
+func (p *Profiles) Acceptances(now time.Time, r ident.Route, svc ident.Service, accepted float64, children *Completion) (list []Acceptance) {
+	if 1-accepted >= minRefuseShare {
+		list = append(list, Acceptance{Service: svc, Calls: 1, Share: accepted})
+	}
+	prof := p.routes[r]
+	if prof == nil {
+		return list
+	}
+	runs := max(1, prof.runs.Sum(now))
+	for child, calls := range prof.calls {
+		for _, a := range children.Acceptances(now, child) {
+			a.Calls *= calls.Sum(now) / runs
+			list = addAcceptance(list, a)
+		}
+	}
+	sortAcceptances(list)
+	return list
+}
+
+func addAcceptance(list []Acceptance, a Acceptance) []Acceptance {
+	for i := range list {
+		if list[i].Service == a.Service {
+			list[i].Calls += a.Calls
+			list[i].Share = min(list[i].Share, a.Share)
+			return list
+		}
+	}
+	return append(list, a)
+}
+
 // addChildCost adds the cost of a number of nested calls per run.
 func addChildCost(sum map[ident.Service]ServiceCost, child ServiceCost, callsPerRun float64) {
 	total := sum[child.Service]
--- a/io/daemon/template_test.go
+++ b/io/daemon/template_test.go
@@ -16,6 +16,7 @@
 const (
 	quotaSlack  = "{{#bounds.quota_slack}}slack = {{.}}{{/bounds.quota_slack}}"
 	quotaWindow = "{{#bounds.quota_window}}slack_window = {{.}}{{/bounds.quota_window}}"
+	retryWindow = "{{#bounds.budget_window}}retry_window = {{.}}{{/bounds.budget_window}}"
 )
 
 // templateValues are usual values of the placeholders of the templates in deploy/.
@@ -29,6 +30,7 @@
 		"{{internal_ports.0}}": fmt.Sprint(portControl), "{{seeds}}": "127.0.0.1:8540,127.0.0.2:8540,127.0.0.3:8540",
 		"{{#zones}}{{@}}{{,}}{{/zones}}": "east,west",
 		quotaSlack:                       "slack = 20", quotaWindow: "slack_window = 5s",
+		retryWindow: "retry_window = 10s",
 	}
 }
 
@@ -57,6 +59,7 @@
 		"{{bounds.budget_slack}}":        {"0", "49", "20.434782608695652", "1e6"},
 		quotaSlack:                       {"", "slack = 0", "slack = 20", "slack = 20.434782608695652", "slack = 1e6"},
 		quotaWindow:                      {"", "slack_window = 5s", "slack_window = 1234.5ms"},
+		retryWindow:                      {"", "retry_window = 10s", "retry_window = 1234.5ms"},
 		"{{heartbeat}}":                  {"1500ms", "1.5s", "1234.5ms", "10s"},
 		"{{fault_tolerance.machines}}":   {"0", "1", "2"},
 		"{{bootstrap}}":                  {"true", "false"},
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -67,6 +67,7 @@
 	DataCentreSilent     ID = 1910
 	LimitChanged         ID = 1911
 	LimitUnreadable      ID = 1912
+	AcceptanceUnreadable ID = 1913
 )
 
 var catalogue = byID([]Definition{
@@ -127,6 +128,7 @@
 	{DataCentreSilent, zapcore.InfoLevel, "Several VMs of a data centre sent nothing; calls avoid it until one gets an answer."},
 	{LimitChanged, zapcore.InfoLevel, "The upstream on this VM takes another rate of calls than before."},
 	{LimitUnreadable, zapcore.WarnLevel, "The upstream on this VM named a rate that can't be read; the one before stays in force."},
+	{AcceptanceUnreadable, zapcore.WarnLevel, "A daemon reported accepted shares that can't be right; they are ignored."},
 })
 
 func byID(definitions []Definition) map[ID]Definition {
--- a/io/header/header.go
+++ b/io/header/header.go
@@ -114,6 +114,9 @@
 	// ServiceCosts lists what a call of the route costs at overloaded services,
 	// nested calls included.
 	ServiceCosts []inflow.ServiceCost `json:"needs,omitempty"`
+	// Accepted lists the services of the call tree that reject a share of their calls, and
+	// the shares that they accept.
+	Accepted []inflow.Acceptance `json:"accepted,omitempty"`
 	// NestedFailure is set if a nested call failed. It has been retried where
 	// it was dispatched, so the call itself is not retried.
 	NestedFailure bool `json:"deeper,omitempty"`
--- a/io/proxy/admission.go
+++ b/io/proxy/admission.go
@@ -174,6 +174,13 @@
 	return a.controller.RefuseShare(a.opt.Clock.Now())
 }
 
+// acceptedShare returns the share of the calls sent to this upstream that it accepts.
+func (a *admission) acceptedShare() float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.controller.AcceptedShare(a.opt.Clock.Now())
+}
+
 func (a *admission) load() admit.Load {
 	now := a.opt.Clock.Now()
 	a.mu.Lock()
--- a/io/proxy/decisions.go
+++ b/io/proxy/decisions.go
@@ -102,6 +102,9 @@
 	now := p.opt.Clock.Now()
 	inputs := p.entryAdmission.inputs(now, in.route)
 	fields := []zap.Field{zap.Float64("admitted_share", in.entryShare), zap.Objects("asked_by", inputs)}
+	if accepted := p.entryAdmission.acceptanceInputs(now, in.route); len(accepted) > 0 {
+		fields = append(fields, zap.Any("accepted", accepted))
+	}
 	if len(inputs) == 0 {
 		return fields
 	}
--- a/io/proxy/entryadmission.go
+++ b/io/proxy/entryadmission.go
@@ -7,6 +7,9 @@
 	"chicorymast/core/fault"
 	"chicorymast/core/ident"
 	"chicorymast/core/inflow"
+	"chicorymast/io/event"
+
+	"go.uber.org/zap"
 )
 
 // entryAdmission decides which calls this VM admits to the fleet, and reports to
@@ -16,6 +19,8 @@
 	mu       sync.Mutex
 	shedder  *inflow.Shedder
 	profiles *inflow.Profiles
+	// completion is used if the settings ask for it.
+	completion *inflow.Completion
 	// reporters holds the VM that last reported on each service, for the log.
 	reporters map[ident.Service]ident.VM
 }
@@ -27,7 +32,10 @@
 }
 
 func newEntryAdmission(opt Options) *entryAdmission {
-	return &entryAdmission{opt: opt, shedder: inflow.NewShedder(), profiles: inflow.NewProfiles(), reporters: map[ident.Service]ident.VM{}}
+	return &entryAdmission{
+		opt: opt, shedder: inflow.NewShedder(), profiles: inflow.NewProfiles(), completion: inflow.NewCompletion(),
+		reporters: map[ident.Service]ident.VM{},
+	}
 }
 
 // admittedShare counts a new call and returns the share of such calls to admit.
@@ -36,7 +44,46 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.shedder.RecordOffered(now, r, priority)
-	return 1 - e.shedder.RefuseShare(now, r, priority)
+	return 1 - max(e.shedder.RefuseShare(now, r, priority), e.doomedShare(now, r))
+}
+
+// doomedShare returns the share of a route's new calls to refuse because their trees can't
+// end well. The mutex must be held.
+func (e *entryAdmission) doomedShare(now time.Time, r ident.Route) float64 {
+	if !e.opt.Config().Admission.LearnAcceptance {
+		return 0
+	}
+	return e.completion.RefuseShare(now, r, e.opt.Config().Calls.RetryRatio)
+}
+
+// recordAcceptances records the shares of their calls that services accept, as a VM
+// returned them with a result. It returns the number of those that can't be right.
+func (e *entryAdmission) recordAcceptances(r ident.Route, list []inflow.Acceptance) (ignored int) {
+	if !e.opt.Config().Admission.LearnAcceptance {
+		return 0
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.completion.Observe(e.opt.Clock.Now(), r, list)
+}
+
+// acceptances returns the services that reject a share of the calls that a call of a route
+// needs which runs on this VM, whose upstream accepts a share of them.
+func (e *entryAdmission) acceptances(r ident.Route, accepted float64) []inflow.Acceptance {
+	if !e.opt.Config().Admission.LearnAcceptance {
+		return nil
+	}
+	service := e.opt.Board.Upstream.Read().Service
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.profiles.Acceptances(e.opt.Clock.Now(), r, service, accepted, e.completion)
+}
+
+// acceptanceInputs returns what the refusals of trees that can't end well stand on.
+func (e *entryAdmission) acceptanceInputs(now time.Time, r ident.Route) []inflow.Acceptance {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.completion.Acceptances(now, r)
 }
 
 // recordCosts records the costs that a VM returned with a result.
@@ -110,6 +157,25 @@
 	return e.shedder.Status(now)
 }
 
+// acceptanceStatus returns the routes whose trees use services that reject calls.
+func (e *entryAdmission) acceptanceStatus(now time.Time) []inflow.RouteAcceptance {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.completion.Status(now, e.opt.Config().Calls.RetryRatio)
+}
+
+// recordAcceptances records the shares of their calls that services accept, as a VM
+// returned them with a result, and logs shares that can't be right.
+func (p *Proxy) recordAcceptances(o *outboundCall, from ident.VM, list []inflow.Acceptance) {
+	ignored := p.entryAdmission.recordAcceptances(o.call.Route, list)
+	if ignored == 0 {
+		return
+	}
+	p.opt.Trail.Note(event.AcceptanceUnreadable, o.subject().key("accepted"), func() []zap.Field {
+		return append(o.subject().fields(), zap.String("from", string(from)), zap.Int("ignored", ignored), zap.Int("reported", len(list)))
+	})
+}
+
 // refuseOverloaded returns the refusal of a call that is not admitted and the
 // time after which the caller should retry.
 func (p *Proxy) refuseOverloaded(in *incomingCall, left time.Duration) (*fault.Refusal, time.Duration) {
--- a/io/proxy/metrics.go
+++ b/io/proxy/metrics.go
@@ -18,13 +18,14 @@
 	repeats  *prometheus.CounterVec
 	replays  prometheus.Counter
 	// The gauges below are set by overloadReporter.
-	limit            prometheus.Gauge
-	upstreamLimit    prometheus.Gauge
-	startedRate      prometheus.Gauge
-	arrivingSlots    prometheus.Gauge
-	refuseShare      prometheus.Gauge
-	acceptedShare    prometheus.Gauge
-	entryRefuseShare *prometheus.GaugeVec
+	limit              prometheus.Gauge
+	upstreamLimit      prometheus.Gauge
+	startedRate        prometheus.Gauge
+	arrivingSlots      prometheus.Gauge
+	refuseShare        prometheus.Gauge
+	acceptedShare      prometheus.Gauge
+	entryRefuseShare   *prometheus.GaugeVec
+	entryAcceptedShare *prometheus.GaugeVec
 }
 
 // NewMetrics registers the metrics with reg.
@@ -70,9 +71,12 @@
 		entryRefuseShare: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "chicorymast_entry_refuse_share", Help: "Share of the demand for a service to refuse, as known at this entry.",
 		}, []string{"route", "service"}),
+		entryAcceptedShare: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "chicorymast_entry_accepted_share", Help: "Share of its calls that a service accepts, as known at this entry, if below 1.",
+		}, []string{"route", "service"}),
 	}
 	reg.MustRegister(m.calls, m.refusals, m.seconds, m.retries, m.repeats, m.replays,
-		m.limit, m.upstreamLimit, m.startedRate, m.arrivingSlots, m.refuseShare, m.acceptedShare, m.entryRefuseShare)
+		m.limit, m.upstreamLimit, m.startedRate, m.arrivingSlots, m.refuseShare, m.acceptedShare, m.entryRefuseShare, m.entryAcceptedShare)
 	return m
 }
 
--- a/io/proxy/overload.go
+++ b/io/proxy/overload.go
@@ -27,7 +27,7 @@
 
 func (o *overloadReporter) report(now time.Time) {
 	o.reportUpstream(o.p.admission.status(now))
-	o.reportEntry(o.p.entryAdmission.status(now))
+	o.reportEntry(o.p.entryAdmission.status(now), o.p.entryAdmission.acceptanceStatus(now))
 }
 
 func (o *overloadReporter) reportUpstream(s admit.Status) {
@@ -52,17 +52,26 @@
 		zap.Uint64("shed_by_upstream", s.ShedByUpstream-last.ShedByUpstream))
 }
 
-func (o *overloadReporter) reportEntry(routes []inflow.RouteStatus) {
-	gauge := o.p.opt.Metrics.entryRefuseShare
+func (o *overloadReporter) reportEntry(routes []inflow.RouteStatus, rejected []inflow.RouteAcceptance) {
+	gauge, accepted := o.p.opt.Metrics.entryRefuseShare, o.p.opt.Metrics.entryAcceptedShare
 	gauge.Reset()
+	accepted.Reset()
+	for _, r := range rejected {
+		for _, a := range r.Services {
+			accepted.WithLabelValues(string(r.Route), string(a.Service)).Set(a.Share)
+		}
+	}
 	for _, r := range routes {
 		for _, c := range r.Costs {
 			gauge.WithLabelValues(string(r.Route), string(c.Service)).Set(c.RefuseShare)
 		}
 	}
-	if len(routes) == 0 {
+	if len(routes)+len(rejected) == 0 {
 		return
 	}
-	o.p.opt.Log.Emit(event.EntryShedding, zap.Int("routes", len(routes)),
-		zap.Any("first_routes", routes[:min(len(routes), maxReportedRoutes)]))
+	fields := []zap.Field{zap.Int("routes", len(routes)), zap.Any("first_routes", routes[:min(len(routes), maxReportedRoutes)])}
+	if len(rejected) > 0 {
+		fields = append(fields, zap.Any("first_rejected", rejected[:min(len(rejected), maxReportedRoutes)]))
+	}
+	o.p.opt.Log.Emit(event.EntryShedding, fields...)
 }
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -118,6 +118,7 @@
 		Load: p.admission.load(), UnspentRetries: retries.unspentRetries, Reason: r.Reason, Detail: r.Detail,
 		NotRun: r.NotRun, NestedFailure: retries.nestedFailure,
 		ServiceCosts: p.entryAdmission.serviceCosts(call.Route, p.admission.refuseShare()),
+		Accepted:     p.entryAdmission.acceptances(call.Route, p.admission.acceptedShare()),
 		Notice:       p.ownNotice(p.opt.Board.Upstream.Read()),
 	})
 	WriteProblem(w, p.opt.Dialect, r, 0)
@@ -166,6 +167,7 @@
 	p.passResponse(w, resp, header.Result{
 		Load: p.admission.load(), UnspentRetries: unspentRetries, NestedFailure: nestedFailure, NotRun: p.opt.Dialect.ProvesNotRun(resp),
 		ServiceCosts: p.entryAdmission.serviceCosts(call.Route, p.admission.refuseShare()), Notice: p.ownNotice(upstream),
+		Accepted: p.entryAdmission.acceptances(call.Route, p.admission.acceptedShare()),
 	})
 	return resp.StatusCode
 }
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -41,6 +41,7 @@
 	}
 	p.notices.learn(p.opt.Clock.Now(), vm, result)
 	p.entryAdmission.recordCosts(o.call.Route, vm.VM, p.serviceCosts(o.call, vm.VM, result))
+	p.recordAcceptances(o, vm.VM, result.Accepted)
 	if result.Reason != "" {
 		defer stop()
 		discardBody(resp)
