--- a/core/inflow/profile.go
+++ b/core/inflow/profile.go
@@ -1,6 +1,7 @@
 package inflow
 
 import (
+	"math"
 	"time"
 
 	"chicorymast/core/ident"
@@ -117,9 +118,18 @@
 		}
 	}
 	sortAcceptances(list)
+	for i := range list {
+		list[i].Calls, list[i].Share = shorten(list[i].Calls), shorten(list[i].Share)
+	}
 	return list
 }
 
+// shorten rounds a number to three decimals, which keeps it short in a header.
+func shorten(n float64) float64 {
+	const scale = 1000
+	return math.Ceil(n*scale) / scale
+}
+
 func addAcceptance(list []Acceptance, a Acceptance) []Acceptance {
 	for i := range list {
 		if list[i].Service == a.Service {
--- a/io/proxy/acceptance_test.go
+++ b/io/proxy/acceptance_test.go
@@ -20,11 +20,11 @@
 )
 
 // acceptedOf returns what a daemon reports beside an upstream that rejects all calls.
-func acceptedOf(t *testing.T, learn bool) (accepted []inflow.Acceptance) {
+func acceptedOf(t *testing.T, learn bool, status int) (accepted []inflow.Acceptance) {
 	t.Helper()
 	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set(header.NotRun, "true")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		w.WriteHeader(status)
 	}))
 	t.Cleanup(upstream.Close)
 	p := newUpstreamProxy(t, strings.TrimPrefix(upstream.URL, "http://"))
@@ -46,12 +46,13 @@
 // The daemon beside an upstream must report that it rejects calls, if the settings ask for
 // it; otherwise answers stay as they were.
 func TestAcceptedShareIsReported(t *testing.T) {
-	accepted := acceptedOf(t, true)
+	accepted := acceptedOf(t, true, http.StatusServiceUnavailable)
 	assert.Equal(t, len(accepted), 1)
 	assert.Equal(t, accepted[0].Service, ident.Service("shop"))
 	assert.Equal(t, accepted[0].Calls, 1.0)
 	assert.Assert(t, accepted[0].Share < 0.1, "%v", accepted[0].Share)
-	assert.Equal(t, len(acceptedOf(t, false)), 0)
+	assert.Equal(t, len(acceptedOf(t, false, http.StatusServiceUnavailable)), 0)
+	assert.Equal(t, len(acceptedOf(t, true, http.StatusMisdirectedRequest)), 0, "an upstream that was replaced rejects nothing")
 }
 
 // An entry must refuse a part of the calls that can't succeed, but only of routes that use
--- a/io/proxy/entryadmission.go
+++ b/io/proxy/entryadmission.go
@@ -47,13 +47,22 @@
 	return 1 - max(e.shedder.RefuseShare(now, r, priority), e.doomedShare(now, r))
 }
 
+// retryRatio returns the retries that a daemon may make for each first send to a service.
+func (e *entryAdmission) retryRatio() float64 {
+	calls := e.opt.Config().Calls
+	if calls.RetryWindow == 0 {
+		return calls.RetryRatio / retryLevels
+	}
+	return calls.RetryRatio
+}
+
 // doomedShare returns the share of a route's new calls to refuse because their trees can't
 // end well. The mutex must be held.
 func (e *entryAdmission) doomedShare(now time.Time, r ident.Route) float64 {
 	if !e.opt.Config().Admission.LearnAcceptance {
 		return 0
 	}
-	return e.completion.RefuseShare(now, r, e.opt.Config().Calls.RetryRatio)
+	return e.completion.RefuseShare(now, r, e.retryRatio())
 }
 
 // recordAcceptances records the shares of their calls that services accept, as a VM
@@ -161,7 +170,7 @@
 func (e *entryAdmission) acceptanceStatus(now time.Time) []inflow.RouteAcceptance {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.completion.Status(now, e.opt.Config().Calls.RetryRatio)
+	return e.completion.Status(now, e.retryRatio())
 }
 
 // recordAcceptances records the shares of their calls that services accept, as a VM
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -159,7 +159,7 @@
 		p.noteNestedFailure(call, resp.StatusCode, p.opt.Clock.Now().Sub(start))
 	}
 	sample.Shed = resp.StatusCode == http.StatusServiceUnavailable && !nestedFailure
-	sample.Rejected = p.opt.Dialect.ProvesNotRun(resp) && !nestedFailure
+	sample.Rejected = p.rejectedByUpstream(resp) && !nestedFailure
 	if !call.Idempotent && promisesNotRun(resp.StatusCode) && !p.opt.Dialect.ProvesNotRun(resp) {
 		refusal := fault.Failed(fault.ReasonUpstreamFailed, "the upstream answered %d, but not that the call has not run", resp.StatusCode)
 		return p.refusePeer(w, r.RemoteAddr, call, retryOutcome{unspentRetries, nestedFailure}, refusal)
@@ -172,6 +172,12 @@
 	return resp.StatusCode
 }
 
+// rejectedByUpstream reports whether the upstream that the request was meant for has proved
+// that it did not run it. One that has replaced it says nothing about the calls of its own.
+func (p *Proxy) rejectedByUpstream(resp *http.Response) bool {
+	return resp.StatusCode != http.StatusMisdirectedRequest && p.opt.Dialect.ProvesNotRun(resp)
+}
+
 // promisesNotRun reports whether callers take a status for a promise that the request has
 // not run and never will.
 func promisesNotRun(status int) bool {
--- a/io/proxy/repeats_test.go
+++ b/io/proxy/repeats_test.go
@@ -189,6 +189,21 @@
 	assert.Equal(t, c.p.router.retryCredit("deep"), before-1)
 }
 
+// The daemon beside a run that was a repeat must mark the calls that the run makes, whether
+// the trace context or the deadline tells that they are its own.
+func TestCallsOfRepeatedRunAreMarked(t *testing.T) {
+	p, _ := newLagging(t, 0)
+	for _, repeat := range []bool{true, false} {
+		parent := &servedCall{call: header.Call{Route: "shop", Repeat: repeat}, deadline: p.opt.Clock.Now().Add(time.Second)}
+		r := httptest.NewRequest(http.MethodGet, "http://a.example/old/", nil)
+		o, refusal := p.newNestedCall(httptest.NewRecorder(), r, parent)
+		assert.Assert(t, refusal == nil)
+		assert.Equal(t, o.call.Repeat, repeat)
+		in := &incomingCall{config: p.opt.Board.Config.Read(), parent: parent, body: &payload{}}
+		assert.Equal(t, p.newOutboundCall(r, in).call.Repeat, repeat)
+	}
+}
+
 // The last calls of a tree must get scarce retries before its first, and a run that has
 // failed none.
 func TestWorthOfRetries(t *testing.T) {
