proxy: refusals by daemons need no budget after rejections either

The free retries after refusals beside upstreams were counted by attempts, which rejected attempts, sent again without limit of the action's budget, used up.

--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -257,7 +257,7 @@
 		return retryCrashSuspect
 	}
 	switch {
-	case a.refusedByAdmission() && n < freeRetries:
+	case a.refusedByAdmission() && n-d.rejections < freeRetries:
 		return retryAgain // the call did not reach an upstream, so the retry needs no budget
 	case p.provedNotRun(o, a, d):
 		return p.decideRejected(o, d)
@@ -292,7 +292,7 @@
 // waitBeforeRetry waits for the backoff after attempt n, unless the attempt put no
 // load on an upstream. It reports false if ctx ended first.
 func (p *Proxy) waitBeforeRetry(ctx context.Context, a attempt, d *dispatchState, n int) bool {
-	if p.passThrough() || (a.refusedByAdmission() && n < freeRetries) {
+	if p.passThrough() || (a.refusedByAdmission() && n-d.rejections < freeRetries) {
 		return true
 	}
 	if d.rejections > 0 {
--- a/io/proxy/repeats_test.go
+++ b/io/proxy/repeats_test.go
@@ -178,6 +178,8 @@
 	assert.Equal(t, attempts, 3)
 	assert.Assert(t, !c.calls[1].Repeat)
 	assert.Assert(t, c.calls[2].Repeat)
+	attempts, _ = c.dispatch(outboundCall{}, answerRejected, answerRejected, answerFull, answerOK)
+	assert.Equal(t, attempts, 4, "the refusal of a daemon needs no budget after rejections either")
 }
 
 // Calls of a run that was itself a repeat must use up the retries of their service.
