--- a/config/admission.go
+++ b/config/admission.go
@@ -27,6 +27,9 @@
 	// Ramp lets the concurrency of an upstream that has started or recovered begin low and
 	// rise as its calls succeed.
 	Ramp bool `ini:"ramp"`
+	// LearnAcceptance lets entries refuse a part of the calls whose trees can't end well,
+	// as upstreams reject a share of their calls without running them.
+	LearnAcceptance bool `ini:"learn_acceptance"`
 }
 
 func defaultAdmission() Admission {
--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -106,6 +106,8 @@
 	Abandoned bool
 	// NotSent is set for a call that was started and not sent: it shows nothing.
 	NotSent bool
+	// Rejected is set when the upstream has proved that it did not run the call.
+	Rejected bool
 }
 
 // Load is a controller's state for routing and metrics.
@@ -152,7 +154,8 @@
 	throughput float64
 	ramp       *ramp.Ramp
 	// rampAt is when the last ramp began or was still active.
-	rampAt time.Time
+	rampAt   time.Time
+	accepted acceptanceMeter
 	// counts holds the counters of Status; its other fields are unused.
 	counts Status
 }
@@ -218,6 +221,7 @@
 		shed:            shedLevel{level: ShedLevelNone},
 		arrivals:        meter.New(rateWindow),
 		started:         meter.New(rateWindow),
+		accepted:        newAcceptanceMeter(),
 	}
 }
 
@@ -326,6 +330,7 @@
 // observe records a call that was sent, one of those that were running until it ended.
 func (c *Controller) observe(now time.Time, route ident.Route, s Sample, running int) {
 	c.limit.observe(now, route, s, running)
+	c.accepted.observe(now, s)
 	c.observeRamp(now, route, s)
 	if s.Shed {
 		c.counts.ShedByUpstream++
--- a/io/daemon/template_test.go
+++ b/io/daemon/template_test.go
@@ -18,6 +18,7 @@
 	quotaWindow = "{{#bounds.quota_window}}slack_window = {{.}}{{/bounds.quota_window}}"
 	coldOverrun = "{{#bounds.cold_overrun}}warmup_overrun = {{.}}{{/bounds.cold_overrun}}"
 	coldSlack   = "{{#bounds.cold_slack}}warmup_slack = {{.}}{{/bounds.cold_slack}}"
+	retryWindow = "{{#bounds.budget_window}}retry_window = {{.}}{{/bounds.budget_window}}"
 )
 
 // templateValues are usual values of the placeholders of the templates in deploy/.
@@ -32,6 +33,7 @@
 		"{{#zones}}{{@}}{{,}}{{/zones}}": "east,west",
 		quotaSlack:                       "slack = 20", quotaWindow: "slack_window = 5s",
 		coldOverrun: "", coldSlack: "",
+		retryWindow: "retry_window = 10s",
 	}
 }
 
@@ -60,6 +62,7 @@
 		"{{bounds.budget_slack}}":        {"0", "49", "20.434782608695652", "1e6"},
 		quotaSlack:                       {"", "slack = 0", "slack = 20", "slack = 20.434782608695652", "slack = 1e6"},
 		quotaWindow:                      {"", "slack_window = 5s", "slack_window = 1234.5ms"},
+		retryWindow:                      {"", "retry_window = 10s", "retry_window = 1234.5ms"},
 		"{{heartbeat}}":                  {"1500ms", "1.5s", "1234.5ms", "10s"},
 		"{{fault_tolerance.machines}}":   {"0", "1", "2"},
 		"{{bootstrap}}":                  {"true", "false"},
--- a/io/proxy/metrics.go
+++ b/io/proxy/metrics.go
@@ -23,15 +23,17 @@
 	elsewhere *prometheus.CounterVec
 	treesAway *prometheus.GaugeVec
 	// The gauges below are set by overloadReporter.
-	limit            prometheus.Gauge
-	upstreamLimit    prometheus.Gauge
-	warmupRate       prometheus.Gauge
-	startedRate      prometheus.Gauge
-	arrivingSlots    prometheus.Gauge
-	refuseShare      prometheus.Gauge
-	runQueueDelay    prometheus.Gauge
-	processorLimit   prometheus.Gauge
-	entryRefuseShare *prometheus.GaugeVec
+	limit              prometheus.Gauge
+	upstreamLimit      prometheus.Gauge
+	warmupRate         prometheus.Gauge
+	startedRate        prometheus.Gauge
+	arrivingSlots      prometheus.Gauge
+	refuseShare        prometheus.Gauge
+	runQueueDelay      prometheus.Gauge
+	processorLimit     prometheus.Gauge
+	acceptedShare      prometheus.Gauge
+	entryRefuseShare   *prometheus.GaugeVec
+	entryAcceptedShare *prometheus.GaugeVec
 }
 
 // NewMetrics registers the metrics with reg.
@@ -86,12 +88,19 @@
 		processorLimit: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "chicorymast_processor_limit_per_second", Help: "Rate of calls that this daemon's processor time carries; 0 for any.",
 		}),
+		acceptedShare: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "chicorymast_admission_accepted_share", Help: "Share of the calls sent to the upstream on this VM that it accepts.",
+		}),
 		entryRefuseShare: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "chicorymast_entry_refuse_share", Help: "Share of the demand for a service to refuse, as known at this entry.",
 		}, []string{"route", "service"}),
+		entryAcceptedShare: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "chicorymast_entry_accepted_share", Help: "Share of its calls that a service accepts, as known at this entry, if below 1.",
+		}, []string{"route", "service"}),
 	}
 	reg.MustRegister(m.calls, m.refusals, m.seconds, m.retries, m.repeats, m.replays, m.elsewhere, m.treesAway,
-		m.limit, m.upstreamLimit, m.warmupRate, m.startedRate, m.arrivingSlots, m.refuseShare, m.runQueueDelay, m.processorLimit, m.entryRefuseShare)
+		m.limit, m.upstreamLimit, m.warmupRate, m.startedRate, m.arrivingSlots, m.refuseShare, m.acceptedShare,
+		m.runQueueDelay, m.processorLimit, m.entryRefuseShare, m.entryAcceptedShare)
 	return m
 }
 
