--- a/config/calls.go
+++ b/config/calls.go
@@ -67,12 +67,6 @@
 		return "progress_timeout", "must be above zero"
 	case c.ConnectTimeout <= 0:
 		return "connect_timeout", "must be above zero"
-	case c.HeaderLimit < 1024:
-		return "header_limit", "must be at least 1024 bytes"
-	case !(c.HeaderMemoryMB >= 0 && c.HeaderMemoryMB <= maxMemoryLimitMB):
-		return "header_memory_mb", "must be 0 or the memory in MB"
-	case c.HeaderTimeout <= 0:
-		return "header_timeout", "must be above zero"
 	case c.RetryRatio < 0 || c.RetryRatio > 1:
 		return "retry_ratio", "must be between 0 and 1"
 	case !(c.RetrySlack >= 0) || math.IsInf(c.RetrySlack, 1):
@@ -82,6 +76,18 @@
 	case c.Connections < 1:
 		return "connections", "must be at least 1"
 	}
+	return c.checkHeaders()
+}
+
+func (c *Calls) checkHeaders() (key, problem string) {
+	switch {
+	case c.HeaderLimit < 1024:
+		return "header_limit", "must be at least 1024 bytes"
+	case !(c.HeaderMemoryMB >= 0 && c.HeaderMemoryMB <= maxMemoryLimitMB):
+		return "header_memory_mb", "must be 0 or the memory in MB"
+	case c.HeaderTimeout <= 0:
+		return "header_timeout", "must be above zero"
+	}
 	return "", ""
 }
 
--- a/io/proxy/metrics.go
+++ b/io/proxy/metrics.go
@@ -64,33 +64,6 @@
 		treesAway: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "chicorymast_trees_away_share", Help: "Share of a route's calls that run in other data centres as whole trees.",
 		}, []string{"route"}),
-		limit: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "chicorymast_admission_limit", Help: "Concurrency limit of the upstream on this VM.",
-		}),
-		upstreamLimit: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "chicorymast_upstream_limit_per_second", Help: "Rate of calls that the upstream on this VM says it takes; 0 for any.",
-		}),
-		warmupRate: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "chicorymast_upstream_warmup_rate_per_second", Help: "Rate to which calls are slowed while the upstream on this VM is cold or may be; 0 if it is warm.",
-		}),
-		startedRate: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "chicorymast_admission_started_per_second", Help: "Rate of calls that this daemon starts at the upstream on this VM.",
-		}),
-		arrivingSlots: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "chicorymast_admission_arriving_slots", Help: "Work that arrives for the upstream on this VM, in slots.",
-		}),
-		refuseShare: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "chicorymast_admission_refuse_share", Help: "Share of the demand that entries are asked to refuse.",
-		}),
-		runQueueDelay: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "chicorymast_run_queue_delay_seconds", Help: "Smallest delay of this daemon's run queue in the last tenth of a second.",
-		}),
-		processorLimit: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "chicorymast_processor_limit_per_second", Help: "Rate of calls that this daemon's processor time carries; 0 for any.",
-		}),
-		acceptedShare: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "chicorymast_admission_accepted_share", Help: "Share of the calls sent to the upstream on this VM that it accepts.",
-		}),
 		entryRefuseShare: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "chicorymast_entry_refuse_share", Help: "Share of the demand for a service to refuse, as known at this entry.",
 		}, []string{"route", "service"}),
@@ -98,12 +71,33 @@
 			Name: "chicorymast_entry_accepted_share", Help: "Share of its calls that a service accepts, as known at this entry, if below 1.",
 		}, []string{"route", "service"}),
 	}
+	m.addGauges(reg)
 	reg.MustRegister(m.calls, m.refusals, m.seconds, m.retries, m.repeats, m.replays, m.elsewhere, m.treesAway,
-		m.limit, m.upstreamLimit, m.warmupRate, m.startedRate, m.arrivingSlots, m.refuseShare, m.acceptedShare,
-		m.runQueueDelay, m.processorLimit, m.entryRefuseShare, m.entryAcceptedShare)
+		m.entryRefuseShare, m.entryAcceptedShare)
 	return m
 }
 
+// addGauges adds the gauges of the upstream on this VM and of this daemon.
+func (m *Metrics) addGauges(reg prometheus.Registerer) {
+	for _, g := range []struct {
+		gauge      *prometheus.Gauge
+		name, help string
+	}{
+		{&m.limit, "chicorymast_admission_limit", "Concurrency limit of the upstream on this VM."},
+		{&m.upstreamLimit, "chicorymast_upstream_limit_per_second", "Rate of calls that the upstream on this VM says it takes; 0 for any."},
+		{&m.warmupRate, "chicorymast_upstream_warmup_rate_per_second", "Rate to which calls are slowed while the upstream on this VM is cold or may be; 0 if it is warm."},
+		{&m.startedRate, "chicorymast_admission_started_per_second", "Rate of calls that this daemon starts at the upstream on this VM."},
+		{&m.arrivingSlots, "chicorymast_admission_arriving_slots", "Work that arrives for the upstream on this VM, in slots."},
+		{&m.refuseShare, "chicorymast_admission_refuse_share", "Share of the demand that entries are asked to refuse."},
+		{&m.runQueueDelay, "chicorymast_run_queue_delay_seconds", "Smallest delay of this daemon's run queue in the last tenth of a second."},
+		{&m.processorLimit, "chicorymast_processor_limit_per_second", "Rate of calls that this daemon's processor time carries; 0 for any."},
+		{&m.acceptedShare, "chicorymast_admission_accepted_share", "Share of the calls sent to the upstream on this VM that it accepts."},
+	} {
+		*g.gauge = prometheus.NewGauge(prometheus.GaugeOpts{Name: g.name, Help: g.help})
+		reg.MustRegister(*g.gauge)
+	}
+}
+
 func (m *Metrics) call(hop string, route ident.Route, status int, duration time.Duration) {
 	label := "200" // of most calls
 	if status != http.StatusOK {
