--- a/io/proxy/metrics.go
+++ b/io/proxy/metrics.go
@@ -85,7 +85,7 @@
 	}{
 		{&m.limit, "chicorymast_admission_limit", "Concurrency limit of the upstream on this VM."},
 		{&m.upstreamLimit, "chicorymast_upstream_limit_per_second", "Rate of calls that the upstream on this VM says it takes; 0 for any."},
-		{&m.warmupRate, "chicorymast_upstream_warmup_rate_per_second", "Rate to which calls are slowed while the upstream on this VM is cold or may be; 0 if it is warm."},
+		{&m.warmupRate, "chicorymast_upstream_warmup_rate_per_second", "Rate to which calls are slowed while the upstream on this VM may be cold; 0 if it is warm."},
 		{&m.startedRate, "chicorymast_admission_started_per_second", "Rate of calls that this daemon starts at the upstream on this VM."},
 		{&m.arrivingSlots, "chicorymast_admission_arriving_slots", "Work that arrives for the upstream on this VM, in slots."},
 		{&m.refuseShare, "chicorymast_admission_refuse_share", "Share of the demand that entries are asked to refuse."},
