--- a/io/daemon/ahead.go
+++ b/io/daemon/ahead.go
@@ -39,6 +39,10 @@
 	readChunk    = 4 << 10
 )
 
+// chunks holds what reading ahead reads into: a caller that sends its next request as soon
+// as it has a response is often read ahead for a moment.
+var chunks = sync.Pool{New: func() any { return new([readChunk]byte) }}
+
 // connContext is the http.Server.ConnContext that ends with an aheadConn.
 func connContext(ctx context.Context, c net.Conn) context.Context {
 	ahead, ok := c.(*aheadConn)
@@ -105,9 +109,10 @@
 // readAhead fills the buffer until it is full, the connection ends or a deadline ends it.
 func (c *aheadConn) readAhead(reading chan struct{}) {
 	defer close(reading)
-	chunk := make([]byte, readChunk)
+	chunk := chunks.Get().(*[readChunk]byte)
+	defer chunks.Put(chunk)
 	for {
-		n, err := c.Conn.Read(chunk)
+		n, err := c.Conn.Read(chunk[:])
 		c.mu.Lock()
 		c.buffer = append(c.buffer, chunk[:n]...)
 		ended := err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
