daemon, config, deploy: use one processor where calls need no more

A call passes six goroutines of net/http on each daemon, and the runtime wakes a thread on an idle processor for each that becomes runnable, which costs more than what most of them do.

--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -4,14 +4,12 @@
 	"context"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"strconv"
 	"syscall"
 
 	"chicorymast/config"
 	"chicorymast/io/daemon"
 	"chicorymast/io/event"
-	"chicorymast/io/heap"
 )
 
 // megabytes is a size in MB; an empty one is zero.
@@ -47,13 +45,7 @@
 	if c.MemoryLimit > 0 {
 		cfg.Daemon.MemoryLimitMB = float64(c.MemoryLimit)
 	}
-	if limit := cfg.Daemon.RuntimeLimit(); limit > 0 {
-		debug.SetMemoryLimit(limit)
-	}
-	if headroom := cfg.Daemon.HeapHeadroom(); headroom > 0 {
-		reset := heap.KeepHeadroom(headroom)
-		defer reset()
-	}
+	daemon.LimitResources(cfg.Daemon)
 	log, err := event.Open(os.Stdout, cfg.Log.Level, cfg.Log.Format)
 	if err != nil {
 		return err
--- a/config/daemon.go
+++ b/config/daemon.go
@@ -47,6 +47,9 @@
 	// HeapHeadroomMB is how much is allocated at least before garbage is collected, in MB;
 	// zero stands for as much as is in use. A change takes a restart.
 	HeapHeadroomMB float64 `ini:"heap_headroom_mb"`
+	// Processors is how many processors the process uses at once; zero stands for as many
+	// as the VM has. A change takes a restart.
+	Processors int `ini:"processors"`
 }
 
 // heapShare is the part of the memory limit that the Go runtime may use before it collects
@@ -54,6 +57,9 @@
 // operating system, and growth during a collection.
 const heapShare = 0.75
 
+// maxProcessors is above the number of processors of any VM.
+const maxProcessors = 4096
+
 // maxMemoryLimitMB is a limit above that of any VM.
 const maxMemoryLimitMB = 1 << 24
 
@@ -88,15 +94,17 @@
 	case d.ShutdownTimeout <= 0:
 		return "shutdown_timeout", "must be above zero"
 	}
-	return d.checkMemory()
+	return d.checkResources()
 }
 
-func (d *Daemon) checkMemory() (key, problem string) {
+func (d *Daemon) checkResources() (key, problem string) {
 	switch {
 	case !(d.MemoryLimitMB >= 0 && d.MemoryLimitMB <= maxMemoryLimitMB):
 		return "memory_limit_mb", "must be 0 or the memory in MB"
 	case !(d.HeapHeadroomMB >= 0 && d.HeapHeadroomMB <= maxMemoryLimitMB):
 		return "heap_headroom_mb", "must be 0 or the memory in MB"
+	case d.Processors < 0 || d.Processors > maxProcessors:
+		return "processors", "must be 0 or the number of processors"
 	}
 	return "", ""
 }
--- a/io/daemon/cost_test.go
+++ b/io/daemon/cost_test.go
@@ -45,20 +45,26 @@
 	f.peer = newCostDaemon(tb, "peer", "shop")
 	f.shop = startScripted(tb, f.peer.callers.ln.Addr().String())
 	back := startScripted(tb, "")
-	entries := []member.Entry{costEntry(f.entry, "back"), costEntry(f.peer, "shop")}
-	cfg := board.NewConfig(costState(f.key), nil)
-	for d, address := range map[*Daemon]string{f.entry: back, f.peer: f.shop} {
-		vm := d.Config().Daemon.VM
-		members := board.NewMembers(entries)
-		d.board.Config.Write(cfg)
-		d.board.Freshness.Write(&board.Freshness{AsOf: time.Now().Add(24 * time.Hour)})
-		d.board.Members.Write(members)
-		d.board.Upstream.Write(&board.Upstream{Upstream: *members.ByVM[vm].Upstream, Address: address})
-		d.board.Lifecycle.Write(&board.Lifecycle{Phase: board.PhaseRunning})
+	entries := []member.Entry{}
+	for d, svc := range map[*Daemon]ident.Service{f.entry: "back", f.peer: "shop"} {
+		cfg := d.Config().Daemon
+		entries = append(entries, costEntry(cfg.VM, cfg.DataCentre, d.listeners[0].ln.Addr().String(), svc))
 	}
+	fillBoard(f.entry, entries, f.key, back)
+	fillBoard(f.peer, entries, f.key, f.shop)
 	return f
 }
 
+// fillBoard writes what the controllers of a daemon would write.
+func fillBoard(d *Daemon, entries []member.Entry, key, upstream string) {
+	members := board.NewMembers(entries)
+	d.board.Config.Write(board.NewConfig(costState(key), nil))
+	d.board.Freshness.Write(&board.Freshness{AsOf: time.Now().Add(24 * time.Hour)})
+	d.board.Members.Write(members)
+	d.board.Upstream.Write(&board.Upstream{Upstream: *members.ByVM[d.Config().Daemon.VM].Upstream, Address: upstream})
+	d.board.Lifecycle.Write(&board.Lifecycle{Phase: board.PhaseRunning})
+}
+
 func costState(key string) *state.State {
 	st := state.New()
 	st.Revision, st.ConfirmedAt = 1, 1
@@ -75,18 +81,14 @@
 	return st
 }
 
-func costEntry(d *Daemon, svc ident.Service) member.Entry {
-	const slots = 1000
-	cfg := d.Config().Daemon
+func costEntry(vm ident.VM, dc ident.DataCentre, peers string, svc ident.Service) member.Entry {
 	return member.Entry{
-		VM: cfg.VM, DataCentre: cfg.DataCentre, Phase: member.PhaseUp,
-		Addresses: member.Addresses{Peer: d.listeners[0].ln.Addr().String()},
-		Upstream:  &member.Upstream{Service: svc, ID: ident.Upstream("i-" + svc), StartedMs: 1, Slots: slots, Phase: member.PhaseUp},
+		VM: vm, DataCentre: dc, Phase: member.PhaseUp, Addresses: member.Addresses{Peer: peers}, Upstream: costUpstream(svc),
 	}
 }
 
-// newCostDaemon returns a daemon that serves callers and peers, and runs nothing else.
-func newCostDaemon(tb testing.TB, vm, svc string) *Daemon {
+// costSettings returns the settings of deploy/daemon.ini with free ports.
+func costSettings(tb testing.TB, vm, svc string) config.Config {
 	tb.Helper()
 	const anyPort = "127.0.0.1:0"
 	text := fillTemplate(tb, "daemon.ini", map[string]string{"{{node}}": vm, "{{service}}": svc})
@@ -94,6 +96,13 @@
 	assert.NilError(tb, err)
 	cfg.Listen.Caller, cfg.Listen.Peer, cfg.Listen.Control, cfg.Listen.Admin = anyPort, anyPort, anyPort, anyPort
 	cfg.Platform.API, cfg.Platform.Ready = anyPort, anyPort
+	return cfg
+}
+
+// newCostDaemon returns a daemon that serves callers and peers, and runs nothing else.
+func newCostDaemon(tb testing.TB, vm, svc string) *Daemon {
+	tb.Helper()
+	cfg := costSettings(tb, vm, svc)
 	d, err := New(cfg, event.Discard())
 	assert.NilError(tb, err)
 	peers := d.listeners[0]
