--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -193,6 +193,9 @@
 	if in.workspace == "" {
 		return nil, 0, noInputs // no workspaces are configured, so there are no keys or grants
 	}
+	if !in.granted { // not looked up yet, or there is none
+		in.grant, in.grantSpec, in.granted = in.config.Grant(in.workspace, in.route)
+	}
 	name, grant := in.grant, in.grantSpec
 	if !in.granted {
 		return fault.Refuse(fault.ReasonNoGrant, "workspace %s may not call route %s", in.workspace, in.route), 0, noInputs
