--- a/io/crowd/crowd_test.go
+++ b/io/crowd/crowd_test.go
@@ -84,7 +84,9 @@
 	upstream              *upstream
 }
 
-func startVictim(t *testing.T) *victim {
+// startVictim starts a fleet. The settings are added to the section [calls] of the daemon
+// under test.
+func startVictim(t *testing.T, settings ...string) *victim {
 	t.Helper()
 	layout := trial.Layout{
 		DataCentres:    []ident.DataCentre{"kosice-1"},
@@ -104,7 +106,8 @@
 	v.ready = files.Daemons[0].Addresses["local"]
 	v.edit("control-1.ini", "local = "+v.ready+"\n", "")
 	v.edit(string(daemonVM)+".ini", "[daemon]\n", fmt.Sprintf("[daemon]\nmemory_limit_mb = %d\n", memoryLimitMB))
-	v.edit(string(daemonVM)+".ini", "[trace]\n", fmt.Sprintf("[calls]\nheader_timeout = 60s\n\n[platform]\nready = %s\n\n[trace]\n", v.ready))
+	v.edit(string(daemonVM)+".ini", "[trace]\n", fmt.Sprintf("[calls]\nheader_timeout = 60s\n%s\n\n[platform]\nready = %s\n\n[trace]\n",
+		strings.Join(settings, "\n"), v.ready))
 	v.edit("intent.ini", "timeout = 5s", "timeout = 60s")
 	v.start("control-1")
 	v.proc = v.start(daemonVM)
