dedup: headers of stored responses count towards the memory of records

A replica bounds the bodies of the responses that it stores, but kept their headers for ten minutes uncounted, also those of responses that are never replayed. An upstream that answers with 32 KiB of short lines took 0.64 MB of each replica for each action. Headers now count with 128 bytes a line, and a response that is not stored is recorded without its header.

--- a/core/dedup/dedup.go
+++ b/core/dedup/dedup.go
@@ -27,7 +27,7 @@
 // Defaults of a table.
 const (
 	DefaultRetention   = 10 * time.Minute
-	DefaultStoredBytes = 32 << 20 // bytes of stored response bodies
+	DefaultStoredBytes = 32 << 20 // bytes of stored responses
 )
 
 // ID identifies an action within its workspace.
--- a/core/dedup/dedup_test.go
+++ b/core/dedup/dedup_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"chicorymast/core/ident"
 	"chicorymast/core/simul"
 
 	"gotest.tools/v3/assert"
@@ -242,3 +243,30 @@
 		}
 	})
 }
+
+// Guards against stored responses whose headers take the memory that is meant for all of them.
+func TestHeadersOfStoredResponsesCount(t *testing.T) {
+	const actions, lines, limit = 50, 100, 64 << 10
+	table := NewTable(time.Minute, limit)
+	head := func() map[string][]string {
+		h := map[string][]string{}
+		for i := range lines {
+			h[fmt.Sprintf("N%d", i)] = []string{""}
+		}
+		return h
+	}
+	kept := 0
+	for i := range actions {
+		id := ID{Workspace: "mlyn", Action: ident.ActionID(fmt.Sprint(i))}
+		table.End(epoch, id, "f", "a", PhaseDone, Response{Stored: i%2 == 0, Status: 200, Header: head()})
+	}
+	for _, r := range table.Records(epoch) {
+		assert.Equal(t, r.Phase, PhaseDone)
+		kept += len(r.Response.Header)
+		assert.Assert(t, r.Response.Stored || r.Response.Header == nil)
+	}
+	assert.Assert(t, kept > 0 && kept*lineBytes <= limit, "%d lines are kept", kept)
+	later := epoch.Add(time.Hour)
+	assert.Equal(t, len(table.Records(later)), 0)
+	assert.Equal(t, table.storedBytes, 0)
+}
--- a/core/dedup/table.go
+++ b/core/dedup/table.go
@@ -14,7 +14,7 @@
 // Table stores the records of one replica.
 type Table struct {
 	retention time.Duration
-	// maxBytes is the limit of storedBytes, the size of the stored response bodies.
+	// maxBytes is the limit of storedBytes, the size of the stored responses.
 	maxBytes    int
 	storedBytes int
 	records     map[ID]*record
@@ -23,7 +23,7 @@
 }
 
 // NewTable returns an empty table that keeps records for the retention time after
-// their end and at most maxBytes bytes of response bodies.
+// their end and at most maxBytes bytes of responses.
 func NewTable(retention time.Duration, maxBytes int) *Table {
 	return &Table{retention: retention, maxBytes: maxBytes, records: map[ID]*record{}}
 }
@@ -80,8 +80,11 @@
 	if r.phase == PhaseRunning {
 		t.ended = append(t.ended, id)
 	}
+	if !response.Stored {
+		response.Header = nil // only a stored response is replayed
+	}
 	r.phase, r.response, r.expires = phase, response, now.Add(t.retention)
-	t.storedBytes += len(response.Body)
+	t.storedBytes += response.size()
 	t.dropOldResponses()
 }
 
@@ -121,7 +124,7 @@
 	existing := t.records[in.ID]
 	if existing == nil {
 		t.records[in.ID] = &record{phase: in.Phase, fingerprint: in.Fingerprint, runID: in.RunID, response: in.Response, expires: expires}
-		t.storedBytes += len(in.Response.Body)
+		t.storedBytes += in.Response.size()
 		if in.Phase != PhaseRunning {
 			t.ended = append(t.ended, in.ID)
 		}
@@ -146,13 +149,29 @@
 			return
 		}
 		if r != nil && r.phase != PhaseRunning {
-			t.storedBytes -= len(r.response.Body)
+			t.storedBytes -= r.response.size()
 			delete(t.records, id)
 		}
 		t.ended = t.ended[1:]
 	}
 }
 
+// lineBytes is the memory that a line of a header takes beside its bytes: an entry of a map, a
+// slice, a name and a value.
+const lineBytes = 128
+
+// size returns the memory that a response takes.
+func (r Response) size() int {
+	n := len(r.Body)
+	for name, values := range r.Header {
+		n += len(name)
+		for _, v := range values {
+			n += len(v) + lineBytes
+		}
+	}
+	return n
+}
+
 // dropOldResponses drops the oldest stored responses above the byte limit. The records
 // remain, so the actions still count as done.
 func (t *Table) dropOldResponses() {
@@ -161,7 +180,7 @@
 			return
 		}
 		if r := t.records[id]; r != nil && r.response.Stored {
-			t.storedBytes -= len(r.response.Body)
+			t.storedBytes -= r.response.size()
 			r.response = Response{}
 		}
 	}
