limit, proxy: bodies and requests read ahead share the memory of heads

Bodies that an entry keeps for a retry, responses that it keeps while their callers read, and requests read ahead behind a running one were bounded for each connection only: 64 KB on each of 4,096 connections exceed a VM. They are now charged to the budget of header_memory_mb, of which they get three quarters. Without room a request is refused (503, overload, not run), a response is streamed, and reading ahead pauses.

A 431 from the HTTP server of another daemon is a refusal and no longer counts as a failure of its VM, which ejected VMs for requests with long headers.

--- a/core/heads/heads.go
+++ b/core/heads/heads.go
@@ -118,6 +118,23 @@
 	return largest
 }
 
+// Room reports whether a share may grow by a cost without another message being refused. One
+// that alone takes all that is in use always may.
+func (b *Budget) Room(s *Share, cost Bytes) bool {
+	active := b.held - b.refused
+	return active == s.cost || active+cost <= b.limit*largeNumerator/largeDenominator
+}
+
+// Refund takes back a part of what a share was charged.
+func (b *Budget) Refund(s *Share, cost Bytes) {
+	cost = min(cost, s.cost)
+	s.cost -= cost
+	b.held -= cost
+	if s.phase == phaseRefused {
+		b.refused -= cost
+	}
+}
+
 // Begin marks a share whose message begins to be handled; from then on it is not refused. It
 // returns false if the message is to be refused.
 func (b *Budget) Begin(s *Share) bool {
--- a/core/heads/heads_test.go
+++ b/core/heads/heads_test.go
@@ -43,6 +43,21 @@
 	assert.Assert(t, b.Begin(only))
 }
 
+// Guards against memory beside heads that leaves nothing to them, or that a single request in
+// a calm period does not get.
+func TestRoomLeavesTheReserve(t *testing.T) {
+	b := NewBudget(100_000)
+	first, second := &Share{}, &Share{}
+	assert.Assert(t, b.Room(first, 200_000), "alone")
+	b.Charge(first, 50_000)
+	assert.Assert(t, b.Room(second, 25_000))
+	assert.Assert(t, !b.Room(second, 25_001))
+	b.Refund(first, 10_000)
+	assert.Assert(t, b.Room(second, 35_000))
+	b.Refund(first, 90_000)
+	assert.Equal(t, b.Held(), Bytes(0))
+}
+
 // Guards against shares that are counted twice or never released, and a sum above the budget.
 func TestSumIsExactAndBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/io/daemon/ahead.go
+++ b/io/daemon/ahead.go
@@ -25,6 +25,11 @@
 	left context.CancelFunc
 
 	mu sync.Mutex
+	// hold accounts for the buffer, with a size of held; nil does not.
+	hold *limit.Hold
+	held int
+	// closed is set when nothing more is read ahead.
+	closed bool
 	// buffer holds what was read ahead, and err is the error that ended the connection.
 	buffer []byte
 	err    error
@@ -35,8 +40,9 @@
 }
 
 const (
-	// maxReadAhead is the number of bytes that are read ahead on a connection; further
-	// ones wait in the operating system, which slows the caller down.
+	// maxReadAhead is the number of bytes that are read ahead on a connection, as far as the
+	// memory for message heads has room; further ones wait in the operating system, which
+	// slows the caller down.
 	maxReadAhead = 64 << 10
 	readChunk    = 4 << 10
 )
@@ -44,13 +50,17 @@
 // connContext is the http.Server.ConnContext that ends with an aheadConn.
 func connContext(ctx context.Context, c net.Conn) context.Context {
 	ctx = limit.ConnContext(ctx, c)
-	if counted, ok := c.(*limit.Conn); ok {
+	counted, isCounted := c.(*limit.Conn)
+	if isCounted {
 		c = counted.Conn
 	}
 	ahead, ok := c.(*aheadConn)
 	if !ok {
 		return ctx
 	}
+	if isCounted {
+		ahead.hold = counted.Hold()
+	}
 	ctx, ahead.left = context.WithCancel(ctx)
 	return ctx
 }
@@ -75,10 +85,12 @@
 	defer c.mu.Unlock()
 	if len(c.buffer) == 0 {
 		c.buffer = nil
+		c.resize(0)
 		return 0, c.err
 	}
 	n = copy(p, c.buffer)
 	c.buffer = c.buffer[n:]
+	c.resize(len(c.buffer))
 	return n, nil
 }
 
@@ -89,10 +101,24 @@
 	c.buffer = append(append(make([]byte, 0, len(p)+len(c.buffer)), p...), c.buffer...)
 }
 
+// hasRoom reports whether another chunk may be read ahead, and accounts for it.
+func (c *aheadConn) hasRoom() bool {
+	return !c.closed && len(c.buffer) < maxReadAhead && c.resize(len(c.buffer)+readChunk)
+}
+
+// resize accounts for n bytes. It reports false if there is no room for them.
+func (c *aheadConn) resize(n int) bool {
+	if n != c.held && !c.hold.Resize(n) {
+		return false
+	}
+	c.held = n
+	return true
+}
+
 func (c *aheadConn) startReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.err != nil || len(c.buffer) >= maxReadAhead {
+	if c.err != nil || !c.hasRoom() {
 		return
 	}
 	c.reading = make(chan struct{})
@@ -127,7 +153,7 @@
 		if ended {
 			c.err = err
 		}
-		full := len(c.buffer) >= maxReadAhead
+		full := !c.hasRoom()
 		c.mu.Unlock()
 		if ended {
 			c.left()
@@ -161,5 +187,9 @@
 	if c.left != nil {
 		c.left()
 	}
+	c.mu.Lock()
+	c.closed = true
+	c.resize(0)
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
--- a/io/daemon/heads.go
+++ b/io/daemon/heads.go
@@ -31,5 +31,8 @@
 			_, refused := d.heads.Held()
 			return float64(refused)
 		}),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "chicorymast_bodies_without_room_total", Help: "Bodies that could not be kept in memory: requests refused, responses passed on unkept.",
+		}, func() float64 { return float64(d.heads.Short()) }),
 	)
 }
--- a/io/limit/limit.go
+++ b/io/limit/limit.go
@@ -8,6 +8,7 @@
 //	srv := &http.Server{Handler: limit.Handler(h), ConnContext: limit.ConnContext}
 //	conn = g.Dialled(conn)                 // in DialContext; responses arrive on these
 //	limit.Expect(ctx, info.Conn)           // in httptrace.ClientTrace.GotConn
+//	io.ReadAll(limit.Reader(ctx, body))    // a body that is kept while its request is served
 //
 // Once the heads exceed the budget, the largest of those whose requests are not handled yet
 // is refused, then the next. The head of a response that is still being received may be
@@ -47,6 +48,8 @@
 	mu       sync.Mutex
 	budget   *heads.Budget
 	reported uint64
+	// short counts the bodies that there was no room for.
+	short uint64
 	// nextReport is the time from which the next refusal is reported.
 	nextReport time.Time
 }
--- a/io/limit/limit_test.go
+++ b/io/limit/limit_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptrace"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -180,6 +181,42 @@
 	}
 }
 
+// Guards against bodies that are kept without room, and against room that is not given back.
+func TestBodiesTakeRoom(t *testing.T) {
+	const body = 160_000
+	h := serve(t, nil)
+	var kept, short atomic.Int64
+	release := make(chan struct{})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	srv := &http.Server{ConnContext: ConnContext, Handler: Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		data, err := io.ReadAll(Reader(r.Context(), r.Body))
+		if errors.Is(err, ErrNoRoom) {
+			short.Add(1)
+			return
+		}
+		kept.Add(int64(len(data)))
+		<-release
+	}))}
+	go func() { _ = srv.Serve(h.guard.Listen(ln, refuse)) }() // ends with the server
+	t.Cleanup(func() { _ = srv.Close() })
+	h.address = ln.Addr().String()
+	post := fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", body)
+	first, firstReader := h.dial()
+	send(t, first, post+strings.Repeat("x", body))
+	h.await("the body is kept", func(held heads.Bytes, _ uint64) bool { return held > growth*body && kept.Load() == body })
+	second, secondReader := h.dial()
+	_, _ = io.WriteString(second, post+strings.Repeat("x", body)) // the server may close the connection before the end
+	resp, err := http.ReadResponse(secondReader, nil)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Equal(t, short.Load(), int64(1))
+	assert.Equal(t, h.guard.Short(), uint64(1))
+	close(release)
+	assertResponse(t, firstReader, http.StatusOK, "")
+	h.await("all is released", func(held heads.Bytes, _ uint64) bool { return held == 0 })
+}
+
 // transport returns a transport whose responses are counted, and the context of a request.
 func transport(t *testing.T, g *Guard) (*http.Transport, context.Context) {
 	tr := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/io/proxy/body.go
+++ b/io/proxy/body.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"chicorymast/core/fault"
+	"chicorymast/io/limit"
 )
 
 // payload is a request body of which the start is buffered. It can be resent if
@@ -26,23 +27,26 @@
 	overLimit atomic.Bool
 }
 
-// readPayload buffers up to bufferLimit bytes of a body. A body above the limit is
+// readPayload buffers up to bufferLimit bytes of a body. A body above maxBytes is
 // refused, without reading it if its length is declared.
-func readPayload(r *http.Request, bufferLimit int, limit int64) (*payload, error) {
-	if r.ContentLength > limit {
-		return nil, fault.Refuse(fault.ReasonBodyTooLarge, "the body has %d bytes, the route takes %d", r.ContentLength, limit)
+func readPayload(r *http.Request, bufferLimit int, maxBytes int64) (*payload, error) {
+	if r.ContentLength > maxBytes {
+		return nil, fault.Refuse(fault.ReasonBodyTooLarge, "the body has %d bytes, the route takes %d", r.ContentLength, maxBytes)
 	}
 	p := &payload{length: r.ContentLength}
 	if r.Body == nil || r.Body == http.NoBody {
 		p.complete = true
 		return p, nil
 	}
-	prefix, err := io.ReadAll(io.LimitReader(r.Body, int64(bufferLimit)+1))
+	prefix, err := io.ReadAll(limit.Reader(r.Context(), io.LimitReader(r.Body, int64(bufferLimit)+1)))
+	if errors.Is(err, limit.ErrNoRoom) {
+		return nil, fault.Refuse(fault.ReasonOverload, "requests take too much memory")
+	}
 	if err != nil {
 		return nil, fault.Refuse(fault.ReasonBadRequest, "the body ended early: %v", err)
 	}
-	if int64(len(prefix)) > limit {
-		return nil, fault.Refuse(fault.ReasonBodyTooLarge, "the body is above the %d bytes that the route takes", limit)
+	if int64(len(prefix)) > maxBytes {
+		return nil, fault.Refuse(fault.ReasonBodyTooLarge, "the body is above the %d bytes that the route takes", maxBytes)
 	}
 	p.buffered = prefix
 	p.complete = len(prefix) <= bufferLimit
@@ -50,7 +54,7 @@
 		p.length = int64(len(prefix))
 		return p, nil
 	}
-	p.remainder = &limitedBody{src: r.Body, remaining: limit - int64(len(prefix)), overLimit: &p.overLimit}
+	p.remainder = &limitedBody{src: r.Body, remaining: maxBytes - int64(len(prefix)), overLimit: &p.overLimit}
 	return p, nil
 }
 
--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -37,6 +37,11 @@
 		defer stop()
 		discardBody(resp)
 		r := fault.Failed(fault.ReasonUpstreamFailed, "VM %s did not answer as a daemon", vm.VM)
+		if resp.StatusCode == http.StatusRequestHeaderFieldsTooLarge {
+			// Sent by the HTTP server of a daemon before it handles a request, so it says
+			// nothing of the VM.
+			r = fault.Refuse(fault.ReasonHeadersTooLarge, "the header is too large for VM %s", vm.VM)
+		}
 		p.reportOutcome(o, vm, r, nil)
 		return attempt{refusal: r}
 	}
@@ -130,9 +135,10 @@
 	if result.NotRun {
 		received.header.Set(header.NotRun, "true")
 	}
-	limit := p.bufferLimit(o, resp.ContentLength)
-	prefix, err := io.ReadAll(io.LimitReader(resp.Body, int64(limit)+1))
-	if err != nil {
+	maxBytes := p.bufferLimit(o, resp.ContentLength)
+	prefix, err := io.ReadAll(limit.Reader(ctx, io.LimitReader(resp.Body, int64(maxBytes)+1)))
+	short := errors.Is(err, limit.ErrNoRoom) // the rest is streamed
+	if err != nil && !short {
 		defer stop()
 		_ = resp.Body.Close()
 		r := incompleteRefusal(ctx, err)
@@ -140,7 +146,7 @@
 		return attempt{refusal: r, unspentRetries: result.UnspentRetries}
 	}
 	success := attempt{response: received, nestedFailure: result.NestedFailure, unspentRetries: result.UnspentRetries}
-	if len(prefix) <= limit {
+	if len(prefix) <= maxBytes && !short {
 		defer stop()
 		_ = resp.Body.Close()
 		received.body = prefix
