--- a/io/proxy/send.go
+++ b/io/proxy/send.go
@@ -45,6 +45,11 @@
 		defer stop()
 		discardBody(resp)
 		r := fault.Failed(fault.ReasonUpstreamFailed, "VM %s did not answer as a daemon", vm.VM)
+		if resp.StatusCode == http.StatusRequestHeaderFieldsTooLarge {
+			// Sent by the HTTP server of a daemon before it handles a request, so it says
+			// nothing of the VM.
+			r = fault.Refuse(fault.ReasonHeadersTooLarge, "the header is too large for VM %s", vm.VM)
+		}
 		p.reportOutcome(o, vm, r, nil)
 		return attempt{refusal: r}
 	}
@@ -145,9 +150,10 @@
 	if result.NotRun {
 		received.header.Set(header.NotRun, "true")
 	}
-	limit := p.bufferLimit(o, resp.ContentLength)
-	prefix, err := readPrefix(resp, limit)
-	if err != nil {
+	maxBytes := p.bufferLimit(o, resp.ContentLength)
+	prefix, err := readPrefix(ctx, resp, maxBytes)
+	short := errors.Is(err, limit.ErrNoRoom) // the rest is streamed
+	if err != nil && !short {
 		defer stop()
 		_ = resp.Body.Close()
 		r := incompleteRefusal(ctx, err)
@@ -155,7 +161,7 @@
 		return attempt{refusal: r, unspentRetries: result.UnspentRetries}
 	}
 	success := attempt{response: received, nestedFailure: result.NestedFailure, unspentRetries: result.UnspentRetries}
-	if len(prefix) <= limit {
+	if len(prefix) <= maxBytes && !short {
 		defer stop()
 		_ = resp.Body.Close()
 		received.body = prefix
@@ -178,13 +184,15 @@
 	return success
 }
 
-// readPrefix reads the body of a response up to a byte beyond the limit.
-func readPrefix(resp *http.Response, limit int) ([]byte, error) {
-	if resp.ContentLength < 0 || resp.ContentLength > int64(limit) || resp.Body == http.NoBody {
-		return io.ReadAll(io.LimitReader(resp.Body, int64(limit)+1))
+// readPrefix reads the body of a response up to a byte beyond a limit. It returns
+// limit.ErrNoRoom with what it has read if the budget for bodies held in memory is used up.
+func readPrefix(ctx context.Context, resp *http.Response, maxBytes int) ([]byte, error) {
+	body := limit.Reader(ctx, resp.Body)
+	if resp.ContentLength < 0 || resp.ContentLength > int64(maxBytes) || resp.Body == http.NoBody {
+		return io.ReadAll(io.LimitReader(body, int64(maxBytes)+1))
 	}
 	data := make([]byte, resp.ContentLength)
-	n, err := io.ReadFull(resp.Body, data)
+	n, err := io.ReadFull(body, data)
 	if errors.Is(err, io.EOF) {
 		err = nil // a body without bytes; one that ends early returns io.ErrUnexpectedEOF
 	}
