daemon, agent: the end of an evacuation is not announced as a drain

When an evacuation was undone, the upstreams there were announced as draining for up to 200 ms: the agent compared Drained, which follows the configuration with a delay, with the configuration itself. The board now says in one value whether only the evacuation is the cause of Drained.

--- a/core/board/daemon.go
+++ b/core/board/daemon.go
@@ -370,6 +370,9 @@
 	// Drained is set while an operator's drain of this VM or an evacuation of its data
 	// centre is in force.
 	Drained bool
+	// Evacuated is set if only the evacuation is the cause of Drained. All daemons have it
+	// from the configuration, so it is no part of the announcement of this VM.
+	Evacuated bool
 }
 
 // Present reports whether an upstream is announced.
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -286,7 +286,7 @@
 	content := entryContent{phase: e.Phase, relay: a.relay, relayActive: e.Relay, crashes: crashes, departures: departures}
 	if s := a.opt.Board.Upstream.Read(); s.Present() {
 		upstream := s.Upstream
-		if s.Drained && !a.onlyEvacuated() {
+		if s.Drained && !s.Evacuated {
 			upstream.Phase = member.PhaseDraining
 		}
 		e.Upstream = &upstream
@@ -296,14 +296,6 @@
 	return e
 }
 
-// onlyEvacuated reports whether operators evacuate the data centre of this VM without
-// draining the VM itself. That is no part of the announcement: all daemons have it from the
-// configuration, and the entries of a whole data centre would be sent to each of them.
-func (a *Agent) onlyEvacuated() bool {
-	st := a.opt.Board.Config.Read().State
-	return st.Evacuations[a.opt.DataCentre] && !st.Drains[a.opt.VM]
-}
-
 func (a *Agent) versionFor(content entryContent) uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/io/daemon/upstreams.go
+++ b/io/daemon/upstreams.go
@@ -149,8 +149,8 @@
 		Address:    a.Address,
 		HealthPath: a.HealthPath,
 		LoadPath:   a.LoadPath,
-		Drained:    r.isDrained(),
 	}
+	next.Drained, next.Evacuated = r.drained()
 	if a.WarmupMs > 0 {
 		next.WarmupMs = a.WarmupMs
 		if sameProcess {
@@ -283,17 +283,18 @@
 // updateDrained updates whether operators drain this VM or evacuate its data centre; the
 // mutex is held.
 func (r *upstreamRegistry) updateDrained() {
-	next := *r.board.Upstream.Read()
-	if next.Drained == r.isDrained() {
-		return
+	current := r.board.Upstream.Read()
+	next := *current
+	next.Drained, next.Evacuated = r.drained()
+	if next != *current {
+		r.board.Upstream.Write(&next)
 	}
-	next.Drained = r.isDrained()
-	r.board.Upstream.Write(&next)
 }
 
-// isDrained reports whether operators drain this VM or evacuate its data centre. Without a
-// configuration it goes by what relays have said.
-func (r *upstreamRegistry) isDrained() bool {
+// drained reports whether operators drain this VM or evacuate its data centre, and whether
+// only the latter. Without a configuration it goes by what relays have said.
+func (r *upstreamRegistry) drained() (drained, evacuated bool) {
 	st := r.board.Config.Read().State
-	return !st.TakesCalls(r.vm, r.dataCentre) || (st.Revision == 0 && r.evacuated)
+	evacuated = st.Evacuations[r.dataCentre] || (st.Revision == 0 && r.evacuated)
+	return evacuated || st.Drains[r.vm], evacuated && !st.Drains[r.vm]
 }
--- a/io/daemon/upstreams_test.go
+++ b/io/daemon/upstreams_test.go
@@ -294,3 +294,37 @@
 		assert.Assert(t, !drained(r), "a relay's word outlasts the configuration")
 	})
 }
+
+// Guards against a drain of a VM that is taken for an evacuation, and is then not announced,
+// and against an evacuation that is announced as a drain when it ends: all VMs of a data
+// centre would announce themselves twice, and entries would avoid them in between.
+func TestDrainsAndEvacuationsAreToldApart(t *testing.T) {
+	r, clock := newTestRegistry()
+	_, err := r.Announce(announcement("a", 1, 1))
+	assert.NilError(t, err)
+	st := state.New()
+	writes := 0
+	for i, c := range []struct {
+		cmd                state.Command
+		drained, evacuated bool
+	}{
+		{state.SetEvacuation{DataCentre: "east", Evacuating: true}, true, true},
+		{state.SetDrain{VM: "vm", Draining: true}, true, false},
+		{state.SetEvacuation{DataCentre: "east"}, true, false},
+		{state.SetEvacuation{DataCentre: "east", Evacuating: true}, true, false},
+		{state.SetDrain{VM: "vm"}, true, true},
+		{state.SetEvacuation{DataCentre: "east"}, false, false},
+	} {
+		before := r.board.Upstream.Read()
+		st.ApplyAccepted(c.cmd)
+		r.board.Config.Write(board.NewConfig(st.Clone(), nil))
+		r.tick(clock.Now())
+		after := r.board.Upstream.Read()
+		assert.Equal(t, after.Drained, c.drained, "step %d", i)
+		assert.Equal(t, after.Evacuated, c.evacuated, "step %d", i)
+		if after != before {
+			writes++
+		}
+	}
+	assert.Equal(t, writes, 4)
+}
