--- a/io/daemon/upstreams_test.go
+++ b/io/daemon/upstreams_test.go
@@ -34,6 +34,27 @@
 	assert.Equal(t, s.Phase, p)
 }
 
+// Guards against a cold upstream whose later announcements do not reach the admission: the
+// board keeps only the first time of a process.
+func TestEachAnnouncementTellsHowLongTheUpstreamStaysCold(t *testing.T) {
+	r, _ := newTestRegistry()
+	var told []time.Duration
+	r.onAnnounced = func(p notice.Process, cold time.Duration) {
+		assert.Equal(t, p, r.board.Upstream.Read().Process(), "it is on the board before")
+		told = append(told, cold)
+	}
+	cold := func(sequence uint64, ms int64) proxy.Announcement {
+		a := announcement("a", 1, sequence)
+		a.WarmupMs = ms
+		return a
+	}
+	for _, a := range []proxy.Announcement{cold(1, 3000), cold(3, 0), cold(2, 1500), cold(4, 2000)} {
+		_, err := r.Announce(a)
+		assert.NilError(t, err)
+	}
+	assert.DeepEqual(t, told, []time.Duration{3 * time.Second, 0, 2 * time.Second})
+}
+
 func TestOutdatedAnnouncements(t *testing.T) {
 	draining := func(u ident.Upstream, startedMs int64, sequence uint64) proxy.Announcement {
 		a := announcement(u, startedMs, sequence)
--- a/io/proxy/admission.go
+++ b/io/proxy/admission.go
@@ -21,7 +21,7 @@
 	waiters    map[admit.Ticket]chan admit.Effect
 	// closesAt is when the queue of an upstream that leaves closes; zero if it doesn't leave.
 	closesAt time.Time
-	warmup   warmup
+	warmup   *warmup
 }
 
 func newAdmission(opt Options) *admission {
--- a/io/proxy/warmup.go
+++ b/io/proxy/warmup.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"chicorymast/core/admit"
@@ -31,6 +32,9 @@
 // warmup is the part of admission that bounds the calls to a cold upstream.
 type warmup struct {
 	tracker *warm.Tracker
+	// followed is set once the settings have asked to follow the upstream. Calls take no
+	// locks for it before that.
+	followed atomic.Bool
 	// stated is the rate that the upstream names in its responses, zero for any.
 	stated ident.Rate
 	// check starts a health check that has been noted at a time.
@@ -46,8 +50,8 @@
 	answeredAt time.Time
 }
 
-func newWarmup() warmup {
-	return warmup{tracker: warm.New(), check: func(time.Time) {}, phase: warm.PhaseWarm}
+func newWarmup() *warmup {
+	return &warmup{tracker: warm.New(), check: func(time.Time) {}, phase: warm.PhaseWarm}
 }
 
 // followed is what the admission needs to know of the upstream on this VM.
@@ -83,6 +87,7 @@
 }
 
 func (a *admission) follow(f followed) {
+	a.warmup.followed.Store(true)
 	now := a.opt.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -92,7 +97,7 @@
 	a.warmup.tracker.SetSpec(now, f.spec)
 	a.warmup.tracker.SetCheckable(f.checkable)
 	a.warmup.tracker.Serve(now, f.process, f.takesCalls)
-	if w := &a.warmup; f.process != w.process || (f.takesCalls && !w.takesCalls) {
+	if w := a.warmup; f.process != w.process || (f.takesCalls && !w.takesCalls) {
 		a.controller.BeginRamp(now)
 	}
 	a.warmup.process, a.warmup.takesCalls = f.process, f.takesCalls
@@ -121,7 +126,7 @@
 		pace = warm.Pace{Rate: a.warmup.stated}
 	}
 	a.apply(a.controller.SetPace(now, pace.Rate, pace.Burst))
-	a.notePhase()
+	a.notePhase(now)
 	a.noteRamp()
 }
 
@@ -138,9 +143,14 @@
 	a.opt.Trail.Note(id, sample.Key{}, func() []zap.Field { return nil })
 }
 
-// notePhase logs that the upstream has become cold, or warm again.
-func (a *admission) notePhase() {
+// notePhase logs that the upstream has become cold, or warm again. A doubt is logged only if
+// calls wait because of it: a service with few calls has one after each pause. The mutex must
+// be held.
+func (a *admission) notePhase(now time.Time) {
 	before, phase := a.warmup.phase, a.warmup.tracker.Phase()
+	if phase == warm.PhaseUncertain && (a.warmup.tracker.Provisional(now) || !a.controller.Short(now)) {
+		return
+	}
 	if a.warmup.phase = phase; phase == before {
 		return
 	}
@@ -238,6 +248,9 @@
 // sendToUpstream sends a request to the upstream, unless that is cold and has got as many
 // as it bears. Errors: errUpstreamCold, and those of the transport.
 func (p *Proxy) sendToUpstream(req *http.Request) (resp *http.Response, err error) {
+	if !p.admission.warmup.followed.Load() {
+		return p.transportFor(req).RoundTrip(req)
+	}
 	at := p.opt.Clock.Now()
 	if !p.admission.send(at) {
 		return nil, errUpstreamCold
