--- a/io/daemon/template_test.go
+++ b/io/daemon/template_test.go
@@ -31,7 +31,7 @@
 		"{{internal_ports.0}}": fmt.Sprint(portControl), "{{seeds}}": "127.0.0.1:8540,127.0.0.2:8540,127.0.0.3:8540",
 		"{{#zones}}{{@}}{{,}}{{/zones}}": "east,west",
 		quotaSlack:                       "slack = 20", quotaWindow: "slack_window = 5s",
-		coldOverrun: "", coldSlack: "",
+		coldOverrun: "warmup_overrun = 1.5", coldSlack: "warmup_slack = 8",
 	}
 }
 
--- a/io/stub/server.go
+++ b/io/stub/server.go
@@ -50,8 +50,13 @@
 	// limit and leaving are what the server says about itself in its responses.
 	limit   string
 	leaving bool
+	// coldUntil is the end of its cold time.
+	coldUntil time.Time
 }
 
+// HealthPath is the path of the health check of stub servers.
+const HealthPath = "/health"
+
 // NewServer returns a stub server.
 func NewServer(opt ServerOptions) *Server {
 	return &Server{opt: opt, slots: make(chan struct{}, opt.Slots), runs: map[string]int{}}
@@ -121,9 +126,27 @@
 	return append([]string(nil), s.violations...)
 }
 
+// TurnCold makes the server say for a time that it is cold if its health is checked.
+func (s *Server) TurnCold(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coldUntil = time.Now().Add(d)
+}
+
+// checkHealth responds with the time for which the server is cold.
+func (s *Server) checkHealth(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.Header().Set(s.opt.Dialect.Warmup, strconv.FormatInt(max(0, time.Until(s.coldUntil)).Milliseconds(), 10))
+}
+
 // ServeHTTP rejects or runs a request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	d := s.opt.Dialect
+	if r.URL.Path == HealthPath {
+		s.checkHealth(w)
+		return
+	}
 	id := r.Header.Get(d.Action)
 	w.Header().Set(d.Action, id)
 	s.setStatement(w.Header())
