--- a/io/proxy/admission.go
+++ b/io/proxy/admission.go
@@ -27,7 +27,7 @@
 	runQueue   *runq.Limiter
 	// closesAt is when the queue of an upstream that leaves closes; zero if it doesn't leave.
 	closesAt time.Time
-	warmup   warmup
+	warmup   *warmup
 }
 
 func newAdmission(opt Options) *admission {
