proxy, retry: a denied nested call asks again shortly

A repeat is earned every few first sends, but a daemon may save hardly any, so most are lost or go to early calls. A nested call whose run can still end well now asks up to four times more, 5 to 20 ms apart. Calls of callers don't wait, and a later denial does not raise the price again.

--- a/core/inflow/completion_test.go
+++ b/core/inflow/completion_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -28,7 +29,6 @@
 	fleetRatio      = 0.2
 	fleetSlack      = 97.0
 	fleetWindow     = 10 * time.Second
-	rejectCallers   = 40
 	rejectServers   = 3
 	bucketTime      = 500 * time.Millisecond
 	buckets         = int(playTime / bucketTime)
@@ -73,14 +73,16 @@
 	done     func(well bool)
 }
 
-func playRejections(withPart bool, rejected float64) *rejectPlay {
+// playRejections plays a fleet of daemons, of which some call the rejecting service.
+func playRejections(withPart bool, rejected float64, callers, daemons int) *rejectPlay {
 	p := &rejectPlay{withPart: withPart, rejected: rejected, now: simStart, rng: rand.New(rand.NewPCG(11, 12))}
-	for range rejectCallers {
+	slack := fleetSlack / float64(daemons)
+	for range callers {
 		p.entries = append(p.entries, inflow.NewCompletion())
 		c := &treeCaller{profiles: inflow.NewProfiles(), completion: inflow.NewCompletion()}
 		c.window = retry.NewWindow(fleetRatio, fleetWindow, simStart, p.rng)
-		c.window.SetSlack(fleetSlack / rejectCallers)
-		c.throttle = retry.NewThrottle(fleetRatio/4, fleetSlack/rejectCallers)
+		c.window.SetSlack(slack)
+		c.throttle = retry.NewThrottle(fleetRatio/4, max(1, slack))
 		p.callers = append(p.callers, c)
 	}
 	for range rejectServers {
@@ -171,17 +173,27 @@
 		case !rejected:
 			run.caller.throttle.RecordSuccess()
 			done(true)
-		case p.mayRepeat(run, n):
-			p.repeats[p.bucket()]++
-			p.after(3*time.Millisecond, func() { p.attempt(run, n+1, done) })
 		default:
-			done(false)
+			p.repeat(run, n, 0, done)
 		}
 	})
 }
 
+// repeat sends a rejected call again if that is allowed, and asks again for a while.
+func (p *rejectPlay) repeat(run *treeRun, n, asked int, done func(ok bool)) {
+	switch {
+	case p.mayRepeat(run, n, asked):
+		p.repeats[p.bucket()]++
+		p.after(3*time.Millisecond, func() { p.attempt(run, n+1, done) })
+	case p.withPart && asked < 4 && !run.failed && n < 6:
+		p.after(time.Duration(5+p.rng.IntN(15))*time.Millisecond, func() { p.repeat(run, n, asked+1, done) })
+	default:
+		done(false)
+	}
+}
+
 // mayRepeat decides as io/proxy does.
-func (p *rejectPlay) mayRepeat(run *treeRun, n int) bool {
+func (p *rejectPlay) mayRepeat(run *treeRun, n, asked int) bool {
 	if !p.withPart {
 		return n < 2 && run.caller.throttle.Spend()
 	}
@@ -189,6 +201,9 @@
 	if run.failed {
 		worth = 0
 	}
+	if asked > 0 {
+		return run.caller.window.SpendLater(p.now, worth)
+	}
 	return n < 6 && run.caller.window.Spend(p.now, worth)
 }
 
@@ -218,7 +233,15 @@
 // Where a healthy service rejects a share of its calls, more trees must end well, and
 // callers of the others must learn so at the entry.
 func TestTreesThroughRejectingService(t *testing.T) {
-	without, with := playRejections(false, 0.55), playRejections(true, 0.55)
+	for _, fleet := range []struct{ callers, daemons int }{{40, 40}, {15, 61}, {61, 61}, {97, 97}} {
+		t.Run(fmt.Sprintf("%d of %d daemons", fleet.callers, fleet.daemons), func(t *testing.T) {
+			mustCompleteMore(t, playRejections(false, 0.55, fleet.callers, fleet.daemons), playRejections(true, 0.55, fleet.callers, fleet.daemons))
+		})
+	}
+}
+
+func mustCompleteMore(t *testing.T, without, with *rejectPlay) {
+	t.Helper()
 	before, after := sum(without.trees, rejectBegin, rejectEnd), sum(with.trees, rejectBegin, rejectEnd)
 	t.Logf("without %+v, with %+v", before, after)
 	t.Run("at least twice as many end well", func(t *testing.T) {
@@ -247,7 +270,7 @@
 func TestSomeTreesAreAdmittedWhateverIsReported(t *testing.T) {
 	const minAdmitted = 0.03
 	t.Run("a service that rejects everything", func(t *testing.T) {
-		p := playRejections(true, 1)
+		p := playRejections(true, 1, 40, 40)
 		for n, c := range p.trees {
 			assert.Assert(t, c.admittedShare() >= minAdmitted, "%+v at %s", c, time.Duration(n)*bucketTime)
 		}
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -133,6 +133,18 @@
 // Spend uses one repeat and reports false if none is allowed. Worth is what the repeat may
 // save, from 0 to 1: a late call of a tree is worth more than its first one.
 func (w *Window) Spend(now time.Time, worth float64) bool {
+	if w.SpendLater(now, worth) {
+		return true
+	}
+	if worth >= w.price {
+		w.price = min(1, w.price+priceRise)
+	}
+	return false
+}
+
+// SpendLater is Spend for a repeat that was denied shortly before. Another denial does not
+// raise the price again.
+func (w *Window) SpendLater(now time.Time, worth float64) bool {
 	w.forgetUnwanted(now)
 	w.wantedAt = now
 	worth = min(max(worth, 0), 1)
@@ -141,7 +153,6 @@
 	}
 	reserve := (1 - worth) * min(earlyReserve*w.limit(), w.limit()-1)
 	if w.Credit(now)+rounding < 1+reserve {
-		w.price = min(1, w.price+priceRise)
 		return false
 	}
 	w.repeat(now)
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -260,10 +260,10 @@
 	case a.refusedByAdmission() && n-d.rejections < freeRetries:
 		return retryAgain // the call did not reach an upstream, so the retry needs no budget
 	case p.provedNotRun(o, a, d):
-		return p.decideRejected(o, d)
+		return p.decideRejected(ctx, o, d)
 	case !d.budget.Spend():
 		return retryActionBudget
-	case !p.router.spendRetry(o.call.Service, p.retryWorth(o)):
+	case !p.spendRetry(o):
 		return retryServiceBudget
 	}
 	return retryAgain
@@ -277,13 +277,15 @@
 
 // decideRejected decides whether a call that has not run is sent again. The retries of its
 // action bound runs, so it uses none of them.
-func (p *Proxy) decideRejected(o *outboundCall, d *dispatchState) retryDecision {
+func (p *Proxy) decideRejected(ctx context.Context, o *outboundCall, d *dispatchState) retryDecision {
 	d.rejections++
 	d.rejectedBy = append(d.rejectedBy, d.lastVM)
-	switch {
-	case d.rejections > p.router.rejectionLimit(o.call.Service):
+	if d.rejections > p.router.rejectionLimit(o.call.Service) {
 		return retryAttempts
-	case !p.router.spendRetry(o.call.Service, p.retryWorth(o)):
+	}
+	allowed := p.awaitRetry(ctx, o)
+	p.opt.Metrics.repeat(o.call.Service, allowed)
+	if !allowed {
 		return retryServiceBudget
 	}
 	return retryAgain
--- a/io/proxy/repeats.go
+++ b/io/proxy/repeats.go
@@ -1,13 +1,16 @@
 package proxy
 
 import (
+	"context"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"chicorymast/core/ident"
 	"chicorymast/core/member"
 	"chicorymast/core/retry"
 	"chicorymast/io/header"
+	"chicorymast/io/timer"
 )
 
 const (
@@ -20,6 +23,11 @@
 	// maxRejectionBackoff is the exponent of the longest backoff after a rejection. The
 	// upstream has done no work for the call, so the backoff stays short.
 	maxRejectionBackoff = 2
+	// deniedWaits is how often a nested call asks again for a retry that was denied, each
+	// time after minDeniedWait to maxDeniedWait: 80 ms at most, a fraction of a run.
+	deniedWaits   = 4
+	minDeniedWait = 5 * time.Millisecond
+	maxDeniedWait = 20 * time.Millisecond
 )
 
 // newWindow returns the window of a service, nil if the settings ask for a throttle.
@@ -79,9 +87,16 @@
 		return s.throttle.Spend()
 	}
 	s.window.SetSlack(rt.ownSlack())
-	ok := s.window.Spend(rt.opt.Clock.Now(), worth)
-	rt.opt.Metrics.repeat(name, ok)
-	return ok
+	return s.window.Spend(rt.opt.Clock.Now(), worth)
+}
+
+// spendRetryLater is spendRetry for a retry that the window of the service denied before.
+func (rt *router) spendRetryLater(name ident.Service, worth float64) bool {
+	s := rt.service(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.window.SetSlack(rt.ownSlack())
+	return s.window.SpendLater(rt.opt.Clock.Now(), worth)
 }
 
 // allBut returns the VMs of a service except some.
@@ -102,6 +117,33 @@
 	return min(max(attemptsPerVM*vms, minRejections), maxRejections)
 }
 
+// spendRetry uses one retry for a call and reports false if none is allowed.
+func (p *Proxy) spendRetry(o *outboundCall) bool {
+	ok := p.router.spendRetry(o.call.Service, p.retryWorth(o))
+	if p.router.limitsByWindow(o.call.Service) {
+		p.opt.Metrics.repeat(o.call.Service, ok)
+	}
+	return ok
+}
+
+// awaitRetry uses one retry for a rejected call. A nested call of a run that can still end
+// well asks again for up to deniedWaits times: a retry is earned every few calls, but hardly
+// any can be saved for it.
+func (p *Proxy) awaitRetry(ctx context.Context, o *outboundCall) bool {
+	ok := p.router.spendRetry(o.call.Service, p.retryWorth(o))
+	for n := 0; !ok && n < deniedWaits; n++ {
+		if o.served == nil || p.retryWorth(o) == 0 || !p.sleepRandom(ctx, minDeniedWait, maxDeniedWait) {
+			break
+		}
+		ok = p.router.spendRetryLater(o.call.Service, p.retryWorth(o))
+	}
+	return ok
+}
+
+func (p *Proxy) sleepRandom(ctx context.Context, shortest, longest time.Duration) bool {
+	return timer.Sleep(ctx, shortest+time.Duration(p.randomFloat()*float64(longest-shortest)))
+}
+
 const (
 	// positionShare is the part of the worth that the position of a call in its tree makes
 	// up; the rest orders the calls at the same position by the rank of their action, so
--- a/io/proxy/repeats_test.go
+++ b/io/proxy/repeats_test.go
@@ -191,6 +191,30 @@
 	assert.Equal(t, c.p.router.retryCredit("deep"), before-1)
 }
 
+// A late call must get a retry that is earned shortly after it was denied one, unless its
+// caller has left.
+func TestDeniedNestedCallAsksAgain(t *testing.T) {
+	c := newRepeatingCaller(t, 10*time.Second, "a")
+	repeat, first := header.Call{Service: "deep", Repeat: true}, header.Call{Service: "deep"}
+	for range 102 { // the slack and a little more
+		c.p.router.recordSend(repeat)
+	}
+	o := &outboundCall{call: first, served: &servedCall{call: header.Call{Depth: 1}}}
+	left, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.Assert(t, !c.p.awaitRetry(left, o))
+	assert.Assert(t, !c.p.awaitRetry(context.Background(), &outboundCall{call: first}), "a call of a caller")
+	earned := make(chan struct{})
+	go func() {
+		defer close(earned)
+		for range 100 {
+			c.p.router.recordSend(first)
+		}
+	}()
+	assert.Assert(t, c.p.awaitRetry(context.Background(), o))
+	<-earned
+}
+
 // The daemon beside a run that was a repeat must mark the calls that the run makes, whether
 // the trace context or the deadline tells that they are its own.
 func TestCallsOfRepeatedRunAreMarked(t *testing.T) {
