retry: the last tenth that is left to late calls excludes the next repeat

With a limit of 1.2 repeats, as daemons of large fleets have it, a tenth of the whole limit left half of the earned repeats unusable for early calls.

--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -9,8 +9,8 @@
 const (
 	// windowParts is the number of parts of a window; a part is forgotten as a whole.
 	windowParts = 20
-	// earlyReserve is the part of the saved repeats that is kept for late calls: a tree that
-	// fails at its first call has spent nothing.
+	// earlyReserve is the part of the repeats saved beyond the next one that is kept for
+	// late calls: a tree that fails at its first call has spent nothing.
 	earlyReserve = 0.1
 	// priceRise is the change of the price with each repeat that is denied for lack of
 	// credit, priceFall that with each first send while no more repeats can be saved. The
@@ -151,7 +151,7 @@
 	if worth < w.price {
 		return false
 	}
-	reserve := (1 - worth) * min(earlyReserve*w.limit(), w.limit()-1)
+	reserve := (1 - worth) * earlyReserve * (w.limit() - 1)
 	if w.Credit(now)+rounding < 1+reserve {
 		return false
 	}
