--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -9,8 +9,8 @@
 const (
 	// windowParts is the number of parts of a window; a part is forgotten as a whole.
 	windowParts = 20
-	// earlyReserve is the part of the saved repeats that is kept for late calls: a tree that
-	// fails at its first call has spent nothing.
+	// earlyReserve is the part of the repeats saved beyond the next one that is kept for
+	// late calls: a tree that fails at its first call has spent nothing.
 	earlyReserve = 0.1
 	// priceRise is the change of the price with each repeat that is denied for lack of
 	// credit, priceFall that with each first send while no more repeats can be saved. The
@@ -19,7 +19,7 @@
 	priceFall = 0.1
 	// minDivided is the smallest slack of a daemon that limits its repeats by itself. Below
 	// it, too many repeats that were earned could not be saved until one is wanted.
-	minDivided = 1.5
+	minDivided = 2
 	// savedTime is how long a daemon with a slack below minDivided saves repeats after one
 	// was last wanted, for each unit of its slack.
 	savedTime = time.Second
@@ -133,15 +133,26 @@
 // Spend uses one repeat and reports false if none is allowed. Worth is what the repeat may
 // save, from 0 to 1: a late call of a tree is worth more than its first one.
 func (w *Window) Spend(now time.Time, worth float64) bool {
+	if w.SpendLater(now, worth) {
+		return true
+	}
+	if worth >= w.price {
+		w.price = min(1, w.price+priceRise)
+	}
+	return false
+}
+
+// SpendLater is Spend for a repeat that was denied shortly before. Another denial does not
+// raise the price again.
+func (w *Window) SpendLater(now time.Time, worth float64) bool {
 	w.forgetUnwanted(now)
 	w.wantedAt = now
 	worth = min(max(worth, 0), 1)
 	if worth < w.price {
 		return false
 	}
-	reserve := (1 - worth) * min(earlyReserve*w.limit(), w.limit()-1)
+	reserve := (1 - worth) * earlyReserve * (w.limit() - 1)
 	if w.Credit(now)+rounding < 1+reserve {
-		w.price = min(1, w.price+priceRise)
 		return false
 	}
 	w.repeat(now)
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -113,9 +113,11 @@
 	maybeRan bool
 	// lastRefusal is nil until an attempt was refused.
 	lastRefusal *fault.Refusal
-	// reached holds the VMs at which an attempt may have reached an upstream.
-	reached []ident.VM
-	lastVM  ident.VM
+	// reached holds the VMs at which an attempt may have reached an upstream; the first is
+	// stored in firstReached, which saves an allocation for each call.
+	reached      []ident.VM
+	firstReached [1]ident.VM
+	lastVM       ident.VM
 	// rejections counts the attempts that upstreams have rejected without running the call,
 	// and rejectedBy holds their VMs, which may be tried again.
 	rejections int
@@ -123,7 +125,9 @@
 }
 
 func newDispatchState(o *outboundCall) *dispatchState {
-	return &dispatchState{service: o.call.Service, budget: retry.NewBudget(o.call.Retries)}
+	d := &dispatchState{service: o.call.Service, budget: retry.NewBudget(o.call.Retries)}
+	d.reached = d.firstReached[:0]
+	return d
 }
 
 // addAttempt records the result of an attempt at a VM.
@@ -182,7 +186,6 @@
 		sent := p.opt.Clock.Now()
 		a := p.sendOnce(ctx, o, vm, lent)
 		d.addAttempt(vm.VM, lent, a)
-		o.arrived = p.router.limitsByWindow(o.call.Service) && len(d.reached) > 0
 		decision := retryFinalResponse
 		if a.response == nil || retryableResponse(o, a) {
 			decision = p.decideRetry(ctx, o, a, d, n)
@@ -191,6 +194,7 @@
 		if decision == retryAgain && p.waitBeforeRetry(ctx, a, d, n) {
 			a.discard()
 			p.opt.Metrics.retries.Inc()
+			o.arrived = len(d.reached) > 0 && p.router.limitsByWindow(o.call.Service)
 			continue
 		}
 		if a.response != nil {
@@ -289,10 +293,10 @@
 	case a.refusedByAdmission() && n-d.rejections < freeRetries:
 		return retryAgain // the call did not reach an upstream, so the retry needs no budget
 	case p.provedNotRun(o, a, d):
-		return p.decideRejected(o, d)
+		return p.decideRejected(ctx, o, d)
 	case !d.budget.Spend():
 		return retryActionBudget
-	case !p.router.spendRetry(o.call.Service, p.retryWorth(o)):
+	case !p.spendRetry(o):
 		return retryServiceBudget
 	}
 	return retryAgain
@@ -306,13 +310,15 @@
 
 // decideRejected decides whether a call that has not run is sent again. The retries of its
 // action bound runs, so it uses none of them.
-func (p *Proxy) decideRejected(o *outboundCall, d *dispatchState) retryDecision {
+func (p *Proxy) decideRejected(ctx context.Context, o *outboundCall, d *dispatchState) retryDecision {
 	d.rejections++
 	d.rejectedBy = append(d.rejectedBy, d.lastVM)
-	switch {
-	case d.rejections > p.router.rejectionLimit(o.call.Service):
+	if d.rejections > p.router.rejectionLimit(o.call.Service) {
 		return retryAttempts
-	case !p.router.spendRetry(o.call.Service, p.retryWorth(o)):
+	}
+	allowed := p.awaitRetry(ctx, o)
+	p.opt.Metrics.repeat(o.call.Service, allowed)
+	if !allowed {
 		return retryServiceBudget
 	}
 	return retryAgain
