--- a/io/header/dialect.go
+++ b/io/header/dialect.go
@@ -49,6 +49,9 @@
 	// Warmup is set by an upstream on its response to a health check: the milliseconds for
 	// which it stays cold, 0 for none.
 	Warmup string
+	// WarmWithoutHeader means that a healthy upstream that sets no Warmup header is warm. If it
+	// is not set, such a response does not say.
+	WarmWithoutHeader bool
 	// PropagateTrace passes the W3C trace context on to upstreams.
 	PropagateTrace bool
 	// ForwardedFor passes the caller's address on in X-Forwarded-For.
@@ -155,8 +158,12 @@
 	if d.Warmup == "" || resp.StatusCode == http.StatusMisdirectedRequest {
 		return 0, false
 	}
+	values := resp.Header.Values(d.Warmup)
+	if len(values) == 0 {
+		return 0, d.WarmWithoutHeader && resp.StatusCode == http.StatusOK
+	}
 	const bits = 32 // milliseconds of weeks
-	for _, text := range resp.Header.Values(d.Warmup) {
+	for _, text := range values {
 		ms, err := strconv.ParseUint(strings.TrimSpace(text), 10, bits)
 		if err != nil {
 			return 0, false
--- a/io/header/warmup_test.go
+++ b/io/header/warmup_test.go
@@ -36,6 +36,23 @@
 			assert.Assert(t, !ok || left == c.left)
 		})
 	}
+	for name, c := range map[string]struct {
+		status int
+		values []string
+		ok     bool
+	}{
+		"healthy, without the header":   {200, nil, true},
+		"unhealthy, without the header": {503, nil, false},
+		"another server":                {421, nil, false},
+		"an unreadable header":          {200, []string{"soon"}, false},
+	} {
+		t.Run("a dialect in which only cold upstreams set it: "+name, func(t *testing.T) {
+			resp := &http.Response{StatusCode: c.status, Header: http.Header{UpstreamWarmup: c.values}}
+			left, ok := Dialect{Warmup: UpstreamWarmup, WarmWithoutHeader: true}.WarmupLeft(resp)
+			assert.Equal(t, ok, c.ok)
+			assert.Equal(t, left, time.Duration(0))
+		})
+	}
 	t.Run("a dialect without the header", func(t *testing.T) {
 		_, ok := Dialect{}.WarmupLeft(&http.Response{StatusCode: 200, Header: http.Header{UpstreamWarmup: {"0"}}})
 		assert.Assert(t, !ok)
