heap: the headroom bounds the heap of a process that has just started

The runtime lets a heap grow to 4 MB times the percentage / 100 before its first collection. With a percentage for less than 4 MB in use, that was up to 128 MB where the headroom is 32 MB (seen as go_gc_gogc_percent 3200 on a daemon without calls). Percentages are now those of at least 4 MB in use.

--- a/io/heap/heap.go
+++ b/io/heap/heap.go
@@ -23,17 +23,15 @@
 const (
 	// defaultPercent is what the runtime starts with: a heap doubles between collections.
 	defaultPercent = 100
-	// maxPercent bounds what a heap of next to nothing yields.
-	maxPercent = 3200
+	// minHeap is the size in bytes up to which the runtime lets a heap grow with the default
+	// percentage, however little is in use. It grows in proportion to the percentage.
+	minHeap = 4 << 20
 )
 
 // Percent returns the GC percentage with which the runtime collects after headroom bytes
 // were allocated, if inUse bytes had to be scanned in the last collection.
 func Percent(headroom, inUse uint64) int {
-	if inUse == 0 {
-		return defaultPercent
-	}
-	return int(min(max(headroom*100/inUse, defaultPercent), maxPercent))
+	return int(max(headroom*100/max(inUse, minHeap), defaultPercent))
 }
 
 // KeepHeadroom sets the GC percentage after each collection for the given headroom in
