limit, crowd: tests of TLS listeners, and that refused responses promise nothing

A listener with TLS hands its connections to net/http wrapped, so the handshake happens on the first read; the test guards its success, counting and the refusal of a head that is awaited. Calls whose responses are refused must not be answered with a status that says that they have not run.

go test -race -count=3 ./io/limit and go test ./io/crowd -run MayHaveRun pass.

--- a/io/crowd/heads_test.go
+++ b/io/crowd/heads_test.go
@@ -1,9 +1,14 @@
 package crowd
 
 import (
+	"bufio"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
 )
 
 // fill returns a head of the given size that begins with a text and goes on with lines, and
@@ -173,3 +178,42 @@
 		})
 	}
 }
+
+// Guards against a refused response whose request is reported as one that has not run.
+func TestRefusedResponsesMayHaveRun(t *testing.T) {
+	v := startVictim(t)
+	v.upstream.partial = fill("HTTP/1.1 200 OK\r\n", headBytes, shortLine)
+	g := &crowd{}
+	g.gather(v.daemon.Addresses["caller"])
+	path := func(i int) string { return fmt.Sprintf("/katalog/crowd-%d", i) }
+	for i, conn := range g.conns {
+		_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: crowd\r\nContent-Length: 0\r\n\r\n", path(i))
+		assert.NilError(t, err)
+	}
+	v.awaitTaken(v.daemon.Stub.Address, dialling)
+	v.upstream.release()
+	ran := 0
+	for i, conn := range g.conns {
+		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(patience)))
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			continue // a closed connection promises nothing
+		}
+		assert.NilError(t, resp.Body.Close())
+		v.upstream.mu.Lock()
+		began := v.upstream.ran[path(i)]
+		v.upstream.mu.Unlock()
+		if !began {
+			continue
+		}
+		ran++
+		switch resp.StatusCode {
+		case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+			http.StatusRequestHeaderFieldsTooLarge:
+			t.Errorf("%s has reached the upstream and was answered %s", path(i), resp.Status)
+		}
+	}
+	assert.Assert(t, ran > 0, "no response of a request that ran was seen")
+	g.leave()
+	v.assertServes()
+}
--- a/io/crowd/upstream_test.go
+++ b/io/crowd/upstream_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,13 +27,17 @@
 	// partial is what the crowd's requests get.
 	partial string
 	ln      net.Listener
+
+	mu sync.Mutex
+	// ran holds the paths of the crowd's requests that have arrived.
+	ran map[string]bool
 }
 
 func startUpstream(t testing.TB, d *trial.Daemon) *upstream {
 	t.Helper()
 	ln, err := net.Listen("tcp", d.Stub.Address)
 	assert.NilError(t, err)
-	u := &upstream{t: t, released: make(chan struct{}), ln: ln}
+	u := &upstream{t: t, released: make(chan struct{}), ln: ln, ran: map[string]bool{}}
 	go u.accept()
 	done := make(chan struct{})
 	go u.announce(d, done)
@@ -87,6 +92,9 @@
 			return
 		}
 		if strings.Contains(req.URL.Path, "crowd") {
+			u.mu.Lock()
+			u.ran[req.URL.Path] = true
+			u.mu.Unlock()
 			if _, err := conn.Write([]byte(u.partial)); err != nil {
 				return
 			}
--- a/io/limit/limit_test.go
+++ b/io/limit/limit_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/http/httptrace"
 	"strings"
 	"sync"
@@ -217,6 +219,40 @@
 	h.await("all is released", func(held heads.Bytes, _ uint64) bool { return held == 0 })
 }
 
+// Guards against a listener with TLS whose handshakes fail or whose heads are not counted, since
+// net/http does not see the TLS connection.
+func TestHeadsBehindTLS(t *testing.T) {
+	h := serve(t, nil)
+	issuer := httptest.NewTLSServer(http.NotFoundHandler()) // for its certificate
+	t.Cleanup(issuer.Close)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	srv := &http.Server{ConnContext: ConnContext, ReadHeaderTimeout: time.Minute, Handler: Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "served")
+	}))}
+	secured := tls.NewListener(ln, &tls.Config{Certificates: issuer.TLS.Certificates})
+	go func() { _ = srv.Serve(h.guard.Listen(secured, refuse)) }() // ends with the server
+	t.Cleanup(func() { _ = srv.Close() })
+	dial := func() (net.Conn, *bufio.Reader) {
+		conn, err := tls.Dial("tcp", ln.Addr().String(), issuer.Client().Transport.(*http.Transport).TLSClientConfig)
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn, bufio.NewReader(conn)
+	}
+	conn, r := dial()
+	for range 2 {
+		send(t, conn, part("/", 3)+"\r\n")
+		assertResponse(t, r, http.StatusOK, "served")
+	}
+	large, largeReader := dial()
+	send(t, large, part("/", 600))
+	h.await("the head is counted", func(held heads.Bytes, _ uint64) bool { return held > 600*heads.LineCost })
+	send(t, conn, part("/", 500))
+	assertResponse(t, largeReader, http.StatusRequestHeaderFieldsTooLarge, "refused")
+	send(t, conn, "\r\n")
+	assertResponse(t, r, http.StatusOK, "served")
+}
+
 // transport returns a transport whose responses are counted, and the context of a request.
 func transport(t *testing.T, g *Guard) (*http.Transport, context.Context) {
 	tr := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
