--- a/core/heads/scanner.go
+++ b/core/heads/scanner.go
@@ -1,5 +1,7 @@
 package heads
 
+import "bytes"
+
 // Chunked is the length of a body that is sent in chunks.
 const Chunked = -1
 
@@ -28,8 +30,8 @@
 	// text is set if the present line has a character other than its end, and begun if some
 	// line of the head had. Parsers skip empty lines before a head in some cases.
 	text, begun bool
-	// position is the place in the first line of a response, up to that of its status, and
-	// class is the first digit of the status.
+	// position is the place in the first line of a response, up to that of its status or
+	// behind it, and class is the first digit of the status.
 	position int
 	class    byte
 	// left is what is left of a body, or of a chunk.
@@ -102,37 +104,47 @@
 
 // lines takes the lines of a head or of trailers up to the empty one that ends them.
 func (s *Scanner) lines(p []byte, cost *Bytes) (n int, ended bool) {
-	for ; n < len(p); n++ {
-		*cost++
-		switch p[n] {
-		case '\r':
-		case '\n':
-			if s.text {
-				s.text = false
-				*cost += LineCost
-				continue
-			}
-			if s.part == partTrailer {
-				s.Head()
-				return n + 1, true
-			}
-			if s.begun {
-				s.part = partHeadEnded
-				return n + 1, true
-			}
-		default:
-			s.text, s.begun = true, true
+	for n < len(p) {
+		length := bytes.IndexByte(p[n:], '\n')
+		if length < 0 {
+			s.characters(p[n:])
+			*cost += Bytes(len(p) - n)
+			return len(p), false
 		}
-		if s.position <= statusPosition {
-			if s.position == statusPosition {
-				s.class = p[n]
-			}
-			s.position++
+		s.characters(p[n : n+length])
+		n += length + 1
+		*cost += Bytes(length) + 1
+		switch {
+		case s.text:
+			s.text, s.position = false, statusPosition+1
+			*cost += LineCost
+		case s.part == partTrailer:
+			s.Head()
+			return n, true
+		case s.begun:
+			s.part = partHeadEnded
+			return n, true
 		}
 	}
 	return n, false
 }
 
+// characters takes a part of a line.
+func (s *Scanner) characters(p []byte) {
+	for _, c := range p {
+		if s.text && s.position > statusPosition {
+			return
+		}
+		if c != '\r' {
+			s.text, s.begun = true, true
+		}
+		if s.position == statusPosition {
+			s.class = c
+		}
+		s.position++
+	}
+}
+
 // chunkByte takes a byte between the data of two chunks.
 func (s *Scanner) chunkByte(c byte) {
 	const maxSize = 1 << 48 // a larger one is refused by the parser
