--- a/core/heads/heads.go
+++ b/core/heads/heads.go
@@ -29,6 +29,9 @@
 	// largeNumerator and largeDenominator give the part of the budget that heads above
 	// SmallHead may take. The rest is kept for ordinary callers.
 	largeNumerator, largeDenominator = 3, 4
+	// bodyNumerator and bodyDenominator give the part of the budget up to which there is room
+	// for bodies. A request whose body is kept or streamed takes buffers that are not counted.
+	bodyNumerator, bodyDenominator = 1, 2
 )
 
 type phase int
@@ -118,11 +121,11 @@
 	return largest
 }
 
-// Room reports whether a share may grow by a cost without another message being refused. One
-// that alone takes all that is in use always may.
+// Room reports whether a share may grow by what a body costs. One that alone takes all that is
+// in use always may.
 func (b *Budget) Room(s *Share, cost Bytes) bool {
 	active := b.held - b.refused
-	return active == s.cost || active+cost <= b.limit*largeNumerator/largeDenominator
+	return active == s.cost || active+cost <= b.limit*bodyNumerator/bodyDenominator
 }
 
 // Refund takes back a part of what a share was charged.
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -340,15 +341,23 @@
 	header.StripInternal(dst)
 }
 
+// streamChunk is the size of the buffer by which a body is copied. A caller that reads nothing
+// occupies one at the entry and one at the peer.
+const streamChunk = 8 << 10
+
+var streamBuffers = sync.Pool{New: func() any { return new([streamChunk]byte) }}
+
 // stream copies a body. If its length is unknown, each chunk is flushed.
 func stream(w http.ResponseWriter, body io.Reader, length int64) error {
+	chunk := streamBuffers.Get().(*[streamChunk]byte)
+	defer streamBuffers.Put(chunk)
+	buf := chunk[:]
 	if length >= 0 {
-		_, err := io.Copy(w, body)
+		// Without the interfaces by which either side would allocate a larger buffer.
+		_, err := io.CopyBuffer(struct{ io.Writer }{w}, struct{ io.Reader }{body}, buf)
 		return err
 	}
-	const chunkSize = 32 << 10
 	flusher := http.NewResponseController(w)
-	buf := make([]byte, chunkSize)
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
