--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -382,28 +382,30 @@
 	}
 }
 
-const copyBufferSize = 16 << 10
-
-var copyBuffers = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
-
 // plainWriter hides the ReadFrom of a response writer, which would send the head and the
 // first 512 bytes of a body in a write of their own.
 type plainWriter struct{ io.Writer }
 
+// streamChunk is the size of the buffer by which a body is copied. A caller that reads nothing
+// occupies one at the entry and one at the peer.
+const streamChunk = 8 << 10
+
+var streamBuffers = sync.Pool{New: func() any { return new([streamChunk]byte) }}
+
 // stream copies a body. If its length is unknown, each chunk is flushed.
 func stream(w http.ResponseWriter, body io.Reader, length int64) error {
 	if length == 0 {
 		return nil
 	}
+	chunk := streamBuffers.Get().(*[streamChunk]byte)
+	defer streamBuffers.Put(chunk)
+	buf := chunk[:]
 	if length > 0 {
-		buf := copyBuffers.Get().(*[copyBufferSize]byte)
-		defer copyBuffers.Put(buf)
-		_, err := io.CopyBuffer(plainWriter{w}, body, buf[:])
+		// Without the interface by which the body would allocate a larger buffer.
+		_, err := io.CopyBuffer(plainWriter{w}, struct{ io.Reader }{body}, buf)
 		return err
 	}
-	const chunkSize = 32 << 10
 	flusher := http.NewResponseController(w)
-	buf := make([]byte, chunkSize)
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
