--- a/io/daemon/evacuation_test.go
+++ b/io/daemon/evacuation_test.go
@@ -11,6 +11,7 @@
 
 	"chicorymast/core/ident"
 	"chicorymast/io/header"
+	"chicorymast/io/proxy"
 	"chicorymast/io/stub"
 
 	"gotest.tools/v3/assert"
@@ -75,6 +76,12 @@
 		m.mustServeWithout(t, evacuated)
 	})
 	t.Run("a daemon that restarts there sends its server nothing", func(t *testing.T) { m.testRestartBesideEvacuated(t) })
+	t.Run("a new process of a server there gets nothing", func(t *testing.T) {
+		vm := m.daemons["shop-1"]
+		m.update(vm, func(a *proxy.Announcement) { a.StartedMs, a.Sequence = a.StartedMs+1, 0 })
+		assert.Assert(t, vm.run.daemon.board.Upstream.Read().Drained)
+		m.mustServeWithout(t, evacuated)
+	})
 	t.Run("the order outlives all control daemons", func(t *testing.T) {
 		m.restartControls(t)
 		m.awaitEvacuated(evacuated, true)
