intent: find settings without effect or in contradiction

Operators learned only from traffic that a route was hidden behind a prefix, that a grant beside all_routes did nothing or that a burst limited nothing: Check accepts such settings because each of them is valid by itself.

Inspect reports them with a stable rule, section and key.

--- a/core/intent/intent.go
+++ b/core/intent/intent.go
@@ -6,6 +6,7 @@
 //	want, err := intent.Parse("shop.ini", data)
 //	changes := intent.Compare(have, want)    // the lines of a plan
 //	warnings := intent.Review(want, input)   // valid but suspicious settings
+//	findings := intent.Inspect(want)         // settings without effect or in contradiction
 //
 // Rates are in calls per second, bursts and slots in calls. Errors name the
 // file, section and key (see package schema). All functions are pure.
--- a/core/intent/parse.go
+++ b/core/intent/parse.go
@@ -12,6 +12,18 @@
 // Parse parses and checks an intent file. The name is used in errors only, which
 // are *schema.Error values.
 func Parse(name string, data []byte) (Intent, error) {
+	in, err := parseUnchecked(name, data)
+	if err != nil {
+		return Intent{}, err
+	}
+	if err := Check(name, in); err != nil {
+		return Intent{}, err
+	}
+	return in, nil
+}
+
+// parseUnchecked parses an intent whose references and values may be invalid.
+func parseUnchecked(name string, data []byte) (Intent, error) {
 	file, err := schema.Parse(name, data)
 	if err != nil {
 		return Intent{}, err
@@ -25,9 +37,6 @@
 			return Intent{}, err
 		}
 	}
-	if err := Check(name, in); err != nil {
-		return Intent{}, err
-	}
 	return in, nil
 }
 
