intent: test the boundaries of the findings

Deliberate faults in Inspect showed that five conditions were not tested: the longest timeout, a grant at the rate of its workspace, keys beside all_routes, few servers behind weight 0 and the longest sample path. Each has a case now.

--- a/core/intent/inspect_test.go
+++ b/core/intent/inspect_test.go
@@ -101,9 +101,21 @@
 		"attempts above servers": {
 			"servers = 3", "servers = 2", []Rule{RuleAttemptsAboveVMs, RuleAttemptsAboveVMs}, "3 is above the servers of service s, 2",
 		},
-		"servers unknown":     {"servers = 3\n", "", nil, ""},
-		"warmup without path": {"health_path = /health\n", "", []Rule{RuleWarmupUnchecked}, "[service s] health_path"},
-		"timeout of limits":   {"timeout = 5s", "timeout = 601s", []Rule{RuleTimeoutTooLong}, "[limits] timeout"},
+		"servers unknown":        {"servers = 3\n", "", nil, ""},
+		"warmup without path":    {"health_path = /health\n", "", []Rule{RuleWarmupUnchecked}, "[service s] health_path"},
+		"timeout of limits":      {"timeout = 5s", "timeout = 601s", []Rule{RuleTimeoutTooLong}, "[limits] timeout"},
+		"longest timeout":        {"timeout = 5s", "timeout = 10m", nil, ""},
+		"keys beside all_routes": {"all_routes = true\n", "all_routes = true\nkey_digests = " + strings.Repeat("1", len(exampleDigest)) + "\n", nil, ""},
+		"grant at the rate of the workspace": {
+			"workspace = w\ngroups = g\nroutes = any\nrate = 5\n", "workspace = all\nroutes = r\nrate = 20\n",
+			[]Rule{RuleKeysWithoutRoute, RuleGrantWithoutEffect},
+			"workspace all may call all routes",
+		},
+		"few servers behind weight 0": {
+			"[service s2]", "[service s2]\n[service s3]\nservers = 1\n[route zero]\nmethod = GET\npath = /\nsplit = s:1, s3:0\nattempts = 2",
+			[]Rule{RuleSplitWeightZero},
+			"[route zero] split",
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			assert.Assert(t, strings.Contains(inspectExample, c.from), "the text to replace is not in the example")
@@ -140,16 +152,17 @@
 			[]RouteSpec{{Method: "GET", Path: "/p/{x...}"}, {Method: "GET", Path: "/p"}, {Method: "GET", Path: "/p/{y}/{x...}"}},
 			[]string{"route a"},
 		},
-		"rest with longer paths":        {[]RouteSpec{{Method: "GET", Path: "/p/{x...}"}, {Method: "GET", Path: "/p"}, {Method: "GET", Path: "/p/{y}/{z}"}}, nil},
-		"prefix of another method":      {[]RouteSpec{{Method: "GET", Path: "/p/{x}"}, {Method: "POST", Prefix: "/p/"}}, nil},
-		"prefix of the same method":     {[]RouteSpec{{Method: "GET", Path: "/p/{x}"}, {Method: "GET", Prefix: "/p/"}}, []string{"route a"}},
-		"prefix of one host":            {[]RouteSpec{{Method: "GET", Path: "/p/{x}"}, {Host: "h", Prefix: "/p/"}}, nil},
-		"path without the last slash":   {[]RouteSpec{{Method: "GET", Path: "/p"}, {Prefix: "/p/"}}, nil},
-		"rest without the last slash":   {[]RouteSpec{{Method: "GET", Path: "/p/{x...}"}, {Prefix: "/p/"}}, nil},
-		"prefix of everything":          {[]RouteSpec{{Method: "GET", Path: "/"}, {Method: "GET", Path: "/p/{x...}"}, {Prefix: "/"}}, []string{"route a", "route b"}},
-		"longer and more exact prefix":  {[]RouteSpec{{Prefix: "/p/"}, {Prefix: "/p/q/"}, {Host: "H", Prefix: "/p/"}, {Host: "h", Method: "GET", Prefix: "/p/"}}, nil},
-		"samples differ from literals":  {[]RouteSpec{{Method: "GET", Path: "/{y}"}, {Method: "GET", Path: "/x"}, {Method: "GET", Path: "/xx"}}, nil},
-		"address of version 6 and port": {[]RouteSpec{{Host: "[::1]", Prefix: "/"}}, []string{"route a"}},
+		"rest with longer paths":          {[]RouteSpec{{Method: "GET", Path: "/p/{x...}"}, {Method: "GET", Path: "/p"}, {Method: "GET", Path: "/p/{y}/{z}"}}, nil},
+		"rest behind all but the longest": {[]RouteSpec{{Method: "GET", Path: "/{x...}"}, {Method: "GET", Path: "/"}, {Method: "GET", Path: "/{y}"}}, nil},
+		"prefix of another method":        {[]RouteSpec{{Method: "GET", Path: "/p/{x}"}, {Method: "POST", Prefix: "/p/"}}, nil},
+		"prefix of the same method":       {[]RouteSpec{{Method: "GET", Path: "/p/{x}"}, {Method: "GET", Prefix: "/p/"}}, []string{"route a"}},
+		"prefix of one host":              {[]RouteSpec{{Method: "GET", Path: "/p/{x}"}, {Host: "h", Prefix: "/p/"}}, nil},
+		"path without the last slash":     {[]RouteSpec{{Method: "GET", Path: "/p"}, {Prefix: "/p/"}}, nil},
+		"rest without the last slash":     {[]RouteSpec{{Method: "GET", Path: "/p/{x...}"}, {Prefix: "/p/"}}, nil},
+		"prefix of everything":            {[]RouteSpec{{Method: "GET", Path: "/"}, {Method: "GET", Path: "/p/{x...}"}, {Prefix: "/"}}, []string{"route a", "route b"}},
+		"longer and more exact prefix":    {[]RouteSpec{{Prefix: "/p/"}, {Prefix: "/p/q/"}, {Host: "H", Prefix: "/p/"}, {Host: "h", Method: "GET", Prefix: "/p/"}}, nil},
+		"samples differ from literals":    {[]RouteSpec{{Method: "GET", Path: "/{y}"}, {Method: "GET", Path: "/x"}, {Method: "GET", Path: "/xx"}}, nil},
+		"address of version 6 and port":   {[]RouteSpec{{Host: "[::1]", Prefix: "/"}}, []string{"route a"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			in := Empty()
