limit: no refusal in place of the response to a request that has run

Trailers that arrive after a request was handled, but before net/http has sent its response, are counted for the next message. When they exceeded the budget, the connection answered with 431 and not_run in front of the response, so a caller or daemon took a request that had run for one that had not. The connection now ends without that answer, and the response that net/http holds is sent. The test received 431 instead of 200 before.

--- a/core/heads/scanner.go
+++ b/core/heads/scanner.go
@@ -56,6 +56,9 @@
 // HeadEnded reports whether the head is complete and Body is to be called.
 func (s *Scanner) HeadEnded() bool { return s.part == partHeadEnded }
 
+// InBody reports whether a body or its trailers are not complete.
+func (s *Scanner) InBody() bool { return s.part > partHeadEnded }
+
 // Interim reports whether the head that has ended is that of an interim response, behind which
 // another response follows.
 func (s *Scanner) Interim() bool { return s.class == '1' }
--- a/io/limit/conn.go
+++ b/io/limit/conn.go
@@ -41,6 +41,9 @@
 	// refused is set when the present message is to be refused, answered when the request has
 	// its response, and lingers if that was written past net/http.
 	refused, answered, lingers bool
+	// unread is set while the rest of a body may arrive whose request has been handled: a
+	// refusal would be taken for the response to that request.
+	unread bool
 }
 
 // unreader is a connection that takes back what was read from it.
@@ -177,6 +180,7 @@
 	c.mu.Lock()
 	s := c.share
 	c.scanner.Body(length)
+	c.unread = false
 	c.mu.Unlock()
 	if c.guard.begin(s) {
 		return true
@@ -192,6 +196,7 @@
 	c.mu.Lock()
 	done := append(c.responses, c.share)
 	c.share, c.responses = newShare(c), nil
+	c.unread = c.scanner.InBody()
 	c.mu.Unlock()
 	c.guard.release(done...)
 }
@@ -218,7 +223,7 @@
 		return ErrRefused
 	}
 	c.mu.Lock()
-	answered := c.answered || size == 1
+	answered := c.answered || c.unread || size == 1
 	c.answered = true
 	c.lingers = c.lingers || !answered
 	c.mu.Unlock()
--- a/io/limit/limit_test.go
+++ b/io/limit/limit_test.go
@@ -38,7 +38,8 @@
 }
 
 // serve starts a server that counts heads. It answers with the path and the trailers of each
-// request, at once, or when release is closed if the path is /hold.
+// request, at once, or when release is closed if the path is /hold. The body of /early is left
+// unread.
 func serve(t *testing.T, release chan struct{}) *harness {
 	h := &harness{t: t}
 	h.guard = New(Options{
@@ -53,6 +54,13 @@
 	assert.NilError(t, err)
 	h.address = ln.Addr().String()
 	srv := &http.Server{ConnContext: ConnContext, MaxHeaderBytes: 1 << 20, Handler: Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/early" {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.requests = append(h.requests, r.URL.Path)
+			_, _ = fmt.Fprint(w, r.URL.Path)
+			return
+		}
 		body, _ := io.ReadAll(r.Body) // compared by the test
 		h.mu.Lock()
 		h.requests = append(h.requests, r.URL.Path)
@@ -183,6 +191,24 @@
 	}
 }
 
+// Guards against a refusal, which says that the request has not run, in place of the response
+// to one that was handled before its trailers arrived.
+func TestTrailersBehindAResponseAreNotAnswered(t *testing.T) {
+	h := serve(t, nil)
+	small, _ := h.dial()
+	send(t, small, part("/small", 1))
+	conn, r := h.dial()
+	send(t, conn, "POST /early HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n")
+	h.await("the request was handled", func(held heads.Bytes, _ uint64) bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return len(h.requests) == 1 && held < 4*heads.LineCost
+	})
+	send(t, conn, "x\r\n0\r\n"+strings.Repeat("a:\r\n", 1000)+"\r\n")
+	assertResponse(t, r, http.StatusOK, "/early")
+	h.await("the trailers are refused", func(_ heads.Bytes, refused uint64) bool { return refused == 1 })
+}
+
 // Guards against bodies that are kept without room, and against room that is not given back.
 func TestBodiesTakeRoom(t *testing.T) {
 	const body = 160_000
