ramp, admit: rise between windows, refuse less during a ramp

Callers saw calls refused for a whole service while one upstream ramped: entries follow the share that it asks to refuse, and that was computed with the concurrency of the ramp. It now counts only as far as calls have no other upstream to go to. Where calls hold their slots for 1.5 s the limit rose only with whole windows; it now rises each 250 ms in which calls succeed or the upstream makes nested calls, up to half of the slots before the first answer, and not after slow or failed calls. Calls of the former process do not count.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -154,7 +154,9 @@
 	throughput float64
 	ramp       *ramp.Ramp
 	// rampAt is when the last ramp began or was still active.
-	rampAt   time.Time
+	rampAt time.Time
+	// scarcity is the share of the calls of a ramp that have no other upstream to go to.
+	scarcity float64
 	accepted acceptanceMeter
 	// counts holds the counters of Status; its other fields are unused.
 	counts Status
@@ -235,6 +237,7 @@
 
 func (c *Controller) admitOrQueue(now time.Time, r Request) []Effect {
 	c.arrivals.Add(now, 1)
+	c.noteScarcity(r)
 	c.updateAdmitShare(now)
 	if !c.takenElsewhere(r) {
 		c.feedback.arrived(now, c.slotTime(c.meanHoldByRoute[r.Route]), r.admittedShare(), r.ServiceRefuseShare)
--- a/core/admit/feedback.go
+++ b/core/admit/feedback.go
@@ -156,13 +156,13 @@
 
 // updateAdmitShare updates the share to admit and returns it.
 func (c *Controller) updateAdmitShare(now time.Time) float64 {
-	return c.feedback.update(now, c.carriedSlots(targetUtilisation*float64(c.concurrency())), c.carriedSlots(c.spareCapacity()))
+	return c.feedback.update(now, c.carriedSlots(targetUtilisation*c.demandConcurrency()), c.carriedSlots(c.spareCapacity()))
 }
 
 // spareCapacity returns the slots that arriving calls may take, besides those that
 // empty the queue.
 func (c *Controller) spareCapacity() float64 {
-	limit := float64(c.concurrency())
+	limit := c.demandConcurrency()
 	return max(minUtilisation*limit, targetUtilisation*limit-slotsPerWaiting*float64(c.waiting))
 }
 
--- a/core/ramp/ramp.go
+++ b/core/ramp/ramp.go
@@ -7,11 +7,14 @@
 //	r.Begin()                                  // the upstream has started or recovered
 //	n := r.Limit()                             // calls that may run at once
 //	r.Observe(route, ramp.Call{...}, running)  // each call that ends
+//	r.Progress(now, nestedCalls)               // from time to time
 //
 // The limit begins at a tenth of the slots. Each window of calls that succeed in about the
 // usual time of their route raises it by 60%, so a calm upstream is at full pace after five
-// windows; one with failed or rejected calls, or slow ones, lowers it. Nothing depends on a
-// duration. A window has only calls that began after the limit was changed.
+// windows; one with failed or rejected calls, or slow ones, lowers it. A window has only calls
+// that began after the limit was changed. Where calls hold their slots for long, the limit
+// rises between windows too, in each interval in which calls succeed or the upstream makes
+// nested calls, and nothing fails or is slow.
 //
 // Failures and slowness may have another cause than too many calls: a faulty upstream
 // rejects the same share of them at any limit. After several windows without progress the
@@ -48,6 +51,12 @@
 	// worseFactor is the factor by which a window must be worse than the one before to be
 	// taken for the effect of a higher limit.
 	worseFactor = 1.25
+	// riseInterval is the time between two rises without a whole window. The limit is at the
+	// slots after five of them.
+	riseInterval = 250 * time.Millisecond
+	// unansweredShare is the share of the slots up to which the limit rises before a call has
+	// succeeded: only the time of an answer shows whether the upstream is slow.
+	unansweredShare = 0.5
 	// sampleWeight is the weight of a call in the usual self time of its route.
 	sampleWeight = 0.05
 	// maxRoutes bounds the routes whose usual self time is kept.
@@ -75,9 +84,21 @@
 	stalled int
 	// skip is the number of calls still to end that ran when the window began.
 	skip  int
+	rise  rise
 	usual map[ident.Route]time.Duration
 }
 
+// rise is the state of the rise between windows.
+type rise struct {
+	// at is when the evidence was last weighed.
+	at time.Time
+	// evidence counts calls that succeeded and nested calls since then.
+	evidence int
+	// answered is set once a call of the ramp has succeeded, doubtful while the last window
+	// was not good.
+	answered, doubtful bool
+}
+
 // window sums up calls.
 type window struct {
 	calls, failed int
@@ -101,6 +122,39 @@
 func (r *Ramp) Begin() {
 	r.active, r.limit = true, r.floor()
 	r.window, r.last, r.raised, r.stalled, r.skip = window{}, window{}, false, 0, 0
+	r.rise = rise{}
+	r.finishIfFull()
+}
+
+// IgnoreRunning leaves out calls that ran when the ramp began: they may have failed with the
+// former process.
+func (r *Ramp) IgnoreRunning(calls int) {
+	r.skip = calls
+}
+
+// Progress raises the limit without waiting for a whole window, which takes long where calls
+// hold their slots for long. Signs is the number of nested calls that the upstream has made
+// since the last call of Progress: they show that it works on its calls before any has ended.
+func (r *Ramp) Progress(now time.Time, signs int) {
+	if !r.active {
+		return
+	}
+	if r.rise.at.IsZero() {
+		r.rise.at = now
+	}
+	r.rise.evidence += signs
+	if now.Sub(r.rise.at) < riseInterval || r.rise.evidence == 0 {
+		return
+	}
+	r.rise.at, r.rise.evidence = now, 0
+	most := float64(r.slots)
+	if !r.rise.answered {
+		most *= unansweredShare
+	}
+	if r.rise.doubtful || r.window.failed > 0 || r.window.slowness() > usualRatio || r.limit >= most {
+		return
+	}
+	r.limit = min(most, r.limit*growth)
 	r.finishIfFull()
 }
 
@@ -135,6 +189,10 @@
 		return
 	}
 	r.window.calls++
+	if !c.Failed {
+		r.rise.evidence++
+		r.rise.answered = true
+	}
 	switch {
 	case c.Failed:
 		r.window.failed++
@@ -185,6 +243,7 @@
 	good := w.succeeded() >= goodShare && w.slowness() <= usualRatio
 	bad := w.succeeded() < badShare || w.slowness() > slowRatio
 	worse := w.worseThan(last)
+	r.rise.doubtful = !good
 	switch {
 	case good || (raised && !worse) || r.stalled >= patience:
 		r.limit = min(float64(r.slots), r.limit*growth)
--- a/core/ramp/ramp_test.go
+++ b/core/ramp/ramp_test.go
@@ -150,6 +150,45 @@
 	}
 }
 
+// Guards against a rise between windows without evidence, or against it.
+func TestRiseBetweenWindows(t *testing.T) {
+	at := time.Unix(1000, 0)
+	rise := func(r *Ramp, nestedCalls int) int {
+		for range 10 {
+			r.Progress(at, nestedCalls)
+			at = at.Add(riseInterval)
+		}
+		return r.Limit()
+	}
+	t.Run("no calls", func(t *testing.T) {
+		assert.Equal(t, rise(newUsed(t), 0), testSlots/10)
+	})
+	t.Run("nested calls before the first answer", func(t *testing.T) {
+		assert.Equal(t, rise(newUsed(t), 1), testSlots/2)
+	})
+	t.Run("after an answer", func(t *testing.T) {
+		r := newUsed(t)
+		r.Observe("r", Call{SelfTime: usualTime}, 0)
+		assert.Equal(t, rise(r, 1), testSlots)
+	})
+	t.Run("after a slow answer", func(t *testing.T) {
+		r := newUsed(t)
+		r.Observe("r", Call{SelfTime: 3 * usualTime}, 0)
+		assert.Equal(t, rise(r, 1), testSlots/10)
+	})
+	t.Run("after a rejected call", func(t *testing.T) {
+		r := newUsed(t)
+		r.Observe("r", Call{Failed: true}, 0)
+		assert.Equal(t, rise(r, 1), testSlots/10)
+	})
+	t.Run("calls of the former process show nothing", func(t *testing.T) {
+		r := newUsed(t)
+		r.IgnoreRunning(1)
+		r.Observe("r", Call{Failed: true}, 0)
+		assert.Equal(t, rise(r, 1), testSlots/2)
+	})
+}
+
 // Guards against memory that callers fill with routes.
 func TestRoutesAreBounded(t *testing.T) {
 	r := New(testSlots)
