proxy: no ramp beside an upstream that has run for long

Callers saw most calls refused while daemons restarted one after the other: a daemon that starts knows no former process and began a ramp. An upstream that has not taken calls before is not taken back into service.

Calls that wait for nested calls do not count as silence; a service that stalls began ramps at all services above it. The nested calls that an upstream makes let its limit rise.

--- a/io/proxy/admission.go
+++ b/io/proxy/admission.go
@@ -210,6 +210,7 @@
 	}
 	a.controller.CloseAt(a.closesAt)
 	a.beginRampIfSilent(now)
+	a.controller.RampProgress(now, int(a.warmup.nestedMade.Swap(0)))
 	a.setPace(now)
 	a.apply(a.controller.Tick(now))
 	a.checkIfWanted(now)
--- a/io/proxy/local.go
+++ b/io/proxy/local.go
@@ -171,6 +171,10 @@
 		return resp, refusal
 	}
 	o.served = parent
+	w := p.admission.warmup
+	w.nestedMade.Add(1)
+	w.nestedRunning.Add(1)
+	defer w.nestedRunning.Add(-1)
 	lent := parent.lendRetries(p.opt.Clock.Now())
 	o.call.Retries = min(o.call.Retries, lent)
 	reserved := lent - o.call.Retries
--- a/io/proxy/warmup.go
+++ b/io/proxy/warmup.go
@@ -46,6 +46,12 @@
 	// process and takesCalls are those that were followed last.
 	process    notice.Process
 	takesCalls bool
+	// tookCalls is set once the upstream has taken calls.
+	tookCalls bool
+	// nestedMade counts the calls that the upstream has made, nestedRunning those that have
+	// not ended.
+	nestedMade    atomic.Int64
+	nestedRunning atomic.Int64
 	// answeredAt is when the last call was answered.
 	answeredAt time.Time
 }
@@ -98,11 +104,32 @@
 	a.warmup.tracker.SetSpec(now, f.spec)
 	a.warmup.tracker.SetCheckable(f.checkable)
 	a.warmup.tracker.Serve(now, f.process, f.takesCalls)
-	if w := a.warmup; f.process != w.process || (f.takesCalls && !w.takesCalls) {
+	a.beginRampIfNew(now, f)
+	a.setPace(now)
+}
+
+// beginRampIfNew begins a ramp if another process is on this VM, or if the upstream is taken
+// back into service. A daemon that has just started knows no former process; the age of the
+// one that it finds then decides. The mutex must be held.
+func (a *admission) beginRampIfNew(now time.Time, f followed) {
+	w := a.warmup
+	first := w.process.Upstream == ""
+	switch {
+	case f.process.Upstream == "":
+	case first:
+		var started time.Time
+		if f.process.StartedMs > 0 {
+			started = time.UnixMilli(f.process.StartedMs)
+		}
+		a.controller.BeginRampIfStartedAt(now, started)
+	case f.process != w.process || (f.takesCalls && !w.takesCalls && w.tookCalls):
 		a.controller.BeginRamp(now)
 	}
-	a.warmup.process, a.warmup.takesCalls = f.process, f.takesCalls
-	a.setPace(now)
+	if f.process.Upstream != "" {
+		w.process = f.process
+	}
+	w.takesCalls = f.takesCalls
+	w.tookCalls = w.tookCalls || f.takesCalls
 }
 
 // UpstreamAnnounced notes that a process has announced for how long it stays cold.
@@ -208,10 +235,12 @@
 }
 
 // beginRampIfSilent begins a ramp if the upstream has answered none of several calls for
-// much longer than calls take. The mutex must be held.
+// much longer than calls take. Calls that wait for nested calls are not counted: it is
+// another service that does not answer these. The mutex must be held.
 func (a *admission) beginRampIfSilent(now time.Time) {
 	const minRunning, holds = 3, 4
 	running, hold := a.controller.RunningHold()
+	running -= int(a.warmup.nestedRunning.Load())
 	if running < minRunning || a.warmup.answeredAt.IsZero() || now.Sub(a.warmup.answeredAt) < max(time.Second, holds*hold) {
 		return
 	}
