proxy: watch connections to upstreams where heads are counted

A daemon did not notice that its upstream closed or reset connections, so a process that crashed and came back at once got calls at full pace while it was cold. The connections were wrapped to count the heads of responses before they were to be watched, and only plain TCP connections are watched.

Connections are now watched first and counted outermost, since the guard recognises its connections by their type. The proxies in the tests have a guard; the new test fails before the change (warm instead of uncertain).

--- a/io/proxy/endless_test.go
+++ b/io/proxy/endless_test.go
@@ -14,9 +14,11 @@
 
 	"chicorymast/config"
 	"chicorymast/core/board"
+	"chicorymast/core/heads"
 	"chicorymast/core/member"
 	"chicorymast/io/event"
 	"chicorymast/io/header"
+	"chicorymast/io/limit"
 	"chicorymast/io/timer"
 	"chicorymast/io/trace"
 
@@ -82,9 +84,12 @@
 	t.Cleanup(func() { tracer.Close(context.Background()) })
 	b := board.New()
 	b.Upstream.Write(&board.Upstream{Upstream: upstream, Address: address})
+	guard := limit.New(limit.Options{ // as in a daemon
+		Budget: func() heads.Bytes { return 64 << 20 }, Clock: clock, Report: func(uint64, heads.Bytes) {},
+	})
 	p := New(Options{
 		Config: func() *config.Config { return &cfg }, Clock: clock, Board: b, Log: event.Discard(), Tracer: tracer,
-		Metrics: NewMetrics(prometheus.NewRegistry()), Dialect: header.DefaultDialect(),
+		Metrics: NewMetrics(prometheus.NewRegistry()), Dialect: header.DefaultDialect(), Heads: guard,
 	})
 	t.Cleanup(p.Start())
 	return p
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -126,9 +126,6 @@
 	p.peerTransport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
 		return opt.Dial(ctx, address)
 	}
-	for _, t := range []*http.Transport{p.upstreamTransport, p.freshTransport, p.peerTransport} {
-		t.DialContext = counted(opt.Heads, t.DialContext)
-	}
 	p.notices = newNotices()
 	p.router = newRouter(opt, p.notices, rand.New(rand.NewPCG(opt.Seed+1, opt.Seed)))
 	p.admission = newAdmission(opt)
@@ -137,6 +134,10 @@
 		p.watchConnections(p.upstreamTransport)
 		p.watchConnections(p.freshTransport)
 	}
+	// Outermost, since the guard recognises its connections by their type.
+	for _, t := range []*http.Transport{p.upstreamTransport, p.freshTransport, p.peerTransport} {
+		t.DialContext = counted(opt.Heads, t.DialContext)
+	}
 	p.entryAdmission = newEntryAdmission(opt)
 	p.placement = newPlacement(opt, p.randomFloat)
 	p.suspects = newSuspects(opt)
--- a/io/proxy/warmup_test.go
+++ b/io/proxy/warmup_test.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -19,6 +21,7 @@
 	"chicorymast/core/state"
 	"chicorymast/core/warm"
 	"chicorymast/io/header"
+	"chicorymast/io/limit"
 	"chicorymast/io/timer"
 
 	"gotest.tools/v3/assert"
@@ -207,6 +210,28 @@
 	})
 }
 
+// Guards against connections that are counted and not watched, or the reverse: the daemon
+// would not notice that a process has come back, or not bound the heads of its responses.
+func TestConnectionsAreCountedAndWatched(t *testing.T) {
+	c, _ := newColdCalls(t, 1.5)
+	c.offerFull(time.Second)
+	assert.Equal(t, c.phase(), warm.PhaseWarm)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = ln.Close() }()
+	conn, err := c.p.upstreamTransport.DialContext(t.Context(), "tcp", ln.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, counted := conn.(*limit.Conn)
+	assert.Assert(t, counted)
+	accepted, err := ln.Accept()
+	assert.NilError(t, err)
+	assert.NilError(t, accepted.Close())
+	_, err = io.ReadAll(conn)
+	assert.NilError(t, err)
+	assert.Equal(t, c.phase(), warm.PhaseUncertain)
+}
+
 func TestWarmUpstreamIsNotSlowed(t *testing.T) {
 	t.Run("which its health check shows at once", func(t *testing.T) {
 		c, u := newColdCalls(t, 1.5)
