admit, proxy: a doubt keeps the use of a stated limit in reports

For 100 ms after each doubt whether its upstream is cold, a daemon reported a use of zero of the limit that the upstream states, and none of what its own processor carries. Entries took the upstream for idle and preferred it, though more calls arrived than it takes.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -385,13 +385,18 @@
 
 // Load returns the controller's state.
 func (c *Controller) Load(now time.Time) Load {
+	return c.LoadAt(now, ident.Rate(c.pace.rate))
+}
+
+// LoadAt is Load with another rate limit than that of the pace; zero stands for any rate.
+func (c *Controller) LoadAt(now time.Time, limit ident.Rate) Load {
 	level := ShedLevelNone
 	if now.Before(c.shed.until) {
 		level = c.shed.level
 	}
 	return Load{
 		Running: len(c.running), Waiting: c.waiting, Limit: c.concurrency(), ShedLevel: level,
-		RateLimit: ident.Rate(c.pace.rate), RateUse: max(c.rateUse(now), c.throughputUse(now)), Ramp: c.reportsRamp(now),
+		RateLimit: limit, RateUse: max(c.rateUse(now, float64(limit)), c.throughputUse(now)), Ramp: c.reportsRamp(now),
 	}
 }
 
--- a/core/admit/pace.go
+++ b/core/admit/pace.go
@@ -139,10 +139,10 @@
 	return max(hold, time.Duration(float64(c.concurrency())/c.pace.rate*float64(time.Second)))
 }
 
-// rateUse returns the rate of arriving calls relative to the limit, zero without one.
-func (c *Controller) rateUse(now time.Time) float64 {
-	if !c.pace.limited() {
+// rateUse returns the rate of arriving calls relative to a limit, zero without one.
+func (c *Controller) rateUse(now time.Time, limit float64) float64 {
+	if limit == 0 {
 		return 0
 	}
-	return c.arrivals.Rate(now) / c.pace.rate
+	return c.arrivals.Rate(now) / limit
 }
--- a/io/proxy/admission.go
+++ b/io/proxy/admission.go
@@ -249,11 +249,10 @@
 	now := a.opt.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	l := a.controller.Load(now)
 	if a.warmup.tracker.Provisional(now) {
-		l.RateLimit, l.RateUse = a.warmup.stated, 0
+		return a.controller.LoadAt(now, a.warmup.stated)
 	}
-	return l
+	return a.controller.Load(now)
 }
 
 func (a *admission) status(now time.Time) admit.Status {
--- a/io/proxy/warmup_test.go
+++ b/io/proxy/warmup_test.go
@@ -232,6 +232,20 @@
 	assert.Equal(t, c.phase(), warm.PhaseUncertain)
 }
 
+// Guards against entries that take a limited upstream for idle while its daemon is in doubt.
+func TestDoubtKeepsTheUseOfAStatedLimit(t *testing.T) {
+	const limit = 50
+	c, _ := newColdCalls(t, 1.5)
+	c.offerFull(time.Second)
+	c.p.admission.setRate(limit)
+	before := c.p.admission.load()
+	assert.Equal(t, before.RateLimit, ident.Rate(limit))
+	assert.Assert(t, before.RateUse > 1)
+	c.p.admission.doubt()
+	assert.Equal(t, c.phase(), warm.PhaseUncertain)
+	assert.DeepEqual(t, c.p.admission.load(), before)
+}
+
 func TestWarmUpstreamIsNotSlowed(t *testing.T) {
 	t.Run("which its health check shows at once", func(t *testing.T) {
 		c, u := newColdCalls(t, 1.5)
