proxy: a pause in calls is no silence of the upstream

With ramp enabled, an upstream without calls for a second was held to its lowest limit (10 of 100 slots) as soon as three calls ran again: the time since the last answer was taken for the time for which running calls had waited. Calls whose answers had begun and were still streamed counted as unanswered, too.

The time is now counted from the first of the calls that wait for an answer, and only those count. The test fails before the change (10 instead of 100).

--- a/io/proxy/ramp_test.go
+++ b/io/proxy/ramp_test.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,14 +21,19 @@
 	t.Helper()
 	clock := timer.NewManual(time.Unix(1000, 0))
 	u := newColdUpstream(t, clock)
-	p := newUpstreamProxyAt(t, clock, u.Listener.Addr().String(),
+	return newRampCallsTo(t, clock, u.Listener.Addr().String()), u.Server
+}
+
+func newRampCallsTo(t *testing.T, clock *timer.Manual, address string) *peerCalls {
+	t.Helper()
+	p := newUpstreamProxyAt(t, clock, address,
 		member.Upstream{Service: "shop", ID: "i-1", StartedMs: 1000, Phase: member.PhaseUp, Slots: 100},
 		func(c *config.Config) { c.Admission.Ramp = true })
 	c := &peerCalls{t: t, p: p, clock: clock, call: header.Call{Service: "shop", Route: "shop", AdmittedShare: 1, TimeoutMs: 600_000}}
 	c.send(1)
 	assert.Assert(t, p.admission.load().Limit < 100, "the process has just started")
 	c.recover()
-	return c, u.Server
+	return c
 }
 
 // recover lets calls succeed one after the other.
@@ -76,3 +83,35 @@
 		assert.Equal(t, c.p.admission.load().Limit, 100)
 	})
 }
+
+// Guards against an upstream that is slowed after each pause, or is not when it is silent.
+func TestPauseIsNoSilence(t *testing.T) {
+	const calls = 3
+	var holds atomic.Bool
+	started, release := make(chan struct{}, calls), make(chan struct{})
+	u := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if holds.Load() {
+			started <- struct{}{}
+			<-release
+		}
+		w.Header().Set("Content-Length", "0")
+	}))
+	defer u.Close()
+	c := newRampCallsTo(t, timer.NewManual(time.Unix(1000, 0)), u.Listener.Addr().String())
+	holds.Store(true)
+	c.clock.Advance(10 * time.Second)
+	for range calls {
+		c.start()
+	}
+	for range calls {
+		<-started
+	}
+	c.clock.Advance(50 * time.Millisecond)
+	afterPause := c.p.admission.load().Limit
+	c.clock.Advance(2 * time.Second)
+	afterSilence := c.p.admission.load().Limit
+	close(release)
+	c.settle()
+	assert.Equal(t, afterPause, 100)
+	assert.Equal(t, afterSilence, 10)
+}
--- a/io/proxy/warmup.go
+++ b/io/proxy/warmup.go
@@ -46,8 +46,10 @@
 	// process and takesCalls are those that were followed last.
 	process    notice.Process
 	takesCalls bool
-	// answeredAt is when the last call was answered.
-	answeredAt time.Time
+	// unanswered is the number of calls that wait for an answer. heardAt is when the last
+	// call was answered, or the first of those that wait was sent.
+	unanswered int
+	heardAt    time.Time
 }
 
 func newWarmup() *warmup {
@@ -210,12 +212,12 @@
 // beginRampIfSilent begins a ramp if the upstream has answered none of several calls for
 // much longer than calls take. The mutex must be held.
 func (a *admission) beginRampIfSilent(now time.Time) {
-	const minRunning, holds = 3, 4
-	running, hold := a.controller.RunningHold()
-	if running < minRunning || a.warmup.answeredAt.IsZero() || now.Sub(a.warmup.answeredAt) < max(time.Second, holds*hold) {
+	const minUnanswered, holds = 3, 4
+	_, hold := a.controller.RunningHold()
+	if a.warmup.unanswered < minUnanswered || now.Sub(a.warmup.heardAt) < max(time.Second, holds*hold) {
 		return
 	}
-	a.warmup.answeredAt = now
+	a.warmup.heardAt = now
 	a.controller.BeginRamp(now)
 }
 
@@ -223,7 +225,14 @@
 func (a *admission) send(now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.warmup.tracker.Send(now)
+	if !a.warmup.tracker.Send(now) {
+		return false
+	}
+	if a.warmup.unanswered == 0 {
+		a.warmup.heardAt = now
+	}
+	a.warmup.unanswered++
+	return true
 }
 
 // sent notes how a call ended that was sent at a time; resp is nil without an answer.
@@ -231,11 +240,12 @@
 	now := a.opt.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.warmup.unanswered--
 	if resp == nil || resp.StatusCode == http.StatusMisdirectedRequest {
 		a.warmup.tracker.Ended()
 		return
 	}
-	a.warmup.answeredAt = now
+	a.warmup.heardAt = now
 	a.warmup.tracker.Answered(now, at)
 }
 
