proxy: turning off run_queue_target ends its limit

A limit of the processor that was in force when the settings were reloaded with run_queue_target = 0, or when the daemon went into pass-through mode, stayed: entries were asked to refuse as before until the daemon restarted. Ticks now pass the target of zero on, which ends the limit. The test fails before the change (20 calls per second instead of none).

--- a/io/proxy/admission.go
+++ b/io/proxy/admission.go
@@ -41,8 +41,8 @@
 // observeRunQueue records how late a tick that was due at a time has begun.
 func (a *admission) observeRunQueue(due time.Time) {
 	target := a.opt.Config().Admission.RunQueueTarget
-	if target == 0 || a.opt.Config().Daemon.Mode == config.ModePassThrough {
-		return
+	if a.opt.Config().Daemon.Mode == config.ModePassThrough {
+		target = 0 // which ends a limit
 	}
 	now := a.opt.Clock.Now()
 	a.mu.Lock()
