proxy: turning off warmup_overrun ends the pace of a cold upstream

An upstream that was cold, or in doubt, when the settings were reloaded with warmup_overrun = 0 and without ramp stayed slowed: the state of the upstream was no longer followed, and its specification stayed. The same held in pass-through mode. An upstream that was followed once is now told of the change. The test fails before it (1 of 100 calls a second served).

--- a/io/proxy/warmup.go
+++ b/io/proxy/warmup.go
@@ -68,7 +68,10 @@
 // followUpstream passes the state of the upstream on this VM to the admission.
 func (p *Proxy) followUpstream(upstream *board.Upstream) {
 	settings := p.opt.Config().Admission
-	if (settings.WarmupOverrun == 0 && !settings.Ramp) || p.passThrough() {
+	if p.passThrough() {
+		settings.WarmupOverrun, settings.Ramp = 0, false
+	}
+	if settings.WarmupOverrun == 0 && !settings.Ramp && !p.admission.warmup.followed.Load() {
 		return
 	}
 	service := p.opt.Board.Config.Read().State.Intent.Services[upstream.Service]
--- a/io/proxy/warmup_test.go
+++ b/io/proxy/warmup_test.go
@@ -253,6 +253,14 @@
 		c.mustServeAll(t, u)
 		assert.Assert(t, u.checks <= 2, "%d health checks", u.checks)
 	})
+	t.Run("once the setting is turned off", func(t *testing.T) {
+		c, u := newColdCalls(t, 1.5)
+		u.turnCold()
+		c.offerFull(200 * time.Millisecond)
+		assert.Equal(t, c.phase(), warm.PhaseCold)
+		c.p.opt.Config().Admission.WarmupOverrun = 0
+		c.mustServeAll(t, u)
+	})
 	t.Run("whatever it says, without the setting", func(t *testing.T) {
 		c, u := newColdCalls(t, 0)
 		u.turnCold()
