--- a/core/admit/ramp.go
+++ b/core/admit/ramp.go
@@ -15,9 +15,10 @@
 // to. Entries send some calls before they know of a ramp.
 const scarcityWeight = 0.05
 
-// recentStart is the age up to which a process counts as just started. The clock by which it
-// states its start may differ by some seconds.
-const recentStart = 10 * time.Second
+// recentStart is the age up to which a process counts as just started. It covers the seconds
+// for which one is slow after its start, also if clocks differ a little; a longer time would
+// slow down a whole fleet whose callers come some seconds after it was started.
+const recentStart = 5 * time.Second
 
 // BeginRamp lets the concurrency begin low: the upstream has started or recovered.
 func (c *Controller) BeginRamp(now time.Time) {
--- a/io/proxy/admission.go
+++ b/io/proxy/admission.go
@@ -41,8 +41,8 @@
 // observeRunQueue records how late a tick that was due at a time has begun.
 func (a *admission) observeRunQueue(due time.Time) {
 	target := a.opt.Config().Admission.RunQueueTarget
-	if target == 0 || a.opt.Config().Daemon.Mode == config.ModePassThrough {
-		return
+	if a.opt.Config().Daemon.Mode == config.ModePassThrough {
+		target = 0 // which ends a limit
 	}
 	now := a.opt.Clock.Now()
 	a.mu.Lock()
@@ -250,11 +250,10 @@
 	now := a.opt.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	l := a.controller.Load(now)
 	if a.warmup.tracker.Provisional(now) {
-		l.RateLimit, l.RateUse = a.warmup.stated, 0
+		return a.controller.LoadAt(now, a.warmup.stated)
 	}
-	return l
+	return a.controller.Load(now)
 }
 
 func (a *admission) status(now time.Time) admit.Status {
--- a/io/proxy/ramp_test.go
+++ b/io/proxy/ramp_test.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,14 +22,19 @@
 	t.Helper()
 	clock := timer.NewManual(time.Unix(1000, 0))
 	u := newColdUpstream(t, clock)
-	p := newUpstreamProxyAt(t, clock, u.Listener.Addr().String(),
+	return newRampCallsTo(t, clock, u.Listener.Addr().String()), u.Server
+}
+
+func newRampCallsTo(t *testing.T, clock *timer.Manual, address string) *peerCalls {
+	t.Helper()
+	p := newUpstreamProxyAt(t, clock, address,
 		member.Upstream{Service: "shop", ID: "i-1", StartedMs: 1_000_000, Phase: member.PhaseUp, Slots: 100},
 		func(c *config.Config) { c.Admission.Ramp = true })
 	c := &peerCalls{t: t, p: p, clock: clock, call: header.Call{Service: "shop", Route: "shop", AdmittedShare: 1, TimeoutMs: 600_000}}
 	c.send(1)
 	assert.Assert(t, p.admission.load().Limit < 100, "the process has just started")
 	c.recover()
-	return c, u.Server
+	return c
 }
 
 // recover lets calls succeed one after the other.
@@ -68,6 +75,7 @@
 	t.Run("after it refused connections", func(t *testing.T) {
 		c, u := newRampCalls(t)
 		u.Close()
+		c.p.upstreamTransport.CloseIdleConnections() // else the call may go out on one that is dead
 		c.send(1)
 		assert.Equal(t, c.p.admission.load().Limit, 10)
 	})
@@ -109,6 +117,7 @@
 	for ticket := range admit.Ticket(5) {
 		a.controller.Arrive(now, admit.Request{Ticket: 1_000_000 + ticket, Route: "shop", Deadline: now.Add(time.Minute)})
 	}
+	a.warmup.unanswered, a.warmup.heardAt = 5, now
 	a.warmup.nestedRunning.Store(5)
 	c.clock.Advance(10 * time.Second)
 	assert.Equal(t, a.load().Limit, 100)
@@ -116,3 +125,35 @@
 	c.clock.Advance(10 * time.Second)
 	assert.Equal(t, a.load().Limit, 10)
 }
+
+// Guards against an upstream that is slowed after each pause, or is not when it is silent.
+func TestPauseIsNoSilence(t *testing.T) {
+	const calls = 3
+	var holds atomic.Bool
+	started, release := make(chan struct{}, calls), make(chan struct{})
+	u := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if holds.Load() {
+			started <- struct{}{}
+			<-release
+		}
+		w.Header().Set("Content-Length", "0")
+	}))
+	defer u.Close()
+	c := newRampCallsTo(t, timer.NewManual(time.Unix(1000, 0)), u.Listener.Addr().String())
+	holds.Store(true)
+	c.clock.Advance(10 * time.Second)
+	for range calls {
+		c.start()
+	}
+	for range calls {
+		<-started
+	}
+	c.clock.Advance(50 * time.Millisecond)
+	afterPause := c.p.admission.load().Limit
+	c.clock.Advance(2 * time.Second)
+	afterSilence := c.p.admission.load().Limit
+	close(release)
+	c.settle()
+	assert.Equal(t, afterPause, 100)
+	assert.Equal(t, afterSilence, 10)
+}
--- a/io/proxy/warmup.go
+++ b/io/proxy/warmup.go
@@ -52,8 +52,10 @@
 	// not ended.
 	nestedMade    atomic.Int64
 	nestedRunning atomic.Int64
-	// answeredAt is when the last call was answered.
-	answeredAt time.Time
+	// unanswered is the number of calls that wait for an answer. heardAt is when the last
+	// call was answered, or the first of those that wait was sent.
+	unanswered int
+	heardAt    time.Time
 }
 
 func newWarmup() *warmup {
@@ -72,7 +74,10 @@
 // followUpstream passes the state of the upstream on this VM to the admission.
 func (p *Proxy) followUpstream(upstream *board.Upstream) {
 	settings := p.opt.Config().Admission
-	if (settings.WarmupOverrun == 0 && !settings.Ramp) || p.passThrough() {
+	if p.passThrough() {
+		settings.WarmupOverrun, settings.Ramp = 0, false
+	}
+	if settings.WarmupOverrun == 0 && !settings.Ramp && !p.admission.warmup.followed.Load() {
 		return
 	}
 	service := p.opt.Board.Config.Read().State.Intent.Services[upstream.Service]
@@ -238,13 +243,13 @@
 // much longer than calls take. Calls that wait for nested calls are not counted: it is
 // another service that does not answer these. The mutex must be held.
 func (a *admission) beginRampIfSilent(now time.Time) {
-	const minRunning, holds = 3, 4
-	running, hold := a.controller.RunningHold()
-	running -= int(a.warmup.nestedRunning.Load())
-	if running < minRunning || a.warmup.answeredAt.IsZero() || now.Sub(a.warmup.answeredAt) < max(time.Second, holds*hold) {
+	const minUnanswered, holds = 3, 4
+	_, hold := a.controller.RunningHold()
+	unanswered := a.warmup.unanswered - int(a.warmup.nestedRunning.Load())
+	if unanswered < minUnanswered || now.Sub(a.warmup.heardAt) < max(time.Second, holds*hold) {
 		return
 	}
-	a.warmup.answeredAt = now
+	a.warmup.heardAt = now
 	a.controller.BeginRamp(now)
 }
 
@@ -252,7 +257,14 @@
 func (a *admission) send(now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.warmup.tracker.Send(now)
+	if !a.warmup.tracker.Send(now) {
+		return false
+	}
+	if a.warmup.unanswered == 0 {
+		a.warmup.heardAt = now
+	}
+	a.warmup.unanswered++
+	return true
 }
 
 // sent notes how a call ended that was sent at a time; resp is nil without an answer.
@@ -260,11 +272,12 @@
 	now := a.opt.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.warmup.unanswered--
 	if resp == nil || resp.StatusCode == http.StatusMisdirectedRequest {
 		a.warmup.tracker.Ended()
 		return
 	}
-	a.warmup.answeredAt = now
+	a.warmup.heardAt = now
 	a.warmup.tracker.Answered(now, at)
 }
 
--- a/io/proxy/warmup_test.go
+++ b/io/proxy/warmup_test.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -19,6 +21,7 @@
 	"chicorymast/core/state"
 	"chicorymast/core/warm"
 	"chicorymast/io/header"
+	"chicorymast/io/limit"
 	"chicorymast/io/timer"
 
 	"gotest.tools/v3/assert"
@@ -207,6 +210,42 @@
 	})
 }
 
+// Guards against connections that are counted and not watched, or the reverse: the daemon
+// would not notice that a process has come back, or not bound the heads of its responses.
+func TestConnectionsAreCountedAndWatched(t *testing.T) {
+	c, _ := newColdCalls(t, 1.5)
+	c.offerFull(time.Second)
+	assert.Equal(t, c.phase(), warm.PhaseWarm)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = ln.Close() }()
+	conn, err := c.p.upstreamTransport.DialContext(t.Context(), "tcp", ln.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, counted := conn.(*limit.Conn)
+	assert.Assert(t, counted)
+	accepted, err := ln.Accept()
+	assert.NilError(t, err)
+	assert.NilError(t, accepted.Close())
+	_, err = io.ReadAll(conn)
+	assert.NilError(t, err)
+	assert.Equal(t, c.phase(), warm.PhaseUncertain)
+}
+
+// Guards against entries that take a limited upstream for idle while its daemon is in doubt.
+func TestDoubtKeepsTheUseOfAStatedLimit(t *testing.T) {
+	const limit = 50
+	c, _ := newColdCalls(t, 1.5)
+	c.offerFull(time.Second)
+	c.p.admission.setRate(limit)
+	before := c.p.admission.load()
+	assert.Equal(t, before.RateLimit, ident.Rate(limit))
+	assert.Assert(t, before.RateUse > 1)
+	c.p.admission.doubt()
+	assert.Equal(t, c.phase(), warm.PhaseUncertain)
+	assert.DeepEqual(t, c.p.admission.load(), before)
+}
+
 func TestWarmUpstreamIsNotSlowed(t *testing.T) {
 	t.Run("which its health check shows at once", func(t *testing.T) {
 		c, u := newColdCalls(t, 1.5)
@@ -214,6 +253,14 @@
 		c.mustServeAll(t, u)
 		assert.Assert(t, u.checks <= 2, "%d health checks", u.checks)
 	})
+	t.Run("once the setting is turned off", func(t *testing.T) {
+		c, u := newColdCalls(t, 1.5)
+		u.turnCold()
+		c.offerFull(200 * time.Millisecond)
+		assert.Equal(t, c.phase(), warm.PhaseCold)
+		c.p.opt.Config().Admission.WarmupOverrun = 0
+		c.mustServeAll(t, u)
+	})
 	t.Run("whatever it says, without the setting", func(t *testing.T) {
 		c, u := newColdCalls(t, 0)
 		u.turnCold()
