proxy: a body that does not arrive keeps a slot until the deadline only

A daemon beside an upstream reads a small body before it sends the call, in order to send both in one write. No context ends that read, so when the caller's daemon was lost behind the head of its request, the call kept its slot until TCP gave the connection up, minutes beyond its deadline. The read now has the deadline of the call.

--- a/io/proxy/body.go
+++ b/io/proxy/body.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"chicorymast/core/fault"
 	"chicorymast/io/limit"
@@ -114,10 +115,22 @@
 // of a write buffer of net/http, less the room for a usual head.
 const maxJoinedBody = 3 << 10
 
-// readSmallBody reads the body of a request into memory if it is declared to be small, and
-// the sender does not wait to be asked for it.
+// isSmallBody reports whether a body is declared to be small, and the sender does not wait to
+// be asked for it.
+func isSmallBody(r *http.Request) bool {
+	return r.ContentLength > 0 && r.ContentLength <= maxJoinedBody && r.Header.Get("Expect") == ""
+}
+
+// limitSmallBody limits how long readSmallBody waits for the body: no context ends its reads.
+func limitSmallBody(w http.ResponseWriter, r *http.Request, left time.Duration) {
+	if isSmallBody(r) {
+		r.Body = readTimeoutBody{Reader: r.Body, control: http.NewResponseController(w), timeout: left}
+	}
+}
+
+// readSmallBody reads the body of a request into memory if it is small.
 func readSmallBody(r *http.Request) io.ReadCloser {
-	if r.ContentLength <= 0 || r.ContentLength > maxJoinedBody || r.Header.Get("Expect") != "" {
+	if !isSmallBody(r) {
 		return unretriableBody{r.Body}
 	}
 	data := make([]byte, r.ContentLength)
--- a/io/proxy/peer.go
+++ b/io/proxy/peer.go
@@ -152,6 +152,7 @@
 		p.calls.remove(token)
 		leave(p.measureRun(sc, start, sample))
 	}()
+	limitSmallBody(w, r, remaining(ctx, start))
 	req, exchange := p.upstreamRequest(ctx, r, call, upstream, token)
 	resp, err := p.sendToUpstream(req)
 	interim.stop()
--- a/io/proxy/writes_test.go
+++ b/io/proxy/writes_test.go
@@ -7,9 +7,11 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"chicorymast/config"
 
@@ -46,6 +48,27 @@
 	return countingConn{conn, l.writes}, err
 }
 
+// A daemon that is lost after the head of its request would keep a slot beside the upstream
+// beyond the deadline of the call.
+func TestSmallBodyIsAwaitedUntilTheDeadline(t *testing.T) {
+	const left = time.Millisecond
+	read := make(chan error, 1)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		limitSmallBody(w, r, left)
+		_, err := io.ReadAll(readSmallBody(r))
+		read <- err
+	}))
+	defer srv.Close()
+	conn, err := net.Dial("tcp", srv.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab")
+	assert.NilError(t, err)
+	guard := time.AfterFunc(10*time.Second, func() { _ = conn.Close() }) // ends a test that fails
+	defer guard.Stop()
+	assert.ErrorIs(t, <-read, os.ErrDeadlineExceeded)
+}
+
 // A message in two writes costs its sender a system call and its receiver a wake-up more.
 func TestSmallRequestsAreOneWrite(t *testing.T) {
 	var writes atomic.Int64
