daemon: a closed connection is charged nothing for what was read ahead

A read of a caller's connection after its end, as when a server is closed while a handler reads, charged the bytes that were still read ahead. Nothing releases that charge any more, so the memory for message heads was smaller until the process ended. The test found the bytes still held before.

--- a/io/daemon/ahead.go
+++ b/io/daemon/ahead.go
@@ -110,8 +110,12 @@
 	return !c.closed && len(c.buffer) < maxReadAhead && c.resize(len(c.buffer)+readChunk)
 }
 
-// resize accounts for n bytes. It reports false if there is no room for them.
+// resize accounts for n bytes, and for none once the connection is closed. It reports false if
+// there is no room for them.
 func (c *aheadConn) resize(n int) bool {
+	if c.closed {
+		n = 0
+	}
 	if n != c.held && !c.hold.Resize(n) {
 		return false
 	}
