ramp: begin with two slots at least

Callers of a data centre saw none of their own upstream's room: an upstream of up to 19 slots began its ramp with one, entries took the idle VM for nearly full (one call on one slot) and sent all calls elsewhere, so the ramp never ended.

--- a/core/ramp/ramp.go
+++ b/core/ramp/ramp.go
@@ -32,6 +32,9 @@
 const (
 	// floorShare is the share of the slots with which a ramp begins.
 	floorShare = 0.1
+	// minLimit is the lowest limit. With one slot, entries would take an idle VM for nearly
+	// full and send its calls to other data centres, so that its ramp would never end.
+	minLimit = 2
 	// growth is the factor of the limit after a good window, and decrease after a bad one.
 	growth   = 1.6
 	decrease = 0.5
@@ -159,7 +162,7 @@
 }
 
 func (r *Ramp) floor() float64 {
-	return max(1, floorShare*float64(r.slots))
+	return min(max(minLimit, floorShare*float64(r.slots)), float64(max(1, r.slots)))
 }
 
 // Active reports whether the limit is below the slots.
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -8,6 +8,7 @@
 
 	"chicorymast/core/admit"
 	"chicorymast/core/ident"
+	"chicorymast/core/ramp"
 
 	"gotest.tools/v3/assert"
 )
@@ -248,3 +249,20 @@
 	report(b, epoch, "near-1", admit.Load{Limit: 10, RateLimit: 5, RateUse: 0.9})
 	assert.Assert(t, !b.RoomElsewhere(epoch, 0, "near-0"))
 }
+
+// An idle VM of the own data centre that ramps must get calls: its ramp ends only by them.
+func TestIdleRampingVMGetsCalls(t *testing.T) {
+	for slots := 1; slots <= 40; slots++ {
+		r := ramp.New(slots)
+		r.Begin()
+		b := New(homeDC, rand.New(rand.NewPCG(1, 2)))
+		b.Update(epoch, []Candidate{{VM: "near", DataCentre: homeDC, Slots: slots}, {VM: "far", DataCentre: otherDC, Slots: slots}})
+		later := epoch.Add(time.Minute)
+		b.Pick(epoch, 0, map[ident.VM]bool{"far": true})
+		report := admit.Load{Limit: r.Limit(), Ramp: true, ShedLevel: admit.ShedLevelNone}
+		b.Done(epoch, "near", Report{Outcome: OutcomeAnswered, Load: &report})
+		c, ok := b.Pick(later, 0, nil)
+		assert.Assert(t, ok)
+		assert.Assert(t, slots == 1 || c.VM == "near", "%d slots: the call went to %s", slots, c.VM)
+	}
+}
