--- a/io/daemon/reload_test.go
+++ b/io/daemon/reload_test.go
@@ -36,7 +36,12 @@
 			assert.Equal(t, d.Config().CutOff.PaidGrace.Seconds(), 30.0)
 		})
 	}
-	f.log.mu.Lock()
-	defer f.log.mu.Unlock()
-	assert.Assert(t, strings.Contains(f.log.text.String(), `"event":1011`))
+	eventually(t, func() string { // lines are written asynchronously
+		f.log.mu.Lock()
+		defer f.log.mu.Unlock()
+		if !strings.Contains(f.log.text.String(), `"event":1011`) {
+			return "no event 1011 in the log"
+		}
+		return ""
+	})
 }
