review: crashes forgotten by a restart

A request that crashes servers comes again once a second while four of nine sidecar machines are stopped and started in turn.

--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -16,10 +16,6 @@
 
 // request sends a GET to the daemon of a machine and returns the status, zero for none.
 func (f *fleet) request(m *machine, path, attempt string) (status int) {
-	return f.requestWithKey(m, path, attempt, "")
-}
-
-func (f *fleet) requestWithKey(m *machine, path, attempt, key string) (status int) {
 	const deadline = 2 * time.Second
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
@@ -30,9 +26,6 @@
 	req.Host = host
 	req.Header.Set("X-Attempt-Id", attempt)
 	req.Header.Set("X-Deadline-Remaining-Ms", fmt.Sprint(deadline.Milliseconds()))
-	if key != "" {
-		req.Header.Set("Authorization", "Token "+key)
-	}
 	f.rec.note("%s sent to %s, GET %s", attempt, m.name, path)
 	resp, err := clients.Do(req)
 	if err != nil {
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -8,12 +8,15 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
+	"syscall"
 	"time"
 )
 
 // The bounds of the small deployment (sites/poklad-mesh) as its sheet gives them.
 const (
 	contact  = 3 * time.Second
+	grace    = 6 * time.Second
 	catchUp  = 4 * time.Second
 	recovery = 15 * time.Second
 )
@@ -36,6 +39,28 @@
 	bootstrap                      bool
 	proc                           *exec.Cmd
 	ended                          chan struct{}
+
+	mu sync.Mutex
+	// disturbed lists the times at which the process was stopped or started by the case.
+	disturbed []time.Time
+}
+
+func (m *machine) disturb() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.disturbed = append(m.disturbed, time.Now())
+}
+
+// undisturbed reports whether nothing was done to a machine in the contact time before.
+func (m *machine) undisturbed(at time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, d := range m.disturbed {
+		if !d.After(at) && at.Sub(d) <= contact {
+			return false
+		}
+	}
+	return true
 }
 
 // fleet is a small deployment: real processes of the project, started with the commands and
@@ -45,7 +70,6 @@
 	folder   string
 	core     []*machine
 	sidecars []*machine
-	tenants  bool
 }
 
 // newFleet lays out three core machines and a sidecar machine for each of the services, and
@@ -193,6 +217,16 @@
 	f.rec.note("%s is killed", m.name)
 }
 
+// terminate stops the process of a machine as the platform does.
+func (f *fleet) terminate(m *machine) {
+	_ = m.proc.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-m.ended:
+	case <-time.After(grace):
+		f.kill(m)
+	}
+}
+
 // runs reports whether the process of a machine runs.
 func (m *machine) runs() bool {
 	select {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -15,6 +15,7 @@
 
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
 	"bootstrap": caseBootstrap,
+	"crash":     caseCrash,
 }
 
 func main() {
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -21,47 +21,85 @@
 	work    time.Duration
 	born    int64
 
+	// crashPath is the path of the request that crashes the server, empty for none.
+	crashPath string
+
 	mu       sync.Mutex
 	sequence int
 	// ran lists the requests that the server began to work on.
 	ran  []run
 	srv  *http.Server
 	stop chan struct{}
+	// down is set while the process has crashed, starts counts its starts, and conns are its
+	// open connections.
+	down   bool
+	starts int
+	conns  map[net.Conn]bool
 }
 
-// run is a request that a server has run.
+// run is a request that a server has begun to run.
 type run struct {
-	at               time.Time
-	attempt, tenant  string
-	method, path     string
-	caller, instance string
+	at                time.Time
+	attempt, instance string
 }
 
 func startServer(rec *record, m *machine, id string, slots int, work time.Duration) (*server, error) {
-	s := &server{rec: rec, machine: m, id: id, slots: slots, work: work, born: time.Now().UnixMilli(), stop: make(chan struct{})}
-	ln, err := net.Listen("tcp", m.ip+":"+appPort)
-	if err != nil {
+	s := &server{rec: rec, machine: m, id: id, slots: slots, work: work, stop: make(chan struct{})}
+	if err := s.listen(); err != nil {
 		return nil, err
 	}
-	s.srv = &http.Server{Handler: s}
-	go func() { _ = s.srv.Serve(ln) }()
 	go s.announce()
 	return s, nil
 }
 
+// listen starts a process of the server: a new incarnation with an id of its own.
+func (s *server) listen() error {
+	ln, err := net.Listen("tcp", s.machine.ip+":"+appPort)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.starts++
+	if s.starts > 1 {
+		s.id = fmt.Sprintf("i-%s-%d", s.machine.name, s.starts)
+	}
+	s.born, s.sequence, s.down, s.conns = time.Now().UnixMilli(), 0, false, map[net.Conn]bool{}
+	s.srv = &http.Server{Handler: s, ConnState: s.track}
+	go func(srv *http.Server) { _ = srv.Serve(ln) }(s.srv)
+	return nil
+}
+
+func (s *server) track(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == http.StateNew {
+		s.conns[c] = true
+	}
+	if state == http.StateClosed {
+		delete(s.conns, c)
+	}
+}
+
 // announce sends a heartbeat every 1.5 s, and sooner after one without an acknowledgement.
 func (s *server) announce() {
 	for {
+		s.mu.Lock()
 		s.sequence++
+		down, id := s.down, s.id
 		body, _ := json.Marshal(map[string]any{
 			"born": s.born, "address": s.machine.ip + ":" + appPort,
 			"info":   map[string]any{"service": s.machine.service, "zone": s.machine.zone, "version": "v1", "slots": s.slots},
 			"status": map[string]any{"state": "ready", "sequence": s.sequence, "cold_remaining": "0ms"},
 		})
-		status, _ := call(http.MethodPut, s.machine.ip+":"+controlPort, "/instances/"+s.id, body)
+		s.mu.Unlock()
+		status := 0
+		if !down {
+			status, _ = call(http.MethodPut, s.machine.ip+":"+controlPort, "/instances/"+id, body)
+		}
 		wait := 1500 * time.Millisecond
 		if status != http.StatusOK {
-			wait = 500 * time.Millisecond
+			wait = 200 * time.Millisecond
 		}
 		select {
 		case <-time.After(wait):
@@ -72,13 +110,16 @@
 }
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	id := s.id
+	s.mu.Unlock()
 	attempt := r.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", attempt)
 	if r.URL.Path == "/health" {
-		w.Header().Set("X-Instance-Id", s.id)
+		w.Header().Set("X-Instance-Id", id)
 		return
 	}
-	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != s.id {
+	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -89,13 +130,15 @@
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	s.mu.Lock()
-	s.ran = append(s.ran, run{
-		at: time.Now(), attempt: attempt, tenant: r.Header.Get("X-Tenant"), method: r.Method, path: r.URL.RequestURI(),
-		caller: r.Header.Get("X-Caller-Service"), instance: s.id,
-	})
+	s.ran = append(s.ran, run{at: time.Now(), attempt: attempt, instance: id})
 	s.mu.Unlock()
+	s.rec.note("%s runs at %s", attempt, id)
 	time.Sleep(s.work)
-	w.Header().Set("X-Response-Signature", fmt.Sprintf("%s.%s", s.id, attempt))
+	if s.crashPath != "" && r.URL.Path == s.crashPath {
+		s.crash()
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("X-Response-Signature", fmt.Sprintf("%s.%s", id, attempt))
 	_, _ = io.WriteString(w, "done\n")
 }
 
@@ -108,5 +151,9 @@
 
 func (s *server) close() {
 	close(s.stop)
-	_ = s.srv.Close()
+	s.mu.Lock()
+	s.down = true
+	srv := s.srv
+	s.mu.Unlock()
+	_ = srv.Close()
 }
