--- a/review/standin-2/bootstrap.go
+++ b/review/standin-2/bootstrap.go
@@ -14,8 +14,7 @@
 // disk at once and restarts with an empty one. Once it is back and has had its time, the
 // operator's first configuration has to be taken, and to be read back.
 func caseBootstrap(rec *record, trouble bool) (broken bool, err error) {
-	services := []string{"dele69a", "xano55b", "dele69a"}
-	f, err := newFleet(rec, services)
+	f, err := newFleet(rec, []string{"dele69a", "xano55b", "dele69a"})
 	if err != nil {
 		return false, err
 	}
@@ -23,55 +22,61 @@
 	if err := f.startAll(); err != nil {
 		return false, err
 	}
-	for _, m := range f.sidecars {
-		s, err := startServer(rec, m, "i-"+m.name, 64, 5*time.Millisecond)
-		if err != nil {
-			return false, err
-		}
-		defer s.close()
+	servers, err := f.startServers()
+	defer func() { closeServers(servers) }()
+	if err != nil {
+		return false, err
 	}
+	if err := f.loseDisk(f.core[2], trouble); err != nil {
+		return false, err
+	}
+	return f.judgeStart(), nil
+}
+
+// loseDisk takes the disk of a core machine, if that is the disruption. Later starts are not
+// the first one of the whole system.
+func (f *fleet) loseDisk(lost *machine, trouble bool) error {
 	if trouble {
-		lost := f.core[2]
 		time.Sleep(lostAt)
 		f.kill(lost)
 		if err := os.RemoveAll(f.dataDir(lost)); err != nil {
-			return false, err
+			return err
 		}
-		rec.note("%s has lost its disk", lost.name)
+		f.rec.note("%s has lost its disk", lost.name)
 		time.Sleep(500 * time.Millisecond)
 	}
-	// The whole system has started; later starts are not the first one.
 	for _, m := range f.core {
 		m.bootstrap = false
 	}
 	if trouble {
-		if err := f.start(f.core[2]); err != nil {
-			return false, err
-		}
+		return f.start(lost)
 	}
-	back := time.Now()
+	return nil
+}
+
+// judgeStart sends the first configuration and reads it back.
+func (f *fleet) judgeStart() (broken bool) {
 	// The page asks for service `recovery` after all are back; a new machine counts as lost
 	// for `catch_up` after its start. The operator goes on for as long again.
+	back := time.Now()
 	bound := back.Add(2 * (catchUp + recovery))
 	doc := configuration(5, 0, []route{{"r-1", "/puje670/", "idempotent", "dele69a", "1200ms", 2}}, []string{"dele69a", "xano55b"})
 	status, tries := f.putConfiguration(doc, bound)
-	rec.say("first configuration: status %d after %d tries, %.1f s after all machines were back", status, tries, time.Since(back).Seconds())
+	f.rec.say("first configuration: status %d after %d tries, %.1f s after all machines were back", status, tries, time.Since(back).Seconds())
 	served, sent := f.sendSome(6 * time.Second)
-	rec.say("requests: %d sent, %d served", sent, served)
+	f.rec.say("requests: %d sent, %d served", sent, served)
 	answered := 0
 	for end := time.Now().Add(contact); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
-		if n, _ := f.readConfiguration(); n > 0 {
-			answered += n
-		}
+		n, _ := f.readConfiguration()
+		answered += n
 	}
 	for _, m := range append(append([]*machine{}, f.core...), f.sidecars...) {
-		rec.note("%s runs: %v", m.name, m.runs())
 		if !m.runs() {
-			rec.say("%s has ended by itself", m.name)
+			f.rec.say("%s has ended by itself", m.name)
 		}
 	}
-	rec.say("reads of the configuration at the end: %d answered", answered)
-	return status != http.StatusOK || answered == 0, nil
+	f.rec.say("reads of the configuration at the end: %d answered", answered)
+	return status != http.StatusOK || answered == 0
 }
 
 // sendSome sends requests to all sidecars for a time.
--- a/review/standin-2/crash.go
+++ b/review/standin-2/crash.go
@@ -30,17 +30,14 @@
 	if err := f.startAll(); err != nil {
 		return false, err
 	}
-	var targets []*server
-	for _, m := range f.sidecars {
-		s, err := startServer(rec, m, "i-"+m.name, 64, 5*time.Millisecond)
-		if err != nil {
-			return false, err
-		}
-		defer s.close()
-		if m.service == "dele69a" {
-			s.crashPath = crashPath
-			targets = append(targets, s)
-		}
+	servers, err := f.startServers()
+	defer func() { closeServers(servers) }()
+	if err != nil {
+		return false, err
+	}
+	targets := servers[4:]
+	for _, s := range targets {
+		s.crashOn(crashPath)
 	}
 	doc := configuration(5, 0, []route{{"r-1", "/puje670/", "idempotent", "dele69a", "1200ms", 2}}, []string{"dele69a", "xano55b"})
 	if status, _ := f.putConfiguration(doc, time.Now().Add(20*time.Second)); status != http.StatusOK {
@@ -56,8 +53,14 @@
 	if trouble {
 		go f.roll(callers)
 	}
+	return f.judgeCrashes(targets, f.sendCrashing(callers)), nil
+}
+
+// sendCrashing sends the request that crashes servers once a second, at one machine after the
+// other, and returns by which machine each attempt was sent.
+func (f *fleet) sendCrashing(callers []*machine) (sender map[string]*machine) {
+	sender = map[string]*machine{}
 	at, misses := 0, 0
-	sender := map[string]*machine{}
 	began := time.Now()
 	for n := 1; time.Since(began) < 48*time.Second; n++ {
 		sender[attemptID(n)] = callers[at]
@@ -68,10 +71,10 @@
 		}
 		if misses >= 2 {
 			at, misses = (at+1)%len(callers), 0
-			rec.note("the client moves to %s", callers[at].name)
+			f.rec.note("the client moves to %s", callers[at].name)
 		}
 	}
-	return f.judgeCrashes(targets, sender), nil
+	return sender
 }
 
 // roll stops and starts machines in turn; the next one is stopped once the one before has been
@@ -134,6 +137,13 @@
 	return false
 }
 
+// crashOn makes a request crash the server.
+func (s *server) crashOn(path string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashPath = path
+}
+
 // crash ends the server as a crash of its process does: its connections are reset and its
 // port refuses others. It comes back under another id.
 func (s *server) crash() {
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -43,6 +43,24 @@
 	attempt, instance string
 }
 
+// startServers starts a server on each sidecar machine.
+func (f *fleet) startServers() (servers []*server, err error) {
+	for _, m := range f.sidecars {
+		s, err := startServer(f.rec, m, "i-"+m.name, 64, 5*time.Millisecond)
+		if err != nil {
+			return servers, err
+		}
+		servers = append(servers, s)
+	}
+	return servers, nil
+}
+
+func closeServers(servers []*server) {
+	for _, s := range servers {
+		s.close()
+	}
+}
+
 func startServer(rec *record, m *machine, id string, slots int, work time.Duration) (*server, error) {
 	s := &server{rec: rec, machine: m, id: id, slots: slots, work: work, stop: make(chan struct{})}
 	if err := s.listen(); err != nil {
@@ -111,7 +129,7 @@
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	id := s.id
+	id, crashPath := s.id, s.crashPath
 	s.mu.Unlock()
 	attempt := r.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", attempt)
@@ -134,7 +152,7 @@
 	s.mu.Unlock()
 	s.rec.note("%s runs at %s", attempt, id)
 	time.Sleep(s.work)
-	if s.crashPath != "" && r.URL.Path == s.crashPath {
+	if crashPath != "" && r.URL.Path == crashPath {
 		s.crash()
 		panic(http.ErrAbortHandler)
 	}
